--- /dev/null
+++ b/Makefile
@@ -0,0 +1,33 @@
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/installed
+
+.PHONY: setup run test lint format faults capacity dist bench clean
+
+setup: $(STAMP)
+
+$(STAMP): requirements.lock pyproject.toml
+	python3 -m venv $(VENV)
+	$(BIN)/pip install --quiet --requirement requirements.lock
+	$(BIN)/pip install --quiet --no-deps --no-build-isolation --editable .
+	touch $(STAMP)
+
+run: setup
+	$(BIN)/coltsfootsail demo
+
+lint: setup
+	$(BIN)/ruff format --check src tests
+	$(BIN)/ruff check src tests
+	$(BIN)/flake8 src tests
+
+format: setup
+	$(BIN)/ruff format src tests
+
+test: lint
+	$(BIN)/pytest
+
+faults: setup
+	$(BIN)/pytest tests/faults --long
+
+clean:
+	rm -rf $(VENV) build dist
--- /dev/null
+++ b/src/coltsfootsail/_keys.py
@@ -0,0 +1,55 @@
+"""Names of the keys that the system holds in the KV service.
+
+``STATE`` is watched by every node; ``DATA`` is read when needed.
+"""
+
+STATE = "/coltsfootsail/state/"
+DATA = "/coltsfootsail/data/"
+MEMBERS = STATE + "members/"
+CLAIMS = STATE + "claims/"
+INTENTS = STATE + "intents/"
+STRIKES = STATE + "strikes/"
+CONFIG_ROOT = STATE + "config"
+CHUNKS = DATA + "chunks/"
+HISTORY = DATA + "history/"
+LEDGER = DATA + "ledger/"
+
+
+def member(node):
+    """Key of a node's member record, on its lease."""
+    return MEMBERS + node
+
+
+def claim(endpoint):
+    """Key of the claim on an endpoint, on its owner's lease."""
+    return f"{CLAIMS}endpoints/{endpoint}"
+
+
+def intent(endpoint):
+    """Key of the orders that may be outstanding on an endpoint."""
+    return INTENTS + endpoint
+
+
+def strike(fingerprint):
+    """Key of the strikes against a request content."""
+    return STRIKES + fingerprint
+
+
+def chunk(digest):
+    """Key of a part of the configuration, by its hash in hex."""
+    return CHUNKS + digest
+
+
+def history(revision):
+    """Key of the record of a configuration change."""
+    return f"{HISTORY}{revision:012d}"
+
+
+def ledger(bucket):
+    """Key of a ledger bucket."""
+    return f"{LEDGER}{bucket:05d}"
+
+
+def permits(region):
+    """Key of the claim on a region's weight-store permits."""
+    return f"{CLAIMS}weight-store/{region}"
--- /dev/null
+++ b/src/coltsfootsail/_mesh.py
@@ -0,0 +1,177 @@
+"""Links between the nodes of a region, with heartbeats.
+
+Of two nodes the one with the smaller name dials.  A link that is silent
+for longer than ``SILENCE_S`` is closed and replaced.  A broken link
+changes routing at once; it never changes who owns what.
+"""
+
+import contextlib
+import dataclasses
+
+import trio
+
+from coltsfootsail import _kv
+from coltsfootsail import _wire
+from coltsfootsail import exceptions
+
+HEARTBEAT_S = 2.0
+SILENCE_S = 6.5
+REDIAL_S = 1.0
+QUEUE_MAX = 2000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Events:
+    """What the mesh tells the node, as closures.
+
+    :param message: ``(node, message)``.
+    :param up: ``(node)``.
+    :param down: ``(node)``.
+    :param heartbeat: ``() -> Heartbeat`` to send.
+    """
+
+    message: object
+    up: object
+    down: object
+    heartbeat: object
+
+
+@dataclasses.dataclass(slots=True)
+class _Link:
+    node: str
+    stream: _wire.MessageStream
+    outbox: object
+    scope: trio.CancelScope
+    heartbeat: _wire.Heartbeat | None = None
+
+
+class Mesh:
+    """The links of one node.
+
+    :param hello: the ``Hello`` of this node.
+    :param network: a ``Network``.
+    :param events: ``Events``.
+    """
+
+    def __init__(self, hello, network, events):
+        self._hello = hello
+        self._network = network
+        self._events = events
+        self._links = {}
+        self._dialing = set()
+        self.sent = 0
+
+    def up(self):
+        """List the nodes with a live link."""
+        return list(self._links)
+
+    def heartbeats(self):
+        """List the last heartbeat of each linked node that sent one."""
+        beats = {node: link.heartbeat for node, link in self._links.items()}
+        return {node: beat for node, beat in beats.items() if beat}
+
+    def send(self, node, msg):
+        """Queue a message for a node.
+
+        :returns: whether a live link took it; that is no receipt.
+        """
+        link = self._links.get(node)
+        if link is None:
+            return False
+        try:
+            link.outbox.send_nowait(msg)
+        except trio.WouldBlock:
+            link.scope.cancel()
+            return False
+        self.sent += 1
+        return True
+
+    def broadcast(self, msg):
+        """Queue a message for all linked nodes."""
+        for node in list(self._links):
+            self.send(node, msg)
+
+    async def run(self, peers):
+        """Keep links to peers for as long as the task runs.
+
+        :param peers: ``() -> dict`` of node name to peer address.
+        """
+        async with trio.open_nursery() as nursery:
+            while True:
+                for node, address in peers().items():
+                    mine = self._hello.node < node
+                    busy = node in self._links or node in self._dialing
+                    if mine and not busy:
+                        self._dialing.add(node)
+                        nursery.start_soon(self._dial, node, address)
+                await trio.sleep(_kv.jittered(REDIAL_S))
+
+    async def _dial(self, node, address):
+        try:
+            with contextlib.suppress(OSError):
+                stream = await self._network.open_stream(address)
+                async with stream:
+                    messages = _wire.MessageStream(stream)
+                    await messages.send(self._hello)
+                    await self._run_link(node, messages)
+        finally:
+            self._dialing.discard(node)
+
+    async def serve(self, messages, hello):
+        """Run a link that a peer opened.
+
+        :param messages: a ``MessageStream``.
+        :param hello: the ``Hello`` received on it.
+        """
+        if hello.region != self._hello.region:
+            raise exceptions.WireError("a node of another region")
+        old = self._links.get(hello.node)
+        if old is not None:
+            old.scope.cancel()
+        await self._run_link(hello.node, messages)
+
+    async def _run_link(self, node, messages):
+        send_channel, receive_channel = trio.open_memory_channel(QUEUE_MAX)
+        with trio.CancelScope() as scope:
+            link = _Link(node, messages, send_channel, scope)
+            self._links[node] = link
+            self._events.up(node)
+            try:
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(self._send_all, link, receive_channel)
+                    nursery.start_soon(self._beat, link)
+                    await self._receive_all(link)
+                    nursery.cancel_scope.cancel()
+            finally:
+                if self._links.get(node) is link:
+                    del self._links[node]
+                    self._events.down(node)
+        with trio.CancelScope(shield=True):
+            await messages.aclose()
+
+    async def _send_all(self, link, outbox):
+        with contextlib.suppress(OSError):
+            async for msg in outbox:
+                await link.stream.send(msg)
+        link.scope.cancel()
+
+    async def _beat(self, link):
+        with contextlib.suppress(OSError):
+            while True:
+                await link.stream.send(self._events.heartbeat())
+                await trio.sleep(_kv.jittered(HEARTBEAT_S))
+        link.scope.cancel()
+
+    async def _receive_all(self, link):
+        with contextlib.suppress(
+            OSError, trio.TooSlowError, exceptions.WireError
+        ):
+            while True:
+                with trio.fail_after(SILENCE_S):
+                    msg = await link.stream.receive()
+                if msg is None:
+                    return
+                if isinstance(msg, _wire.Heartbeat):
+                    link.heartbeat = msg
+                else:
+                    self._events.message(link.node, msg)
--- /dev/null
+++ b/src/coltsfootsail/_node.py
@@ -0,0 +1,698 @@
+"""A node: every part of the system that runs on one entry host."""
+
+import contextlib
+import random
+import secrets
+import time
+
+import trio
+
+from coltsfootsail import _admin
+from coltsfootsail import _cluster
+from coltsfootsail import _config
+from coltsfootsail import _document
+from coltsfootsail import _engine
+from coltsfootsail import _forward
+from coltsfootsail import _frontend
+from coltsfootsail import _hosts
+from coltsfootsail import _http
+from coltsfootsail import _keys
+from coltsfootsail import _kv
+from coltsfootsail import _lease
+from coltsfootsail import _ledger
+from coltsfootsail import _logs
+from coltsfootsail import _mesh
+from coltsfootsail import _metrics
+from coltsfootsail import _owner
+from coltsfootsail import _ownership
+from coltsfootsail import _permits
+from coltsfootsail import _placement
+from coltsfootsail import _poison
+from coltsfootsail import _popularity
+from coltsfootsail import _records
+from coltsfootsail import _residency
+from coltsfootsail import _retries
+from coltsfootsail import _routing
+from coltsfootsail import _scheduler
+from coltsfootsail import _services
+from coltsfootsail import _wire
+from coltsfootsail import exceptions
+
+CONFIG_POLL_S = 5.0
+RECONCILE_S = 0.5
+ANNOUNCE_S = 0.1
+PROBE_S = 2.0
+HELLO_TIMEOUT_S = 5.0
+SWEEP_S = 300.0
+
+
+class Node:
+    """One node of the system.
+
+    :param settings: ``Settings``.
+    :param network: a ``Network``.
+    :param wall_s: closure that reads the time since 1970.
+    """
+
+    def __init__(self, settings, network, wall_s=time.time):
+        self.settings = settings
+        self.now = network.now
+        self.incarnation = secrets.token_hex(6)
+        self.metrics = _metrics.Metrics()
+        self.stored = _config.EMPTY
+        self.draining = False
+        self.identity = _ownership.Identity(
+            settings.node.name,
+            self.incarnation,
+            settings.node.region,
+            settings.node.data_centre,
+        )
+        self._network = network
+        self._router = _routing.Router(self.stored.document)
+        self._bases = {}
+        self._owners = {}
+        self._gone_since_s = {}
+        self._seen_members = {}
+        self._config_changed = trio.Event()
+        self._announced = {}
+        self._dirty = set()
+        self._nursery = None
+        self._build(wall_s)
+
+    def _build(self, wall_s):
+        settings, count = self.settings, self.metrics.count
+        self.client = _http.HttpClient(self._network)
+        self.kv = _kv.KvClient(
+            self.client,
+            settings.platform.kv_addresses,
+            lambda kind: count("kv_calls", kind),
+        )
+        self.cluster = _cluster.Cluster()
+        self.lease = _lease.NodeLease(
+            self.kv, self.now, settings.lease.ttl_s, settings.lease.margin_s
+        )
+        self.hosts = _hosts.HostList(
+            self.client, settings.platform.host_list_address, self.now
+        )
+        self.ledger = _ledger.Ledger(
+            self.kv,
+            settings.ledger,
+            settings.node.name,
+            self.incarnation,
+            self._is_alive,
+            wall_s,
+        )
+        self.strikes = _poison.Strikes(self.cluster.strikes)
+        self.budget = _retries.RetryBudget(0.1)
+        self.residency = _residency.Residency()
+        self.popularity = _popularity.Popularity()
+        self.ownership = _ownership.Ownership(
+            self.identity,
+            self.kv,
+            self.cluster,
+            self.lease,
+            self.document,
+            self._gone_s,
+            self.now,
+            count,
+        )
+        hello = _wire.Hello(
+            settings.node.name, settings.node.region, self.incarnation
+        )
+        events = _mesh.Events(
+            message=self._on_message,
+            up=self._on_link_up,
+            down=self._on_link_down,
+            heartbeat=self._heartbeat,
+        )
+        self.mesh = _mesh.Mesh(hello, self._network, events)
+        self.permits = _permits.Permits(
+            settings.node.name,
+            self._permit_holder,
+            self.mesh.send,
+            self.now,
+            self._alone_period_s,
+        )
+        self.frontend = _frontend.Frontend(self)
+        self.admin = _admin.Admin(self)
+
+    # -- views ------------------------------------------------------
+
+    def document(self):
+        """Get the document in force."""
+        return self.stored.document
+
+    def router(self):
+        """Get the router of the document in force."""
+        return self._router
+
+    def owners(self):
+        """Get the endpoint owners of this node by endpoint."""
+        return self._owners
+
+    def _is_alive(self, node, incarnation):
+        member = self.cluster.member(node)
+        return member is not None and member.incarnation == incarnation
+
+    def _gone_s(self, node, incarnation):
+        """Tell for how long a run of a node is known to have ended."""
+        since_s = self._gone_since_s.get((node, incarnation))
+        host_s = self.hosts.gone_s(node)
+        if since_s is None:
+            return host_s
+        return max(host_s, self.now() - since_s)
+
+    def _permit_holder(self):
+        held = self.cluster.permits(self.identity.region)
+        return held.record.node if held else None
+
+    def _alone_period_s(self):
+        rate = self.settings.platform.weight_store_loads_per_s
+        return max(1, len(self.cluster.members())) / rate
+
+    def readiness(self):
+        """Tell whether callers should use this node.
+
+        :returns: ``ready`` or the reason why not.
+        """
+        if self.draining:
+            return "draining"
+        if not self.stored.root.revision:
+            return "no_configuration"
+        return "ready"
+
+    def check_serving(self):
+        """Refuse requests that this node can't serve.
+
+        :raises NoConfiguration: if none is in force.
+        """
+        if not self.stored.root.revision:
+            raise exceptions.NoConfiguration(retry_after_s=1.0)
+
+    def leaving(self, entry):
+        """Say whether an endpoint's host is leaving."""
+        return self.hosts.leaving(entry.host)
+
+    def usable(self, name, entry):
+        """Say whether an endpoint may take new work."""
+        if self.leaving(entry):
+            return False
+        return not _document.is_drained(self.document(), name, entry)
+
+    def service_instances(self, name):
+        """List a plain service's usable instances."""
+        return _services.instances(self.document(), name, self.leaving)
+
+    # -- placement --------------------------------------------------
+
+    def _candidates(self, base):
+        """List the engines of a base model, cached per document."""
+        if base not in self._bases:
+            kind = _document.EndpointKind.ENGINE
+            self._bases[base] = tuple(
+                sorted(
+                    name
+                    for name, entry in self.document().endpoints.items()
+                    if entry.kind is kind and entry.base in ("", base)
+                )
+            )
+        return self._bases[base]
+
+    def _look(self, endpoint, adapter):
+        entry = self.document().endpoints[endpoint]
+        if not self.usable(endpoint, entry):
+            return None
+        if self.ownership.owner(endpoint) is None:
+            return None
+        local = entry.data_centre == self.identity.data_centre
+        return self.residency.candidate(endpoint, adapter, entry.batch, local)
+
+    def place(self, work, tried):
+        """Choose the endpoint for a request.
+
+        :param tried: endpoints that failed it already.
+        :raises NoEndpoint: if none is left.
+        """
+        names = self._candidates(work.base)
+        holders = self.residency.holders(work.adapter)
+        ranked = _placement.choose(
+            work.adapter,
+            names,
+            lambda name: self._look(name, work.adapter),
+            [name for name in holders if name in names],
+        )
+        if not ranked:
+            ranked = [name for name in names if self._look(name, work.adapter)]
+        left = [name for name in ranked if name not in tried] or ranked
+        if not left:
+            raise exceptions.NoEndpoint(retry_after_s=2.0)
+        return left[0]
+
+    def addresses_for(self, model, count):
+        """List the addresses that a caller should use for a model.
+
+        :param model: a model name, or empty for any.
+        :returns: list of ``ip:port``, best first.
+        """
+        members = {
+            name: member
+            for name, member in self.cluster.members().items()
+            if not member.draining
+        }
+        names = self._owner_names(model) if model else []
+        ranked = [name for name in names if name in members]
+        others = sorted(set(members) - set(ranked))
+        random.shuffle(others)
+        region = self.identity.region
+        others.sort(key=lambda name: members[name].region != region)
+        chosen = [*dict.fromkeys([*ranked, *others])][:count]
+        return [members[name].caller_address for name in chosen]
+
+    def _owner_names(self, model):
+        resolved = self._router.resolve(model)
+        ranked = _placement.choose(
+            resolved.adapter,
+            self._candidates(resolved.base),
+            lambda name: self._look(name, resolved.adapter),
+            self.residency.holders(resolved.adapter),
+        )
+        return [self.ownership.owner(name) for name in ranked]
+
+    async def dispatch(self, endpoint, work, sink):
+        """Run a request at its owner, here or on another node.
+
+        :raises ColtsfootsailError: with what is true of the request.
+        """
+        owner = self.ownership.owner(endpoint)
+        if owner == self.identity.node:
+            await self._serve_owned(endpoint, work, sink)
+            return
+        member = self.cluster.member(owner) if owner else None
+        if member is None:
+            raise exceptions.NoOwner()
+        self.metrics.count("forwards", "owner")
+        msg = _forward.to_message(work, endpoint, self.now())
+        await _forward.send(self._network, member.peer_address, msg, sink)
+
+    async def _serve_owned(self, endpoint, work, sink):
+        owner = self._owners.get(endpoint)
+        if owner is None:
+            raise exceptions.NotOwner()
+        weight = 1.0 if work.protected else _scheduler.BATCH_WEIGHT
+        self.popularity.add(work.adapter, self.now(), weight)
+        limits = _document.limits_of(self.document())
+        await owner.serve(work, sink, limits.queue_max)
+
+    # -- peers ------------------------------------------------------
+
+    def _heartbeat(self):
+        return _wire.Heartbeat(self.stored.root.revision, self.lease.kv_ok)
+
+    def _peers(self):
+        return {
+            name: member.peer_address
+            for name, member in self._seen_members.items()
+            if name != self.identity.node
+            and member.region == self.identity.region
+        }
+
+    def _on_link_up(self, node):
+        self.metrics.count("peer_links", "up")
+        for endpoint in self._owners:
+            self.mesh.send(node, self._residency_message(endpoint, ()))
+
+    def _on_link_down(self, node):
+        self.metrics.count("peer_links", "down")
+        self.permits.drop_node(node)
+
+    def _on_message(self, node, msg):
+        handle = _PEER_MESSAGES.get(type(msg))
+        if handle is None:
+            self.metrics.count("peer_messages", "unexpected")
+            return
+        handle(self, node, msg)
+
+    def _on_residency(self, node, msg):
+        if self.ownership.owner(msg.endpoint) != self.identity.node:
+            self.residency.apply(msg)
+
+    def _on_strike(self, node, msg):
+        if msg.count:
+            self.strikes.note(msg.fingerprint, msg.count)
+        else:
+            self.strikes.clear(msg.fingerprint)
+
+    def _on_permit(self, node, msg):
+        self.permits.receive(node, msg)
+
+    async def _serve_peer(self, stream):
+        messages = _wire.MessageStream(stream)
+        try:
+            with trio.fail_after(HELLO_TIMEOUT_S):
+                first = await messages.receive()
+            if isinstance(first, _wire.Hello):
+                await self.mesh.serve(messages, first)
+            elif isinstance(first, _wire.Forward):
+                await _forward.serve(
+                    messages, first, self._serve_owned, self.now()
+                )
+        except (OSError, trio.TooSlowError):
+            return
+        except exceptions.WireError as exc:
+            self.metrics.count("peer_messages", exc.code)
+
+    def _residency_message(self, endpoint, known):
+        scheduler = self._owners[endpoint].scheduler
+        ready = {
+            adapter
+            for adapter, slot in scheduler.resident.items()
+            if slot.state is _scheduler.SlotState.READY
+        }
+        return _wire.Residency(
+            endpoint=endpoint,
+            added=tuple(sorted(ready - set(known))),
+            removed=tuple(sorted(set(known) - ready)),
+            waiting=scheduler.waiting_count,
+            running=scheduler.running,
+            full=len(scheduler.resident) >= scheduler.slots,
+        )
+
+    async def _announce(self):
+        """Tell peers what changed on owned endpoints."""
+        while True:
+            dirty, self._dirty = self._dirty, set()
+            for endpoint in dirty:
+                if endpoint in self._owners:
+                    self._announce_one(endpoint)
+            await trio.sleep(_kv.jittered(ANNOUNCE_S))
+
+    def _announce_one(self, endpoint):
+        known = self._announced.get(endpoint, frozenset())
+        msg = self._residency_message(endpoint, known)
+        self.residency.apply(msg)
+        self._announced[endpoint] = (known | set(msg.added)) - set(msg.removed)
+        self.mesh.broadcast(msg)
+
+    # -- owners -----------------------------------------------------
+
+    def _may_order(self, endpoint):
+        return self.lease.valid() and bool(self.ownership.fence(endpoint))
+
+    def _may_fill(self, endpoint):
+        """Say whether loads into free slots are safe without a lease.
+
+        The endpoint must refuse old fencing numbers, so that an order is
+        void if somebody else took over.
+        """
+        entry = self.document().endpoints.get(endpoint)
+        held = bool(self.ownership.fence(endpoint))
+        return entry is not None and entry.fencing and held
+
+    def _guards(self, endpoint, entry):
+        async def record(adapters):
+            if entry.fencing:
+                return
+            fence = self.ownership.fence(endpoint)
+            await self.ownership.record(endpoint, fence, adapters)
+
+        timeout_s = self.settings.limits.request_timeout_s
+        return _owner.Guards(
+            may_dispatch=lambda: bool(self.ownership.fence(endpoint)),
+            may_order=lambda: self._may_order(endpoint),
+            may_fill=lambda: self._may_fill(endpoint),
+            record=record,
+            unresolved=lambda: self.ownership.unresolved(endpoint, timeout_s),
+        )
+
+    def _hooks(self):
+        return _owner.Hooks(
+            count=self.metrics.count,
+            changed=self._dirty.add,
+            crashed=self._crashed,
+            cleared=self._cleared,
+            suspect=self.strikes.suspect,
+            refused=self.strikes.refused,
+        )
+
+    def _rules(self):
+        limits = _document.limits_of(self.document())
+        return _scheduler.Rules(
+            value=self.popularity.rate, batch_age_s=limits.batch_age_s
+        )
+
+    def _make_owner(self, endpoint, entry):
+        hooks = self._hooks()
+        return _owner.EndpointOwner(
+            endpoint,
+            entry,
+            _engine.Engine(self.client, entry.address, self.now),
+            self._rules(),
+            self.permits,
+            self._guards(endpoint, entry),
+            hooks,
+            self.now,
+            self.settings.limits,
+        )
+
+    async def _crashed(self, fingerprints):
+        """Strike the contents that ran when an engine crashed."""
+        for content in fingerprints:
+            count = self.strikes.add(content)
+            self.metrics.count("strikes", str(count))
+            self.mesh.broadcast(_wire.Strike(content, count))
+            await self._store_strike(content, count)
+
+    async def _store_strike(self, content, count):
+        record = _records.dumps(_records.StrikeRecord(count))
+        with contextlib.suppress(exceptions.KvError):
+            await self.kv.txn([], [_kv.Put(_keys.strike(content), record)])
+
+    def _cleared(self, content):
+        if self.strikes.clear(content):
+            self.metrics.count("strikes", "cleared")
+            self.mesh.broadcast(_wire.Strike(content, 0))
+            self._nursery.start_soon(self._delete_strike, content)
+
+    async def _delete_strike(self, content):
+        with contextlib.suppress(exceptions.KvError):
+            await self.kv.txn([], [_kv.Delete(_keys.strike(content))])
+
+    async def _reconcile(self):
+        """Start, update and end owners as claims and entries change."""
+        while True:
+            for endpoint, entry in list(self.document().endpoints.items()):
+                if entry.kind is _document.EndpointKind.ENGINE:
+                    self._reconcile_one(endpoint, entry)
+            for endpoint in list(self._owners):
+                await self._resolve_one(endpoint)
+            await trio.sleep(_kv.jittered(RECONCILE_S))
+
+    def _reconcile_one(self, endpoint, entry):
+        fence = self.ownership.fence(endpoint)
+        owner = self._owners.get(endpoint)
+        if fence and owner is None:
+            owner = self._make_owner(endpoint, entry)
+            self._owners[endpoint] = owner
+            self._nursery.start_soon(self._run_owner, owner)
+        if owner is None:
+            return
+        if fence and (fence != owner.fence or not owner.active):
+            _logs.state("endpoint_owned", endpoint=endpoint, fence=fence)
+            owner.activate(fence)
+        elif not fence and owner.active:
+            _logs.state("endpoint_lost", endpoint=endpoint)
+            owner.deactivate()
+        owner.set_draining(not self.usable(endpoint, entry))
+
+    async def _resolve_one(self, endpoint):
+        owner = self._owners[endpoint]
+        if owner.active or not owner.idle():
+            return
+        self._announced.pop(endpoint, None)
+        if not self.lease.kv_ok:
+            return
+        resolved = await self.ownership.resolve(endpoint)
+        if resolved and not owner.active and owner.idle():
+            owner.stop()
+            del self._owners[endpoint]
+
+    async def _run_owner(self, owner):
+        with owner.scope:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(owner.run_loader)
+                nursery.start_soon(owner.run_reports)
+
+    async def _probe_gone(self):
+        """Find out which runs of nodes have ended."""
+        while True:
+            for holder in self._doubtful_holders():
+                await self._probe(holder)
+            await trio.sleep(_kv.jittered(PROBE_S))
+
+    def _doubtful_holders(self):
+        timeout_s = self.settings.limits.request_timeout_s
+        return {
+            (holder.node, holder.incarnation)
+            for endpoint in self._owners
+            for holder in self.ownership.unresolved(endpoint, timeout_s)
+        }
+
+    async def _probe(self, run):
+        node, incarnation = run
+        member = self.cluster.member(node)
+        if member is not None:
+            if member.incarnation != incarnation:
+                self._gone_since_s.setdefault(run, self.now())
+            return
+        seen = self._seen_members.get(node)
+        if seen is None:
+            return
+        try:
+            stream = await self._network.open_stream(seen.peer_address)
+        except ConnectionRefusedError:
+            self._gone_since_s.setdefault(run, self.now())
+        except OSError:
+            return
+        else:
+            await trio.aclose_forcefully(stream)
+
+    # -- configuration ----------------------------------------------
+
+    def _on_change(self, keys):
+        self._seen_members.update(self.cluster.members())
+        if keys is None or _keys.CONFIG_ROOT in keys:
+            self._config_changed.set()
+
+    async def _follow_config(self):
+        """Put each higher revision of the configuration in force."""
+        backoff = _kv.Backoff(first_s=0.2, limit_s=3.0)
+        while True:
+            try:
+                stored = await _config.refresh(self.kv, self.stored)
+            except (
+                exceptions.KvError,
+                exceptions.WireError,
+                exceptions.DocumentError,
+            ) as exc:
+                self.metrics.count("config", exc.code)
+                await trio.sleep(0.1 + backoff.next_s())
+                continue
+            backoff.reset()
+            self.put_in_force(stored)
+            with trio.move_on_after(_kv.jittered(CONFIG_POLL_S)):
+                await self._config_changed.wait()
+            self._config_changed = trio.Event()
+
+    def put_in_force(self, stored):
+        """Take a configuration, if its revision is higher.
+
+        :param stored: a ``Stored``.
+        :returns: whether it was taken.
+        """
+        if stored.root.revision <= self.stored.root.revision:
+            return False
+        self.stored = stored
+        self._router = _routing.Router(stored.document)
+        self._bases = {}
+        self.budget.share = _document.limits_of(stored.document).retry_share
+        self.metrics.count("config", "in_force")
+        _logs.state("config_in_force", revision=stored.root.revision)
+        return True
+
+    # -- life -------------------------------------------------------
+
+    def _member(self):
+        node = self.settings.node
+        return _records.Member(
+            node=node.name,
+            incarnation=self.incarnation,
+            region=node.region,
+            data_centre=node.data_centre,
+            caller_address=node.caller_address,
+            peer_address=node.peer_address,
+            admin_address=node.admin_address,
+            lease=self.lease.number,
+            draining=self.draining,
+        )
+
+    def _on_lease(self, event):
+        _logs.state("lease", node=self.identity.node, change=event)
+        name = "kv_state" if event.startswith("kv_") else "lease"
+        self.metrics.count(name, event)
+
+    async def _sweep(self):
+        while True:
+            await trio.sleep(SWEEP_S)
+            self.popularity.sweep(self.now())
+            self.ledger.sweep()
+
+    async def run(self, task_status=trio.TASK_STATUS_IGNORED):
+        """Run the node until it is cancelled or has drained."""
+        node = self.settings.node
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            await nursery.start(
+                self._network.serve, node.peer_address, self._serve_peer
+            )
+            await nursery.start(
+                self._network.serve, node.admin_address, self.admin.serve
+            )
+            await nursery.start(
+                self._network.serve, node.caller_address, self.frontend.serve
+            )
+            self._start_tasks(nursery)
+            _logs.state("node_started", node=node.name)
+            task_status.started()
+
+    def _start_tasks(self, nursery):
+        renew_s = self.settings.lease.renew_s
+        nursery.start_soon(
+            self.lease.run, renew_s, self._member, self._on_lease
+        )
+        nursery.start_soon(
+            _cluster.follow, self.kv, self.cluster, self._on_change
+        )
+        nursery.start_soon(self._follow_config)
+        nursery.start_soon(self.hosts.run, lambda: None)
+        nursery.start_soon(self.mesh.run, self._peers)
+        nursery.start_soon(self.ownership.run, lambda: not self.draining)
+        nursery.start_soon(self._reconcile)
+        nursery.start_soon(self._announce)
+        nursery.start_soon(self._probe_gone)
+        nursery.start_soon(self._sweep)
+
+    async def drain(self):
+        """Stop without cutting off a request.
+
+        The node leaves the address answers, hands its endpoints over,
+        stays until cached addresses have lapsed and its requests have
+        ended, then ends its lease and its tasks.
+        """
+        _logs.state("node_draining", node=self.identity.node)
+        self.draining = True
+        with contextlib.suppress(exceptions.KvError):
+            await self.lease.publish(self._member())
+        for endpoint in list(self._owners):
+            await self.ownership.hand_over(endpoint)
+        settings = self.settings.drain
+        await trio.sleep(settings.address_ttl_s)
+        with trio.move_on_after(settings.timeout_s):
+            while self._busy():
+                await trio.sleep(0.1)
+        with contextlib.suppress(exceptions.KvError):
+            await self.lease.revoke()
+        _logs.state("node_stopped", node=self.identity.node)
+        self._nursery.cancel_scope.cancel()
+
+    def _busy(self):
+        unresolved = any(not owner.idle() for owner in self._owners.values())
+        return unresolved or self.frontend.active > 0
+
+
+_PEER_MESSAGES = {
+    _wire.Residency: Node._on_residency,
+    _wire.Strike: Node._on_strike,
+    _wire.PermitAsk: Node._on_permit,
+    _wire.PermitGrant: Node._on_permit,
+    _wire.PermitDone: Node._on_permit,
+}
--- /dev/null
+++ b/src/coltsfootsail/_permits.py
@@ -0,0 +1,181 @@
+"""The order in which loads use the weight store.
+
+One node a region holds the queue by a claim.  Urgent classes go first,
+within a class the longest wait; the store serves one load at a time.
+"""
+
+import contextlib
+import dataclasses
+import itertools
+
+import trio
+
+from coltsfootsail import _wire
+from coltsfootsail import exceptions
+
+GRANT_TIMEOUT_S = 30.0
+ASK_TIMEOUT_S = 10.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ask:
+    """A load that waits for its turn."""
+
+    ticket: str
+    node: str
+    rank: int
+    since_s: float
+
+
+class PermitQueue:
+    """Decides who loads next; no I/O and no clock of its own."""
+
+    def __init__(self, width=1):
+        self._width = width
+        self._waiting = {}
+        self._granted = {}
+
+    def ask(self, ticket, node, rank, waited_s, now_s):
+        """Queue an ask, or change its rank."""
+        if ticket not in self._granted:
+            since_s = now_s - waited_s
+            self._waiting[ticket] = Ask(ticket, node, rank, since_s)
+
+    def done(self, ticket):
+        """End a load or withdraw an ask."""
+        self._waiting.pop(ticket, None)
+        self._granted.pop(ticket, None)
+
+    def drop_node(self, node):
+        """Forget the asks of a node that is gone."""
+        self._waiting = {
+            ticket: ask
+            for ticket, ask in self._waiting.items()
+            if ask.node != node
+        }
+
+    def next(self, now_s):
+        """Grant the next load, if the store is free.
+
+        :returns: an ``Ask`` or None.
+        """
+        self._expire(now_s)
+        if len(self._granted) >= self._width or not self._waiting:
+            return None
+        first = min(
+            self._waiting.values(), key=lambda ask: (ask.rank, ask.since_s)
+        )
+        del self._waiting[first.ticket]
+        self._granted[first.ticket] = now_s
+        return first
+
+    def _expire(self, now_s):
+        self._granted = {
+            ticket: at_s
+            for ticket, at_s in self._granted.items()
+            if now_s - at_s < GRANT_TIMEOUT_S
+        }
+
+
+class Permits:
+    """A node's way to the weight-store queue of its region.
+
+    :param node: this node's name.
+    :param holder: ``() -> node name`` that holds the queue, or None.
+    :param send: ``(node, message) -> bool``, whether it was sent.
+    :param now: closure that reads the clock.
+    :param share_s: ``() -> seconds`` between loads when nobody holds
+        the queue.
+    """
+
+    def __init__(self, node, holder, send, now, share_s):
+        self._node = node
+        self._holder = holder
+        self._send = send
+        self._now = now
+        self._share_s = share_s
+        self._queue = PermitQueue()
+        self._grants = {}
+        self._numbers = itertools.count()
+        self._last_alone_s = float("-inf")
+
+    @contextlib.asynccontextmanager
+    async def permit(self, rank, waited_s):
+        """Hold the right to load for the length of a block."""
+        ticket = f"{self._node}/{next(self._numbers)}"
+        holder = await self._acquire(ticket, rank, waited_s)
+        try:
+            yield
+        finally:
+            self._grants.pop(ticket, None)
+            self._tell(holder, _wire.PermitDone(ticket))
+
+    async def _acquire(self, ticket, rank, waited_s):
+        holder = self._holder()
+        if holder is not None:
+            event = self._grants[ticket] = trio.Event()
+            ask = _wire.PermitAsk(ticket, rank, float(waited_s))
+            if self._tell(holder, ask):
+                with trio.move_on_after(ASK_TIMEOUT_S):
+                    await event.wait()
+                    return holder
+            self._grants.pop(ticket, None)
+            self._tell(holder, _wire.PermitDone(ticket))
+        await self._wait_alone()
+        return None
+
+    async def _wait_alone(self):
+        while True:
+            next_s = self._last_alone_s + self._share_s()
+            wait_s = next_s - self._now()
+            if wait_s <= 0:
+                break
+            await trio.sleep(wait_s)
+        self._last_alone_s = self._now()
+
+    def _tell(self, holder, msg):
+        if holder is None:
+            return False
+        if holder == self._node:
+            self.receive(self._node, msg)
+            return True
+        return self._send(holder, msg)
+
+    def receive(self, node, msg):
+        """Take a permit message from a node."""
+        handle = _HANDLERS.get(type(msg))
+        if handle is None:
+            raise exceptions.WireError("not a permit message")
+        handle(self, node, msg)
+        self._grant()
+
+    def _on_ask(self, node, msg):
+        self._queue.ask(msg.ticket, node, msg.rank, msg.waited_s, self._now())
+
+    def _on_done(self, node, msg):
+        self._queue.done(msg.ticket)
+
+    def _on_grant(self, node, msg):
+        event = self._grants.get(msg.ticket)
+        if event is None:
+            self._tell(node, _wire.PermitDone(msg.ticket))
+            return
+        event.set()
+
+    def drop_node(self, node):
+        """Forget the asks of a node that is gone."""
+        self._queue.drop_node(node)
+        self._grant()
+
+    def _grant(self):
+        granted = self._queue.next(self._now())
+        if granted is None:
+            return
+        self._tell(granted.node, _wire.PermitGrant(granted.ticket))
+
+
+_HANDLERS = {
+    _wire.PermitAsk: Permits._on_ask,
+    _wire.PermitDone: Permits._on_done,
+    _wire.PermitGrant: Permits._on_grant,
+}
--- /dev/null
+++ b/src/coltsfootsail/_records.py
@@ -0,0 +1,121 @@
+"""Records kept in the KV service, as msgpack of plain tables."""
+
+import dataclasses
+
+import msgpack
+
+from coltsfootsail import _schema
+from coltsfootsail import exceptions
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Member:
+    """A live node: where it is and how to reach it."""
+
+    node: str
+    incarnation: str
+    region: str
+    data_centre: str
+    caller_address: str
+    peer_address: str
+    admin_address: str
+    lease: int
+    draining: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Claim:
+    """A role held by a node; the key's mod revision is its fence."""
+
+    node: str
+    incarnation: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Holder:
+    """A node that may still use an endpoint.
+
+    :param adapters: named by orders that it may have outstanding.
+    """
+
+    node: str
+    incarnation: str
+    adapters: tuple[str, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Intent:
+    """All nodes that may still use an endpoint, its owner last.
+
+    It outlives leases: a holder removes itself once it has no request
+    running and no order outstanding there.
+    """
+
+    holders: tuple[Holder, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StrikeRecord:
+    """Strikes against a request content."""
+
+    count: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConfigRoot:
+    """The configuration in force: its revision and its chunks' hashes."""
+
+    revision: int
+    nonce: str
+    chunks: tuple[bytes, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Operation:
+    """Sets or deletes one entry; ``old`` is the value it replaced.
+
+    Values are msgpack of the entry; empty means that there is none.
+    """
+
+    section: str
+    key: str
+    old: bytes
+    new: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConfigChange:
+    """One accepted change, with what it replaced.
+
+    :param truncated: it was too large to keep its operations.
+    """
+
+    revision: int
+    nonce: str
+    when: str
+    operator: str
+    team: str
+    operations: tuple[Operation, ...]
+    truncated: bool = False
+
+
+def dumps(record):
+    """Encode a record."""
+    return msgpack.packb(_schema.unstructure(record))
+
+
+def loads(data, kind):
+    """Decode a record.
+
+    :param data: bytes.
+    :param kind: its class.
+    :raises WireError: if the bytes are no such record.
+    """
+    try:
+        value = msgpack.unpackb(data)
+    except (ValueError, msgpack.UnpackException) as exc:
+        raise exceptions.WireError(f"{kind.__name__}: {exc}") from exc
+    record, problems = _schema.structure(value, kind)
+    if problems:
+        raise exceptions.WireError(f"{kind.__name__}: {problems[0]}")
+    return record
--- /dev/null
+++ b/src/coltsfootsail/_scheduler.py
@@ -0,0 +1,413 @@
+"""Decisions for one endpoint: what to start, load and evict.
+
+State in, decision out: no I/O and no clock of its own.  The node and the
+policy bench run the same code.  The work of one decision depends on the
+endpoint's slots, not on how many adapters exist.
+"""
+
+import collections
+import dataclasses
+import enum
+import heapq
+
+BATCH_WEIGHT = 0.02
+PROTECTED_KEEP_RATE = 1 / 240.0
+PREFETCH_GAIN = 1.5
+
+
+class SlotState(enum.Enum):
+    """Life of an adapter in a slot."""
+
+    LOADING = "loading"
+    READY = "ready"
+    EVICTING = "evicting"
+    UNSURE = "unsure"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ticket:
+    """A request waiting for or using a place in the batch.
+
+    :param adapter: ``name@version``.
+    :param rank: rank of its priority class; lower goes first.
+    :param order: admission order, unique on the endpoint.
+    """
+
+    order: int
+    adapter: str
+    rank: int
+    protected: bool
+    arrival_s: float
+    suspect: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class Slot:
+    """An adapter in a slot and who uses it."""
+
+    state: SlotState
+    since_s: float
+    running: int = 0
+    protected_running: int = 0
+    lingering: int = 0
+    last_used_s: float = 0.0
+    pinned_until_s: float = 0.0
+    condemned: bool = False
+    condemned_until_s: float = 0.0
+    adopted: bool = False
+    for_batch: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadPlan:
+    """A load to order, after evicting ``victim`` where there is one."""
+
+    adapter: str
+    victim: str
+    rank: int
+    protected: bool
+    waited_s: float
+    prefetch: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Rules:
+    """What varies between policies, as plain functions.
+
+    :param value: ``(adapter, now_s) -> float``, worth of keeping it.
+    :param batch_age_s: a batch request older than this goes first.
+    :param gather: load first what most batch requests wait for.
+    :param protect: classes with protection go before others.
+    :param keep_value: adapters worth more are kept from batch loads.
+    :param reserve: batch places only protected requests may take.
+    :param protected_slot_share: share of slots that loads for batch
+        classes leave alone, at least one.
+    :param prefetch: ``(scheduler, now_s) -> adapter`` or None.
+    """
+
+    value: collections.abc.Callable
+    batch_age_s: float = 600.0
+    gather: bool = True
+    protect: bool = True
+    keep_value: float = PROTECTED_KEEP_RATE
+    reserve: int = 1
+    protected_slot_share: float = 0.25
+    prefetch: collections.abc.Callable | None = None
+
+
+class EndpointScheduler:
+    """The queue, the slots and the batch of one engine.
+
+    :param slots: how many adapters the engine holds.
+    :param batch: how many requests run at once.
+    :param rules: ``Rules``.
+    """
+
+    def __init__(self, slots, batch, rules):
+        self.slots = slots
+        self.batch = batch
+        self.rules = rules
+        self.resident = {}
+        self.running = 0
+        self.waiting_count = 0
+        self.suspect_running = False
+        self._waiting = {}
+        self._by_age = []
+        self._by_count = []
+        self._steps = 0
+
+    @property
+    def steps(self):
+        """Units of work done, for bounds on the cost of decisions."""
+        return self._steps
+
+    @property
+    def load(self):
+        """Running and waiting requests over batch places."""
+        return (self.running + self.waiting_count) / self.batch
+
+    def submit(self, ticket):
+        """Queue a request."""
+        queue = self._waiting.setdefault(ticket.adapter, [])
+        heapq.heappush(queue, (ticket.rank, ticket.order, ticket))
+        self.waiting_count += 1
+        self._index(ticket.adapter)
+
+    def withdraw(self, ticket):
+        """Take a request out of the queue.
+
+        :returns: whether it was still waiting.
+        """
+        queue = self._waiting.get(ticket.adapter, [])
+        entry = (ticket.rank, ticket.order, ticket)
+        if entry not in queue:
+            return False
+        queue.remove(entry)
+        heapq.heapify(queue)
+        self._drop_waiting(ticket.adapter, queue)
+        return True
+
+    def _drop_waiting(self, adapter, queue):
+        self.waiting_count -= 1
+        if queue:
+            self._index(adapter)
+        else:
+            del self._waiting[adapter]
+
+    def _index(self, adapter):
+        queue = self._waiting[adapter]
+        rank, _, first = queue[0]
+        key = (rank if self.rules.protect else 0, first.arrival_s)
+        heapq.heappush(self._by_age, (key, adapter, first.order))
+        heapq.heappush(self._by_count, (-len(queue), adapter))
+        self._steps += 1
+
+    def _startable(self, slot, ticket, now_s):
+        if slot.state is not SlotState.READY:
+            return False
+        condemned = slot.condemned or slot.condemned_until_s > now_s
+        if condemned and ticket.protected:
+            return False
+        return not (ticket.suspect and self.suspect_running)
+
+    def _has_place(self, ticket):
+        free = self.batch - self.running
+        if self.rules.protect and not ticket.protected:
+            free -= self.rules.reserve
+        return free > 0
+
+    def next_start(self, now_s):
+        """Choose the request to start now.
+
+        :param now_s: the time.
+        :returns: a ``Ticket`` that now counts as running, or None.
+        """
+        best = None
+        for adapter, slot in self.resident.items():
+            self._steps += 1
+            queue = self._waiting.get(adapter)
+            if not queue:
+                continue
+            entry = queue[0]
+            if not self._startable(slot, entry[2], now_s):
+                continue
+            if best is None or entry < best:
+                best = entry
+        if best is None or not self._has_place(best[2]):
+            return None
+        self._start(best[2], now_s)
+        return best[2]
+
+    def _start(self, ticket, now_s):
+        queue = self._waiting[ticket.adapter]
+        heapq.heappop(queue)
+        self._drop_waiting(ticket.adapter, queue)
+        slot = self.resident[ticket.adapter]
+        slot.running += 1
+        slot.protected_running += ticket.protected
+        slot.for_batch = slot.for_batch and not ticket.protected
+        slot.last_used_s = now_s
+        self.running += 1
+        self.suspect_running = self.suspect_running or ticket.suspect
+
+    def finish(self, ticket, now_s, lingering=False):
+        """Note that a started request has ended.
+
+        :param lingering: the engine may still be running it.
+        """
+        self.running -= 1
+        if ticket.suspect:
+            self.suspect_running = False
+        slot = self.resident.get(ticket.adapter)
+        if slot is None:
+            return
+        slot.running -= 1
+        slot.protected_running -= ticket.protected
+        slot.lingering += lingering
+        slot.last_used_s = now_s
+
+    def settle(self, adapter):
+        """Note that the engine runs nothing unknown on an adapter."""
+        slot = self.resident.get(adapter)
+        if slot is not None:
+            slot.lingering = 0
+
+    def _evictable(self, slot, now_s):
+        return (
+            slot.state is SlotState.READY
+            and slot.running == 0
+            and slot.lingering == 0
+            and slot.pinned_until_s <= now_s
+        )
+
+    def _victim(self, now_s, ceiling, protected, batch_only):
+        """Find the least valuable idle adapter below a value."""
+        best = None
+        for adapter, slot in self.resident.items():
+            self._steps += 1
+            if not self._evictable(slot, now_s):
+                continue
+            if batch_only and not slot.for_batch:
+                continue
+            queue = self._waiting.get(adapter)
+            if queue and (queue[0][2].protected or not protected):
+                continue
+            value = self.rules.value(adapter, now_s)
+            if value >= ceiling:
+                continue
+            entry = (bool(queue), value, slot.last_used_s, adapter)
+            if best is None or entry < best:
+                best = entry
+        return best[3] if best else None
+
+    def _batch_slots_used(self):
+        return sum(slot.for_batch for slot in self.resident.values())
+
+    def _batch_slots(self):
+        share = self.rules.protected_slot_share
+        kept = max(1, round(self.slots * share)) if share else 0
+        return max(1, self.slots - kept)
+
+    def _oldest(self):
+        """Find the waiting adapter to load next by class and age."""
+        while self._by_age:
+            _, adapter, order = self._by_age[0]
+            self._steps += 1
+            queue = self._waiting.get(adapter)
+            current = queue and queue[0][1] == order
+            if current and adapter not in self.resident:
+                return queue[0][2]
+            heapq.heappop(self._by_age)
+        return None
+
+    def _fullest(self):
+        """Find the waiting adapter with most requests."""
+        while self._by_count:
+            count, adapter = self._by_count[0]
+            self._steps += 1
+            queue = self._waiting.get(adapter)
+            if queue and len(queue) == -count and adapter not in self.resident:
+                return queue[0][2]
+            heapq.heappop(self._by_count)
+        return None
+
+    def next_load(self, now_s, may_evict=True, urgent_only=False):
+        """Choose the next load.
+
+        :param now_s: the time.
+        :param may_evict: whether evictions are allowed.
+        :param urgent_only: only loads for protected requests.
+        :returns: a ``LoadPlan`` or None; it is not yet noted as begun.
+        """
+        first = self._oldest()
+        if first is None:
+            return None
+        aged = now_s - first.arrival_s > self.rules.batch_age_s
+        ceiling = float("inf")
+        if self.rules.protect and not first.protected:
+            if urgent_only:
+                return None
+            if self.rules.gather and not aged:
+                first = self._fullest() or first
+            if not aged:
+                ceiling = self.rules.keep_value
+        return self._plan(first, now_s, ceiling, may_evict)
+
+    def _plan(self, ticket, now_s, ceiling, may_evict):
+        victim = ""
+        keep = self.rules.protect and not ticket.protected
+        at_share = keep and self._batch_slots_used() >= self._batch_slots()
+        if at_share or len(self.resident) >= self.slots:
+            if not may_evict:
+                return None
+            victim = self._victim(now_s, ceiling, ticket.protected, at_share)
+            if victim is None:
+                return None
+        return LoadPlan(
+            adapter=ticket.adapter,
+            victim=victim,
+            rank=ticket.rank,
+            protected=ticket.protected,
+            waited_s=now_s - ticket.arrival_s,
+        )
+
+    def next_prefetch(self, now_s):
+        """Choose a load that no request waits for.
+
+        :returns: a ``LoadPlan`` or None.
+        """
+        if self.rules.prefetch is None:
+            return None
+        adapter = self.rules.prefetch(self, now_s)
+        if adapter is None or adapter in self.resident:
+            return None
+        victim = ""
+        if len(self.resident) >= self.slots:
+            ceiling = self.rules.value(adapter, now_s) / PREFETCH_GAIN
+            victim = self._victim(now_s, ceiling, False, False)
+            if victim is None:
+                return None
+        return LoadPlan(adapter, victim, 9, False, 0.0, prefetch=True)
+
+    def begin_evict(self, adapter):
+        """Note that an eviction is ordered."""
+        self.resident[adapter].state = SlotState.EVICTING
+
+    def evicted(self, adapter):
+        """Note that an adapter has left its slot."""
+        self.resident.pop(adapter, None)
+        self._reindex(adapter)
+
+    def _reindex(self, adapter):
+        if adapter in self._waiting:
+            self._index(adapter)
+
+    def begin_load(self, adapter, now_s, for_batch=False):
+        """Note that a load is ordered; it takes a slot from now."""
+        self.resident[adapter] = Slot(
+            SlotState.LOADING, now_s, last_used_s=now_s, for_batch=for_batch
+        )
+
+    def loaded(self, adapter, now_s):
+        """Note that an adapter is ready."""
+        slot = self.resident.get(adapter)
+        if slot is None:
+            self.resident[adapter] = Slot(SlotState.READY, now_s)
+        else:
+            slot.state = SlotState.READY
+
+    def load_failed(self, adapter, unsure):
+        """Note that a load failed.
+
+        :param unsure: it may still take effect, so it keeps its slot.
+        """
+        if unsure:
+            self.resident[adapter].state = SlotState.UNSURE
+            return
+        self.evicted(adapter)
+
+    def pin(self, adapter, until_s):
+        """Keep an adapter from eviction until a time."""
+        slot = self.resident[adapter]
+        slot.pinned_until_s = max(slot.pinned_until_s, until_s)
+
+    def restarted(self):
+        """Note that the engine lost all its adapters."""
+        lost = list(self.resident)
+        self.resident = {}
+        for adapter in lost:
+            self._reindex(adapter)
+
+    def waiting_for(self, adapter):
+        """Count the requests waiting for an adapter."""
+        return len(self._waiting.get(adapter, ()))
+
+    def take_waiting(self, adapter):
+        """Remove and list all requests that wait for an adapter."""
+        queue = self._waiting.pop(adapter, [])
+        self.waiting_count -= len(queue)
+        return [ticket for _, _, ticket in sorted(queue)]
+
+    def waiting_adapters(self):
+        """List the adapters that requests wait for."""
+        return list(self._waiting)
--- /dev/null
+++ b/src/coltsfootsail/_services.py
@@ -0,0 +1,217 @@
+"""Passing calls through to plain services, some at most once."""
+
+import hashlib
+
+import trio
+
+from coltsfootsail import _document
+from coltsfootsail import _http
+from coltsfootsail import _ledger
+from coltsfootsail import _outcomes
+from coltsfootsail import _placement
+from coltsfootsail import exceptions
+
+ANSWER_BYTES_MAX = 16_777_216
+SAFE_METHODS = frozenset({"GET", "HEAD"})
+METHODS = SAFE_METHODS | {"POST", "PUT", "DELETE", "PATCH"}
+PASSED_REQUEST_HEADERS = frozenset(
+    {"content-type", "accept", "accept-language", "idempotency-key"}
+)
+PASSED_ANSWER_HEADERS = frozenset(
+    {"content-type", "content-language", "retry-after", "etag"}
+)
+ATTEMPTS = 3
+
+
+def is_idempotent(service, req):
+    """Say whether a call may be repeated.
+
+    :param service: the ``Service`` entry.
+    :param req: an ``HttpRequest``.
+    """
+    if req.method in SAFE_METHODS:
+        return True
+    rest = req.path.removeprefix(service.prefix.rstrip("/"))
+    return rest in service.idempotent_paths
+
+
+def check_path(path):
+    """Refuse paths that services might read in another way.
+
+    :raises BadField: for dot segments, escapes of them, or backslashes.
+    """
+    lowered = path.lower()
+    tricks = ("/../", "/./", "%2e", "%2f", "%5c", "\\", "//", "%00")
+    padded = path + "/"
+    if any(trick in lowered or trick in padded for trick in tricks):
+        raise exceptions.BadField("the path is not plain")
+
+
+def instances(document, name, leaving):
+    """List a service's instances that may take new calls.
+
+    :param leaving: ``(Endpoint) -> bool`` by the host list.
+    :returns: dict of endpoint name to entry.
+    """
+    return {
+        key: entry
+        for key, entry in document.endpoints.items()
+        if entry.service == name
+        and not leaving(entry)
+        and not _document.is_drained(document, key, entry)
+    }
+
+
+def fingerprint(req):
+    """Name the content of a call."""
+    text = f"{req.method} {req.target}\0".encode() + req.body
+    return hashlib.blake2b(text, digest_size=16).hexdigest()
+
+
+class ServiceCalls:
+    """Calls to plain services by one node.
+
+    :param client: an ``HttpClient``.
+    :param ledger: a ``Ledger``.
+    :param budget: a ``RetryBudget``.
+    :param count: ``(counter, reason)``.
+    :param limits: ``LimitSettings``.
+    """
+
+    def __init__(self, client, ledger, budget, count, limits):
+        self._client = client
+        self._ledger = ledger
+        self._budget = budget
+        self._count = count
+        self._limits = limits
+
+    async def call(self, req, service, found, timeout_s, request_id):
+        """Make a call, at most once unless it is idempotent.
+
+        :param found: dict of usable instances.
+        :returns: tuple of status, headers and body.
+        :raises ColtsfootsailError: with what is true of the call.
+        """
+        if req.method not in METHODS:
+            raise exceptions.MethodNotAllowed()
+        check_path(req.path)
+        idempotent = is_idempotent(service, req)
+        key = req.header("idempotency-key")
+        if idempotent:
+            return await self._attempts(
+                req, found, timeout_s, request_id, True
+            )
+        claim = await self._ledger.claim(key, fingerprint(req))
+        if isinstance(claim, _ledger.Answer):
+            self._count("ledger", "replayed")
+            headers = [
+                ("content-type", claim.content_type),
+                ("idempotent-replayed", "true"),
+            ]
+            return claim.status, headers, claim.body
+        self._count("ledger", "claimed")
+        return await self._once(req, found, timeout_s, request_id, claim)
+
+    async def _once(self, req, found, timeout_s, request_id, claim):
+        try:
+            answer = await self._attempts(
+                req, found, timeout_s, request_id, False
+            )
+        except exceptions.ColtsfootsailError as exc:
+            await settle_failure(self._ledger, claim, exc, self._count)
+            raise
+        except trio.Cancelled:
+            with trio.CancelScope(shield=True):
+                await settle_failure(
+                    self._ledger,
+                    claim,
+                    exceptions.OutcomeUnknown(),
+                    self._count,
+                )
+            raise
+        status, headers, body = answer
+        kind = dict(headers).get("content-type", "")
+        kept = _ledger.Answer(status, kind, body)
+        await settle_success(self._ledger, claim, kept, self._count)
+        return answer
+
+    async def _attempts(self, req, found, timeout_s, request_id, idempotent):
+        names = _placement.homes(request_id, tuple(sorted(found)), ATTEMPTS)
+        failure = exceptions.NoEndpoint("no instance of the service")
+        for position, name in enumerate(names):
+            if position and not self._may_go_on(failure, idempotent):
+                break
+            try:
+                answer = await self._attempt(
+                    req, found[name], timeout_s, request_id, not idempotent
+                )
+            except exceptions.ColtsfootsailError as exc:
+                failure = exc
+                continue
+            self._budget.earn()
+            return answer
+        raise failure
+
+    def _may_go_on(self, failure, idempotent):
+        if not _outcomes.may_retry(failure, idempotent):
+            return False
+        if not self._budget.spend():
+            self._count("retries_denied", "budget")
+            return False
+        self._count("retries", failure.code)
+        return True
+
+    async def _attempt(self, req, entry, timeout_s, request_id, fresh):
+        headers = [
+            (name, value)
+            for name, value in req.headers
+            if name in PASSED_REQUEST_HEADERS
+        ]
+        headers += [("host", entry.address), ("x-request-id", request_id)]
+        phase = _http.Phase.CONNECTING
+        try:
+            with trio.fail_after(
+                min(timeout_s, self._limits.silence_timeout_s)
+            ):
+                async with self._client.exchange(
+                    entry.address, fresh=fresh
+                ) as exchange:
+                    try:
+                        await exchange.send(
+                            req.method, req.target, headers, req.body
+                        )
+                        await exchange.read_head()
+                        body = await exchange.read_body(ANSWER_BYTES_MAX)
+                    finally:
+                        phase = exchange.phase
+        except _outcomes.EXCHANGE_ERRORS as exc:
+            verdict = _outcomes.verdict(phase, _outcomes.classify(exc))
+            raise verdict.error(str(exc)) from exc
+        echoed = exchange.header("x-request-id", request_id)
+        if echoed != request_id:
+            raise exceptions.AnswerMismatch()
+        kept = [
+            (name, value)
+            for name, value in exchange.headers
+            if name in PASSED_ANSWER_HEADERS
+        ]
+        return exchange.status, kept, body
+
+
+async def settle_failure(ledger, claim, exc, count):
+    """Note in the ledger how a claimed run failed."""
+    try:
+        if exc.outcome is exceptions.Outcome.NOT_RUN:
+            await ledger.release(claim)
+        else:
+            await ledger.unknown(claim)
+    except exceptions.KvError:
+        count("ledger", "settle_failed")
+
+
+async def settle_success(ledger, claim, answer, count):
+    """Note in the ledger that a claimed run ended."""
+    try:
+        await ledger.complete(claim, answer)
+    except exceptions.KvError:
+        count("ledger", "settle_failed")
--- /dev/null
+++ b/src/coltsfootsail/_wire.py
@@ -0,0 +1,232 @@
+"""Messages between nodes: typed, as msgpack on a stream.
+
+A message is an array of its tag and its fields in order.  Unknown tags
+and wrong field counts are errors, never guesses.
+"""
+
+import dataclasses
+
+import msgpack
+import trio
+
+from coltsfootsail import exceptions
+
+MESSAGE_BYTES_MAX = 4_194_304
+RECEIVE_BYTES = 65536
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Hello:
+    """Opens a link: who calls, and since when it runs."""
+
+    node: str
+    region: str
+    incarnation: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Heartbeat:
+    """Shows that the sender lives, with what it sees of the platform."""
+
+    revision: int
+    kv_ok: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Residency:
+    """Adapters that became resident on an endpoint or left it.
+
+    ``waiting`` and ``running`` are counts of requests.
+    """
+
+    endpoint: str
+    added: tuple
+    removed: tuple
+    waiting: int
+    running: int
+    full: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Strike:
+    """A request fingerprint that ran when an endpoint crashed."""
+
+    fingerprint: str
+    count: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PermitAsk:
+    """Asks for the right to load from the weight store."""
+
+    ticket: str
+    rank: int
+    waited_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PermitGrant:
+    """Grants a load."""
+
+    ticket: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PermitDone:
+    """Ends a load or withdraws an ask."""
+
+    ticket: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Forward:
+    """A request passed on to the owner of its endpoint."""
+
+    request_id: str
+    endpoint: str
+    route: str
+    headers: tuple
+    body: bytes
+    timeout_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnswerHead:
+    """Status and headers of a forwarded request's answer."""
+
+    status: int
+    headers: tuple
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnswerData:
+    """A part of the body."""
+
+    data: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnswerEnd:
+    """The answer is whole."""
+
+    size_bytes: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnswerError:
+    """The request ended in a typed error."""
+
+    code: str
+    outcome: str
+    detail: str
+    retry_after_s: float
+
+
+MESSAGES = (
+    Hello,
+    Heartbeat,
+    Residency,
+    Strike,
+    PermitAsk,
+    PermitGrant,
+    PermitDone,
+    Forward,
+    AnswerHead,
+    AnswerData,
+    AnswerEnd,
+    AnswerError,
+)
+_TAGS = {kind: tag for tag, kind in enumerate(MESSAGES)}
+_NAMES = {
+    kind: tuple(field.name for field in dataclasses.fields(kind))
+    for kind in MESSAGES
+}
+_TYPES = {
+    kind: tuple(field.type for field in dataclasses.fields(kind))
+    for kind in MESSAGES
+}
+
+
+def encode(msg):
+    """Encode one message.
+
+    :param msg: an instance of a class in ``MESSAGES``.
+    :returns: bytes.
+    """
+    kind = type(msg)
+    fields = [getattr(msg, name) for name in _NAMES[kind]]
+    return msgpack.packb([_TAGS[kind], *fields])
+
+
+def _decode(value):
+    if not isinstance(value, tuple) or not value:
+        raise exceptions.WireError("not a message")
+    tag = value[0]
+    if type(tag) is not int or not 0 <= tag < len(MESSAGES):
+        raise exceptions.WireError("unknown message")
+    kind = MESSAGES[tag]
+    fields = value[1:]
+    types = _TYPES[kind]
+    if len(fields) != len(types):
+        raise exceptions.WireError(f"{kind.__name__}: wrong field count")
+    for field, wanted in zip(fields, types, strict=True):
+        if type(field) is not wanted:
+            raise exceptions.WireError(f"{kind.__name__}: wrong field type")
+    return kind(*fields)
+
+
+class MessageStream:
+    """Sends and receives messages on a ``trio.abc.Stream``."""
+
+    def __init__(self, stream):
+        self._stream = stream
+        self._lock = trio.Lock()
+        self._unpacker = msgpack.Unpacker(
+            use_list=False,
+            max_buffer_size=MESSAGE_BYTES_MAX,
+        )
+        self.sent_bytes = 0
+
+    async def send(self, msg):
+        """Send one message, whole.
+
+        :raises OSError: if the stream has failed.
+        """
+        data = encode(msg)
+        try:
+            async with self._lock:
+                await self._stream.send_all(data)
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
+            raise ConnectionError(str(exc)) from exc
+        self.sent_bytes += len(data)
+
+    async def receive(self):
+        """Receive one message.
+
+        :returns: a message, or None at the end of the stream.
+        :raises WireError: if the bytes are not a known message.
+        :raises OSError: if the stream has failed.
+        """
+        while True:
+            try:
+                return _decode(next(self._unpacker))
+            except StopIteration:
+                pass
+            except exceptions.WireError:
+                raise
+            except (ValueError, msgpack.UnpackException) as exc:
+                raise exceptions.WireError(str(exc)) from exc
+            try:
+                data = await self._stream.receive_some(RECEIVE_BYTES)
+            except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
+                raise ConnectionError(str(exc)) from exc
+            if not data:
+                return None
+            try:
+                self._unpacker.feed(data)
+            except msgpack.BufferFull as exc:
+                raise exceptions.WireError("message too large") from exc
+
+    async def aclose(self):
+        """Close the stream at once."""
+        await trio.aclose_forcefully(self._stream)
--- /dev/null
+++ b/src/coltsfootsail/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the outside systems, for tests and the demo."""
--- /dev/null
+++ b/src/coltsfootsail/standins/engine.py
@@ -0,0 +1,324 @@
+"""A model engine: vLLM's HTTP surface over a simulated batch.
+
+It records what it ran, evicted and refused, so that tests check the
+promises by what happened here, not by what nodes say.
+"""
+
+import collections
+import dataclasses
+import enum
+import json
+
+import trio
+
+from coltsfootsail import _http
+
+LIMITS = _http.HttpLimits(idle_timeout_s=3600.0, body_bytes=16_777_216)
+FENCE_HEADER = "x-fencing-token"
+REQUEST_ID_HEADER = "x-request-id"
+
+
+class EngineFault(enum.Enum):
+    """What goes wrong with answers and orders."""
+
+    NONE = "none"
+    SILENT = "silent"
+    CROSSED = "crossed"
+    WRONG_VERSION = "wrong_version"
+    TRUNCATED = "truncated"
+    LOAD_FAILS = "load_fails"
+    LOAD_HANGS = "load_hangs"
+    REFUSES = "refuses"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Run:
+    """One request that the engine ran."""
+
+    request_id: str
+    adapter: str
+    key: str
+    protected: bool
+    started_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Eviction:
+    """An adapter that left; ``running`` are the runs it cut off."""
+
+    adapter: str
+    running: tuple
+    at_s: float
+
+
+def expected_text(adapter, prompt, tokens):
+    """Compute the text that an adapter gives for a prompt.
+
+    It names adapter and prompt, so that a crossed answer shows.
+    """
+    words = [f"{adapter}|{prompt}|{position} " for position in range(tokens)]
+    return "".join(words)
+
+
+class EngineStandIn:
+    """State and HTTP handler of one engine.
+
+    :param slots: adapters held at once; one more evicts the least
+        recently used, running or not.
+    :param batch: requests run at once; more wait.
+    :param store: ``WeightStoreStandIn`` that loads go through.
+    :param fencing: whether orders with an old number are refused.
+    """
+
+    def __init__(self, name, slots, batch, store, fencing, token_s=0.02):
+        self.name = name
+        self.slots = slots
+        self.store = store
+        self.fencing = fencing
+        self.token_s = token_s
+        self.fault = EngineFault.NONE
+        self.poison = ()
+        self.fence = 0
+        self.incarnation = 1
+        self.runs = []
+        self.completed = collections.Counter()
+        self.evictions = []
+        self.refused_orders = 0
+        self.overloaded = 0
+        self.report_lag_s = 1.0
+        self._places = trio.CapacityLimiter(batch)
+        self._resident = collections.OrderedDict()
+        self._running = collections.Counter()
+        self._protected = collections.Counter()
+        self._reports = collections.deque()
+        self._scopes = set()
+        self._last_id = "cmpl-none"
+
+    async def serve(self, stream):
+        """Serve one connection; a crash cancels it."""
+        with trio.CancelScope() as scope:
+            self._scopes.add(scope)
+            try:
+                await _http.serve_connection(stream, LIMITS, self._handle)
+            finally:
+                self._scopes.discard(scope)
+
+    def crash(self):
+        """Break all connections and restart empty."""
+        self.incarnation += 1
+        self._resident.clear()
+        self._running.clear()
+        self._protected.clear()
+        self._reports.clear()
+        self.fence = 0
+        for scope in list(self._scopes):
+            scope.cancel()
+
+    def resident(self):
+        """List the adapters in the slots."""
+        return list(self._resident)
+
+    def running(self):
+        """Count the running requests."""
+        return sum(self._running.values())
+
+    async def _handle(self, req, resp):
+        if self.fault is EngineFault.SILENT:
+            await trio.sleep_forever()
+        route = self._ROUTES.get((req.method, req.path))
+        if route is None:
+            await resp.reply_json({"error": "not found"}, 404)
+            return
+        await route(self, req, resp)
+
+    async def _models(self, req, resp):
+        data = [{"id": name, "object": "model"} for name in self._resident]
+        await resp.reply_json(
+            {"object": "list", "data": data, "incarnation": self.incarnation}
+        )
+
+    def _sample(self):
+        now_s = trio.current_time()
+        counts = {key: n for key, n in self._running.items() if n}
+        self._reports.append((now_s, counts))
+        while len(self._reports) > 1:
+            if self._reports[1][0] > now_s - self.report_lag_s:
+                break
+            self._reports.popleft()
+        return self._reports[0]
+
+    async def _load_report(self, req, resp):
+        at_s, counts = self._sample()
+        age_s = trio.current_time() - at_s
+        await resp.reply_json(
+            {
+                "age_s": age_s,
+                "running": counts,
+                "incarnation": self.incarnation,
+            }
+        )
+
+    def _stale(self, req):
+        number = int(req.header(FENCE_HEADER, "0"))
+        if self.fencing and number < self.fence:
+            self.refused_orders += 1
+            return True
+        self.fence = max(self.fence, number)
+        return False
+
+    async def _role(self, req, resp):
+        if self._stale(req):
+            await resp.reply_json({"error": "fenced"}, 409)
+            return
+        await resp.reply_json({"incarnation": self.incarnation})
+
+    async def _load(self, req, resp):
+        adapter = req.json()["lora_name"]
+        if self._stale(req):
+            await resp.reply_json({"error": "fenced"}, 409)
+            return
+        if self.fault is EngineFault.LOAD_FAILS:
+            await resp.reply_json({"error": "load failed"}, 500)
+            return
+        if self.fault is EngineFault.LOAD_HANGS:
+            await trio.sleep_forever()
+        await self.store.load(adapter)
+        if len(self._resident) >= self.slots and adapter not in self._resident:
+            self.overloaded += 1
+            self._evict(next(iter(self._resident)))
+        self._resident[adapter] = None
+        await resp.reply(200, b"Success")
+
+    def _evict(self, adapter):
+        cut = [
+            run
+            for run in self.runs
+            if run.adapter == adapter and not self.completed[run.request_id]
+        ]
+        running = tuple(cut) if self._running[adapter] else ()
+        at_s = trio.current_time()
+        self.evictions.append(Eviction(adapter, running, at_s))
+        self._resident.pop(adapter, None)
+
+    async def _unload(self, req, resp):
+        adapter = req.json()["lora_name"]
+        if self._stale(req):
+            await resp.reply_json({"error": "fenced"}, 409)
+            return
+        if adapter not in self._resident:
+            await resp.reply_json({"error": "not loaded"}, 404)
+            return
+        self._evict(adapter)
+        await resp.reply(200, b"Success")
+
+    async def _complete(self, req, resp):
+        if self.fault is EngineFault.REFUSES:
+            await resp.reply_json({"error": "busy"}, 503)
+            return
+        value = req.json()
+        adapter = value["model"]
+        if adapter not in self._resident:
+            await resp.reply_json({"error": "no such model"}, 404)
+            return
+        self._resident.move_to_end(adapter)
+        run = Run(
+            request_id=req.header(REQUEST_ID_HEADER),
+            adapter=adapter,
+            key=req.header("idempotency-key"),
+            protected=int(value.get("priority", 9)) == 0,
+            started_s=trio.current_time(),
+        )
+        self.runs.append(run)
+        self._running[adapter] += 1
+        incarnation = self.incarnation
+        try:
+            async with self._places:
+                await self._generate(run, value, resp)
+                self.completed[run.request_id] += 1
+        finally:
+            if incarnation == self.incarnation:
+                self._running[adapter] -= 1
+            self._sample()
+
+    async def _generate(self, run, value, resp):
+        prompt = _prompt(value)
+        if any(bad in prompt for bad in self.poison):
+            await trio.sleep(self.token_s)
+            self.crash()
+            await trio.lowlevel.checkpoint()
+        tokens = int(value.get("max_tokens", 16))
+        shown = run
+        if self.fault is EngineFault.WRONG_VERSION:
+            shown = dataclasses.replace(run, adapter=run.adapter + "-other")
+        if self.fault is EngineFault.CROSSED:
+            shown = dataclasses.replace(run, request_id=self._last_id)
+        self._last_id = run.request_id
+        chat = "messages" in value
+        if value.get("stream"):
+            await self._stream(shown, prompt, tokens, chat, resp)
+        else:
+            await self._whole(shown, prompt, tokens, chat, resp)
+
+    def _choice(self, text, chat, stream, last):
+        finish = "stop" if last else None
+        if not chat:
+            return {"index": 0, "text": text, "finish_reason": finish}
+        key = "delta" if stream else "message"
+        return {
+            "index": 0,
+            key: {"role": "assistant", "content": text},
+            "finish_reason": finish,
+        }
+
+    def _answer(self, run, choice):
+        return {
+            "id": f"cmpl-{run.request_id}",
+            "object": "text_completion",
+            "model": run.adapter,
+            "choices": [choice],
+        }
+
+    async def _whole(self, run, prompt, tokens, chat, resp):
+        await trio.sleep(self.token_s * tokens)
+        text = expected_text(run.adapter, prompt, tokens)
+        choice = self._choice(text, chat, False, True)
+        headers = [(REQUEST_ID_HEADER, run.request_id)]
+        await resp.reply_json(self._answer(run, choice), headers=headers)
+
+    async def _stream(self, run, prompt, tokens, chat, resp):
+        headers = [
+            ("content-type", "text/event-stream"),
+            (REQUEST_ID_HEADER, run.request_id),
+        ]
+        await resp.start(200, headers)
+        for position in range(tokens):
+            if self.token_s:
+                await trio.sleep(self.token_s)
+            if self.fault is EngineFault.SILENT:
+                await trio.sleep_forever()
+            text = f"{run.adapter}|{prompt}|{position} "
+            last = position == tokens - 1
+            choice = self._choice(text, chat, True, last)
+            event = json.dumps(self._answer(run, choice), ensure_ascii=False)
+            await resp.write(f"data: {event}\n\n".encode())
+            half = position >= tokens // 2
+            if self.fault is EngineFault.TRUNCATED and half:
+                return
+        await resp.write(b"data: [DONE]\n\n")
+        await resp.end()
+
+    _ROUTES = {
+        ("GET", "/v1/models"): _models,
+        ("GET", "/load"): _load_report,
+        ("POST", "/v1/role"): _role,
+        ("POST", "/v1/load_lora_adapter"): _load,
+        ("POST", "/v1/unload_lora_adapter"): _unload,
+        ("POST", "/v1/completions"): _complete,
+        ("POST", "/v1/chat/completions"): _complete,
+    }
+
+
+def _prompt(value):
+    if "messages" in value:
+        return str(value["messages"][-1]["content"])
+    return str(value["prompt"])
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,75 @@
+"""Fixtures shared by all tests."""
+
+import dataclasses
+
+import hypothesis
+import pytest
+import trio
+import trio.testing
+
+from coltsfootsail import _deployment
+from coltsfootsail import _embedded
+from coltsfootsail import _settings
+from coltsfootsail.standins import network as memory
+
+hypothesis.settings.register_profile(
+    "ci", derandomize=True, deadline=None, max_examples=100, database=None
+)
+hypothesis.settings.load_profile("ci")
+
+
+def pytest_addoption(parser):
+    """Add the switch for the long form of the fault tests."""
+    parser.addoption("--long", action="store_true", default=False)
+
+
+@pytest.fixture
+def virtual():
+    """Run an async function in virtual time."""
+
+    def run(main, *args):
+        clock = trio.testing.MockClock(autojump_threshold=0)
+        return trio.run(main, *args, clock=clock)
+
+    return run
+
+
+@pytest.fixture
+def small():
+    """A deployment with few adapters, to start quickly."""
+
+    def make(name="museum", **changes):
+        deployment = _deployment.load(name)
+        groups = tuple(
+            dataclasses.replace(group, adapters=20)
+            for group in deployment.groups
+        )
+        return dataclasses.replace(deployment, groups=groups, **changes)
+
+    return make
+
+
+def _short_timeouts(settings):
+    limits = dataclasses.replace(
+        settings.limits, request_timeout_s=30.0, silence_timeout_s=5.0
+    )
+    ledger = _settings.LedgerSettings(buckets=8)
+    return dataclasses.replace(settings, limits=limits, ledger=ledger)
+
+
+@pytest.fixture
+def system(small):
+    """A deployment in memory with short time-outs."""
+
+    def make(name="museum", token_s=0.02, **changes):
+        net = memory.MemoryNetwork()
+        found = _embedded.in_memory(
+            small(name, **changes),
+            net,
+            token_s=token_s,
+            change=_short_timeouts,
+        )
+        found.net = net
+        return found
+
+    return make
