Keep configuration in force on nodes that are cut off

Ruled out: the watch (its event had arrived), the merge. Change: the root carries the operations that made it, so a watch event is enough; a node behind its peers fetches from them; a node that can't tell whether it is up to date refuses as not run (stale_configuration). A changed adapter costs no chunk read on any node.

--- a/src/coltsfootsail/_config.py
+++ b/src/coltsfootsail/_config.py
@@ -25,6 +25,7 @@
 CHUNKS_PER_TXN = 32
 ATTEMPTS = 8
 HISTORY_MAX = 1000
+DELTA_MAX = 50
 CHANGE_BYTES_MAX = 200_000
 EMPTY_ROOT = _records.ConfigRoot(revision=0, nonce="", chunks=())
 
@@ -78,17 +79,55 @@
     return hashlib.blake2b(data, digest_size=16).digest()
 
 
-def split(document):
-    """Split a document into encoded chunks.
+def encode_chunks(document, wanted):
+    """Encode some chunks of a document.
 
-    :returns: list of ``CHUNK_COUNT`` byte strings.
+    :param wanted: iterable of chunk positions.
+    :returns: dict of position to bytes.
     """
-    rows = [[] for _ in range(CHUNK_COUNT)]
+    rows = {position: [] for position in wanted}
     for section in _document.SECTIONS:
         for key, entry in getattr(document, section).items():
-            row = (section, key, encode_entry(entry))
-            rows[chunk_index(section, key)].append(row)
-    return [encode_chunk(chunk) for chunk in rows]
+            chunk = rows.get(chunk_index(section, key))
+            if chunk is not None:
+                chunk.append((section, key, encode_entry(entry)))
+    return {position: encode_chunk(chunk) for position, chunk in rows.items()}
+
+
+def touched_chunks(operations):
+    """List the positions of the chunks that operations change."""
+    return {chunk_index(item.section, item.key) for item in operations}
+
+
+def _new_digests(root, document, operations):
+    """Compute the hashes after operations, and the changed chunks."""
+    wanted = touched_chunks(operations)
+    if not root.chunks:
+        wanted = range(CHUNK_COUNT)
+    chunks = encode_chunks(document, wanted)
+    digests = list(root.chunks) or [b""] * CHUNK_COUNT
+    for position, chunk in chunks.items():
+        digests[position] = chunk_digest(chunk)
+    return tuple(digests), chunks
+
+
+def advance(stored, root, mod_revision):
+    """Follow a root by its delta, without reading the store.
+
+    :param stored: the ``Stored`` held.
+    :param root: a newer ``ConfigRoot``.
+    :returns: a ``Stored``, or None if the delta does not lead there.
+    """
+    if root.revision != stored.root.revision + 1 or not root.delta:
+        return None
+    try:
+        document = merge(stored.document, root.delta)
+    except exceptions.ColtsfootsailError:
+        return None
+    digests, _ = _new_digests(stored.root, document, root.delta)
+    if digests != root.chunks:
+        return None
+    return Stored(document, root, mod_revision)
 
 
 def with_chunks(document, old_chunks, new_chunks):
@@ -235,6 +274,9 @@
     root = _records.loads(entry.value, _records.ConfigRoot)
     if root == stored.root:
         return stored
+    advanced = advance(stored, root, entry.mod_revision)
+    if advanced is not None:
+        return advanced
     if not stored.root.chunks:
         return await _read_all(kv, root, entry.mod_revision)
     changed = [
@@ -245,7 +287,7 @@
     fetched = await _fetch_chunks(
         kv, [root.chunks[position] for position in changed]
     )
-    held = split(stored.document)
+    held = encode_chunks(stored.document, changed)
     document = with_chunks(
         stored.document,
         [held[position] for position in changed],
@@ -304,18 +346,19 @@
     problems = _document.check(document)
     if problems:
         raise exceptions.DocumentError(problems)
-    chunks = split(document)
-    digests = tuple(chunk_digest(chunk) for chunk in chunks)
+    digests, chunks = _new_digests(stored.root, document, edit.operations)
+    fresh = {
+        digests[position]: chunk
+        for position, chunk in chunks.items()
+        if digests[position] not in stored.root.chunks
+    }
     puts = [
         _kv.Put(_keys.chunk(digest.hex()), chunk)
-        for digest, chunk in {
-            digest: chunk
-            for digest, chunk in zip(digests, chunks, strict=True)
-            if digest not in stored.root.chunks
-        }.items()
+        for digest, chunk in fresh.items()
     ]
     revision = stored.root.revision + 1
-    root = _records.ConfigRoot(revision, nonce, digests)
+    delta = edit.operations if len(edit.operations) <= DELTA_MAX else ()
+    root = _records.ConfigRoot(revision, nonce, digests, delta)
     change = _records.ConfigChange(
         revision=revision,
         nonce=nonce,
@@ -365,6 +408,37 @@
     raise failure or exceptions.EditConflict("too many racing edits")
 
 
+def differing(root, digests):
+    """List the chunks that a holder of other hashes lacks.
+
+    :param digests: tuple of hashes, empty for a holder of nothing.
+    :returns: list of positions.
+    """
+    held = digests or (b"",) * CHUNK_COUNT
+    return [
+        position
+        for position, digest in enumerate(root.chunks)
+        if position >= len(held) or held[position] != digest
+    ]
+
+
+def assemble(stored, root, chunks):
+    """Build a newer configuration from chunks that a peer sent.
+
+    :param chunks: dict of position to encoded chunk.
+    :returns: a ``Stored``.
+    :raises WireError: if the chunks are not those of the root.
+    """
+    for position in differing(root, stored.root.chunks):
+        chunk = chunks.get(position, b"")
+        if chunk_digest(chunk) != root.chunks[position]:
+            raise exceptions.WireError("a chunk does not match its hash")
+    old = encode_chunks(stored.document, chunks)
+    held = list(old.values()) if stored.root.chunks else []
+    document = with_chunks(stored.document, held, list(chunks.values()))
+    return Stored(document, root, 0)
+
+
 async def history(kv):
     """Read the kept changes.
 
--- a/src/coltsfootsail/_node.py
+++ b/src/coltsfootsail/_node.py
@@ -12,6 +12,7 @@
 from coltsfootsail import _config
 from coltsfootsail import _document
 from coltsfootsail import _engine
+from coltsfootsail import _follower
 from coltsfootsail import _forward
 from coltsfootsail import _frontend
 from coltsfootsail import _hosts
@@ -38,7 +39,6 @@
 from coltsfootsail import _wire
 from coltsfootsail import exceptions
 
-CONFIG_POLL_S = 5.0
 RECONCILE_S = 0.5
 ANNOUNCE_S = 0.1
 PROBE_S = 2.0
@@ -73,7 +73,6 @@
         self._owners = {}
         self._gone_since_s = {}
         self._seen_members = {}
-        self._config_changed = trio.Event()
         self._announced = {}
         self._dirty = set()
         self._nursery = None
@@ -126,6 +125,17 @@
             heartbeat=self._heartbeat,
         )
         self.mesh = _mesh.Mesh(hello, self._network, events)
+        self.follower = _follower.Follower(
+            self.kv,
+            self.cluster,
+            self.mesh,
+            self._network,
+            self._region_size,
+            self.put_in_force,
+            lambda: self.stored,
+            self._peer_address,
+            count,
+        )
         self.permits = _permits.Permits(
             settings.node.name,
             self._permit_holder,
@@ -179,15 +189,20 @@
             return "draining"
         if not self.stored.root.revision:
             return "no_configuration"
+        if not self.follower.fresh():
+            return "stale_configuration"
         return "ready"
 
     def check_serving(self):
         """Refuse requests that this node can't serve.
 
         :raises NoConfiguration: if none is in force.
+        :raises StaleConfiguration: if a newer one may have been accepted.
         """
         if not self.stored.root.revision:
             raise exceptions.NoConfiguration(retry_after_s=1.0)
+        if not self.follower.fresh():
+            raise exceptions.StaleConfiguration(retry_after_s=1.0)
 
     def leaving(self, entry):
         """Say whether an endpoint's host is leaving."""
@@ -356,6 +371,8 @@
                 await _forward.serve(
                     messages, first, self._serve_owned, self.now()
                 )
+            elif isinstance(first, _wire.ConfigAsk):
+                await _follower.serve(messages, first, self.stored)
         except (OSError, trio.TooSlowError):
             return
         except exceptions.WireError as exc:
@@ -560,28 +577,15 @@
 
     def _on_change(self, keys):
         self._seen_members.update(self.cluster.members())
-        if keys is None or _keys.CONFIG_ROOT in keys:
-            self._config_changed.set()
+        self.follower.on_change(keys)
 
-    async def _follow_config(self):
-        """Put each higher revision of the configuration in force."""
-        backoff = _kv.Backoff(first_s=0.2, limit_s=3.0)
-        while True:
-            try:
-                stored = await _config.refresh(self.kv, self.stored)
-            except (
-                exceptions.KvError,
-                exceptions.WireError,
-                exceptions.DocumentError,
-            ) as exc:
-                self.metrics.count("config", exc.code)
-                await trio.sleep(0.1 + backoff.next_s())
-                continue
-            backoff.reset()
-            self.put_in_force(stored)
-            with trio.move_on_after(_kv.jittered(CONFIG_POLL_S)):
-                await self._config_changed.wait()
-            self._config_changed = trio.Event()
+    def _region_size(self):
+        """Count this node and its peers of the region, as last seen."""
+        return 1 + len(self._peers())
+
+    def _peer_address(self, node):
+        member = self._seen_members.get(node)
+        return member.peer_address if member else None
 
     def put_in_force(self, stored):
         """Take a configuration, if its revision is higher.
@@ -652,7 +656,7 @@
         nursery.start_soon(
             _cluster.follow, self.kv, self.cluster, self._on_change
         )
-        nursery.start_soon(self._follow_config)
+        nursery.start_soon(self.follower.run)
         nursery.start_soon(self.hosts.run, lambda: None)
         nursery.start_soon(self.mesh.run, self._peers)
         nursery.start_soon(self.ownership.run, lambda: not self.draining)
--- a/src/coltsfootsail/_records.py
+++ b/src/coltsfootsail/_records.py
@@ -61,15 +61,6 @@
     count: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ConfigRoot:
-    """The configuration in force: its revision and its chunks' hashes."""
-
-    revision: int
-    nonce: str
-    chunks: tuple[bytes, ...]
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Operation:
     """Sets or deletes one entry; ``old`` is the value it replaced.
@@ -83,6 +74,20 @@
     new: bytes
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConfigRoot:
+    """The configuration in force: its revision and its chunks' hashes.
+
+    :param delta: the operations that made it from the revision before,
+        if they are few.
+    """
+
+    revision: int
+    nonce: str
+    chunks: tuple[bytes, ...]
+    delta: tuple[Operation, ...] = ()
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ConfigChange:
     """One accepted change, with what it replaced.
--- a/src/coltsfootsail/_wire.py
+++ b/src/coltsfootsail/_wire.py
@@ -26,7 +26,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Heartbeat:
-    """Shows that the sender lives, with what it sees of the platform."""
+    """Shows that the sender lives, with its revision and its view of KV."""
 
     revision: int
     kv_ok: bool
@@ -78,6 +78,28 @@
     ticket: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConfigAsk:
+    """Asks a peer for its configuration, by the hashes held."""
+
+    digests: tuple
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConfigChunk:
+    """A chunk of the configuration that the asker lacks."""
+
+    position: int
+    data: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConfigEnd:
+    """Ends the chunks with the root that they belong to."""
+
+    root: bytes
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Forward:
     """A request passed on to the owner of its endpoint."""
@@ -130,6 +152,9 @@
     PermitAsk,
     PermitGrant,
     PermitDone,
+    ConfigAsk,
+    ConfigChunk,
+    ConfigEnd,
     Forward,
     AnswerHead,
     AnswerData,
--- a/src/coltsfootsail/exceptions.py
+++ b/src/coltsfootsail/exceptions.py
@@ -227,6 +227,12 @@
     code = "no_configuration"
 
 
+class StaleConfiguration(Refusal):
+    """This node is cut off and may have missed a configuration."""
+
+    code = "stale_configuration"
+
+
 class KeyRequired(Refusal):
     """A non-idempotent call needs an Idempotency-Key header."""
 
--- a/src/coltsfootsail/standins/engine.py
+++ b/src/coltsfootsail/standins/engine.py
@@ -39,6 +39,7 @@
     adapter: str
     key: str
     protected: bool
+    prompt: str
     started_s: float
 
 
@@ -88,8 +89,7 @@
         self.report_lag_s = 1.0
         self._places = trio.CapacityLimiter(batch)
         self._resident = collections.OrderedDict()
-        self._running = collections.Counter()
-        self._protected = collections.Counter()
+        self._active = []
         self._reports = collections.deque()
         self._scopes = set()
         self._last_id = "cmpl-none"
@@ -107,8 +107,7 @@
         """Break all connections and restart empty."""
         self.incarnation += 1
         self._resident.clear()
-        self._running.clear()
-        self._protected.clear()
+        self._active.clear()
         self._reports.clear()
         self.fence = 0
         for scope in list(self._scopes):
@@ -120,7 +119,7 @@
 
     def running(self):
         """Count the running requests."""
-        return sum(self._running.values())
+        return len(self._active)
 
     async def _handle(self, req, resp):
         if self.fault is EngineFault.SILENT:
@@ -139,7 +138,7 @@
 
     def _sample(self):
         now_s = trio.current_time()
-        counts = {key: n for key, n in self._running.items() if n}
+        counts = collections.Counter(run.adapter for run in self._active)
         self._reports.append((now_s, counts))
         while len(self._reports) > 1:
             if self._reports[1][0] > now_s - self.report_lag_s:
@@ -190,12 +189,7 @@
         await resp.reply(200, b"Success")
 
     def _evict(self, adapter):
-        cut = [
-            run
-            for run in self.runs
-            if run.adapter == adapter and not self.completed[run.request_id]
-        ]
-        running = tuple(cut) if self._running[adapter] else ()
+        running = tuple(run for run in self._active if run.adapter == adapter)
         at_s = trio.current_time()
         self.evictions.append(Eviction(adapter, running, at_s))
         self._resident.pop(adapter, None)
@@ -226,18 +220,18 @@
             adapter=adapter,
             key=req.header("idempotency-key"),
             protected=int(value.get("priority", 9)) == 0,
+            prompt=_prompt(value),
             started_s=trio.current_time(),
         )
         self.runs.append(run)
-        self._running[adapter] += 1
-        incarnation = self.incarnation
+        self._active.append(run)
         try:
             async with self._places:
                 await self._generate(run, value, resp)
                 self.completed[run.request_id] += 1
         finally:
-            if incarnation == self.incarnation:
-                self._running[adapter] -= 1
+            if run in self._active:
+                self._active.remove(run)
             self._sample()
 
     async def _generate(self, run, value, resp):
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,10 +1,14 @@
 """Fixtures shared by all tests."""
 
 import dataclasses
+import random
+import secrets
+import uuid
 
 import hypothesis
 import pytest
 import trio
+from trio._core import _run
 import trio.testing
 
 from coltsfootsail import _deployment
@@ -73,3 +77,23 @@
         return found
 
     return make
+
+
+@pytest.fixture
+def seeded(virtual, monkeypatch):
+    """Run an async function in virtual time, the same way each time."""
+
+    def run(seed, main, *args):
+        rng = random.Random(seed)
+        random.seed(seed)
+        monkeypatch.setattr(
+            uuid, "uuid4", lambda: uuid.UUID(int=rng.getrandbits(128))
+        )
+        monkeypatch.setattr(
+            secrets, "token_hex", lambda size: rng.randbytes(size).hex()
+        )
+        monkeypatch.setattr(_run, "_ALLOW_DETERMINISTIC_SCHEDULING", True)
+        _run._r.seed(seed)
+        return virtual(main, *args)
+
+    return run
