--- a/Makefile
+++ b/Makefile
@@ -24,10 +24,10 @@
 	$(BIN)/ruff format src tests
 
 test: lint
-	$(BIN)/pytest
+	PYTHONHASHSEED=0 $(BIN)/pytest --numprocesses auto
 
 faults: setup
-	$(BIN)/pytest tests/faults --long
+	PYTHONHASHSEED=0 $(BIN)/pytest tests/faults --long --numprocesses auto
 
 clean:
 	rm -rf $(VENV) build dist
--- a/src/coltsfootsail/_embedded.py
+++ b/src/coltsfootsail/_embedded.py
@@ -6,6 +6,7 @@
 import contextlib
 import dataclasses
 import socket
+import time
 
 import trio
 
@@ -66,6 +67,7 @@
     :param make_addresses: ``(names) -> dict``.
     :param token_s: time the engines take for a token.
     :param change: ``(Settings) -> Settings``, to vary the settings.
+    :param wall_of: ``(host) -> closure`` that reads its wall clock.
     """
 
     def __init__(
@@ -75,11 +77,13 @@
         make_addresses,
         token_s=0.005,
         change=lambda settings: settings,
+        wall_of=lambda host: time.time,
     ):
         self.deployment = deployment
         self.hosts = _deployment.host_names(deployment)
         self.network_of = network_of
         self._change = change
+        self._wall_of = wall_of
         self.addresses = make_addresses(self._names())
         self.client = _http.HttpClient(network_of(CALLER))
         self.kv = kv.KvStandIn(network_of("kv").now)
@@ -176,7 +180,9 @@
         :returns: the ``Node``.
         """
         nursery = nursery or self._nursery
-        node = _node.Node(self.settings(host), self.network_of(host))
+        node = _node.Node(
+            self.settings(host), self.network_of(host), self._wall_of(host)
+        )
         self.nodes[host] = node
         self.down.discard(host)
         await nursery.start(self._run_node, host, node)
--- a/src/coltsfootsail/_owner.py
+++ b/src/coltsfootsail/_owner.py
@@ -538,7 +538,7 @@
 
     def _apply_report(self, report):
         if self._incarnation not in (None, report.incarnation):
-            self.scheduler.restarted()
+            self.scheduler.restarted(report.resident, report.asked_s)
             self._restarted = True
             self._closed_s.clear()
             self._missing.clear()
--- a/src/coltsfootsail/_scheduler.py
+++ b/src/coltsfootsail/_scheduler.py
@@ -112,6 +112,7 @@
         self.waiting_count = 0
         self.suspect_running = False
         self._waiting = {}
+        self._slot_of = {}
         self._by_age = []
         self._by_count = []
         self._steps = 0
@@ -206,6 +207,7 @@
         slot.running += 1
         slot.protected_running += ticket.protected
         slot.for_batch = slot.for_batch and not ticket.protected
+        self._slot_of[ticket.order] = slot
         slot.last_used_s = now_s
         self.running += 1
         self.suspect_running = self.suspect_running or ticket.suspect
@@ -218,9 +220,7 @@
         self.running -= 1
         if ticket.suspect:
             self.suspect_running = False
-        slot = self.resident.get(ticket.adapter)
-        if slot is None:
-            return
+        slot = self._slot_of.pop(ticket.order)
         slot.running -= 1
         slot.protected_running -= ticket.protected
         slot.lingering += lingering
@@ -375,6 +375,7 @@
             self.resident[adapter] = Slot(SlotState.READY, now_s)
         else:
             slot.state = SlotState.READY
+            slot.since_s = now_s
 
     def load_failed(self, adapter, unsure):
         """Note that a load failed.
@@ -391,12 +392,20 @@
         slot = self.resident[adapter]
         slot.pinned_until_s = max(slot.pinned_until_s, until_s)
 
-    def restarted(self):
-        """Note that the engine lost all its adapters."""
-        lost = list(self.resident)
-        self.resident = {}
-        for adapter in lost:
-            self._reindex(adapter)
+    def restarted(self, listed, asked_s):
+        """Note that the engine has restarted empty at some moment.
+
+        Adapters that it lists were loaded since; so may be those whose
+        state is newer than the question, or under an order.
+
+        :param listed: adapters that it holds.
+        :param asked_s: when it was asked.
+        """
+        settled = (SlotState.READY, SlotState.UNSURE)
+        for adapter, slot in list(self.resident.items()):
+            older = slot.since_s < asked_s and slot.state in settled
+            if older and adapter not in listed:
+                self.evicted(adapter)
 
     def waiting_for(self, adapter):
         """Count the requests waiting for an adapter."""
--- a/src/coltsfootsail/standins/engine.py
+++ b/src/coltsfootsail/standins/engine.py
@@ -92,7 +92,7 @@
         self._active = []
         self._reports = collections.deque()
         self._scopes = set()
-        self._last_id = "cmpl-none"
+        self._last = None
 
     async def serve(self, stream):
         """Serve one connection; a crash cancels it."""
@@ -244,9 +244,10 @@
         shown = run
         if self.fault is EngineFault.WRONG_VERSION:
             shown = dataclasses.replace(run, adapter=run.adapter + "-other")
-        if self.fault is EngineFault.CROSSED:
-            shown = dataclasses.replace(run, request_id=self._last_id)
-        self._last_id = run.request_id
+        if self.fault is EngineFault.CROSSED and self._last is not None:
+            shown = self._last
+        self._last = run
+        prompt = shown.prompt
         chat = "messages" in value
         if value.get("stream"):
             await self._stream(shown, prompt, tokens, chat, resp)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,5 +1,6 @@
 """Fixtures shared by all tests."""
 
+import collections
 import dataclasses
 import random
 import secrets
@@ -16,6 +17,8 @@
 from coltsfootsail import _settings
 from coltsfootsail.standins import network as memory
 
+WALL_START_S = 1_700_000_000.0
+
 hypothesis.settings.register_profile(
     "ci", derandomize=True, deadline=None, max_examples=100, database=None
 )
@@ -27,6 +30,15 @@
     parser.addoption("--long", action="store_true", default=False)
 
 
+def pytest_collection_modifyitems(config, items):
+    """Leave the long form out unless it is asked for."""
+    if config.getoption("--long"):
+        return
+    short = [item for item in items if "long" not in item.keywords]
+    config.hook.pytest_deselected(items=[i for i in items if i not in short])
+    items[:] = short
+
+
 @pytest.fixture
 def virtual():
     """Run an async function in virtual time."""
@@ -61,20 +73,35 @@
     return dataclasses.replace(settings, limits=limits, ledger=ledger)
 
 
+def make_system(deployment, token_s=0.02):
+    """Build a deployment in memory whose hosts have clocks of their own.
+
+    The attribute ``clock_step_s`` holds the error of each host's clock.
+    """
+    net = memory.MemoryNetwork()
+    steps = collections.Counter()
+
+    def wall_of(host):
+        return lambda: WALL_START_S + trio.current_time() + steps[host]
+
+    found = _embedded.in_memory(
+        deployment,
+        net,
+        token_s=token_s,
+        change=_short_timeouts,
+        wall_of=wall_of,
+    )
+    found.net = net
+    found.clock_step_s = steps
+    return found
+
+
 @pytest.fixture
 def system(small):
     """A deployment in memory with short time-outs."""
 
     def make(name="museum", token_s=0.02, **changes):
-        net = memory.MemoryNetwork()
-        found = _embedded.in_memory(
-            small(name, **changes),
-            net,
-            token_s=token_s,
-            change=_short_timeouts,
-        )
-        found.net = net
-        return found
+        return make_system(small(name, **changes), token_s)
 
     return make
 
--- a/tests/faults/cases.py
+++ b/tests/faults/cases.py
@@ -23,6 +23,7 @@
     name: str
     apply: collections.abc.Callable
     heal: collections.abc.Callable
+    planned: bool = False
 
 
 async def _nothing(world):
@@ -71,8 +72,8 @@
 
 async def _crash_engines(world):
     for _ in range(3):
-        name = world.victim(world.system.engines)
-        world.system.engines[name].crash()
+        engines = world.system.engines.values()
+        max(engines, key=lambda item: item.running()).crash()
         await trio.sleep(2.0)
 
 
@@ -214,7 +215,8 @@
     name = f"host-{world.victim(world.system.engines)}"
     world.system.host_list.set_state(name, "leaving")
     shown_s = trio.current_time() + world.system.host_list.lag_s
-    world.drained.append((shown_s, _document.DrainKind.HOST, name))
+    kind = _document.DrainKind.HOST
+    world.drained.append(harness.Drained(shown_s, kind, name))
     await trio.lowlevel.checkpoint()
 
 
@@ -258,6 +260,18 @@
             )
 
 
+def _clock_step(name, step_s):
+    async def apply(world):
+        world.system.clock_step_s[_owning_host(world)] = step_s
+        await trio.lowlevel.checkpoint()
+
+    async def heal(world):
+        world.system.clock_step_s.clear()
+        await trio.lowlevel.checkpoint()
+
+    return Fault(name, apply, heal)
+
+
 ENGINE_FAULTS = [
     _engine_fault(kind)
     for kind in engine.EngineFault
@@ -273,7 +287,7 @@
 ]
 
 FAULTS = [
-    Fault("none", _nothing, _nothing),
+    Fault("none", _nothing, _nothing, planned=True),
     *ENGINE_FAULTS,
     *KV_FAULTS,
     *SERVICE_FAULTS,
@@ -290,12 +304,19 @@
     Fault("open_connections_silent", _silence_open, _nothing),
     Fault("data_centre_lost", _lose_data_centre, _heal_network),
     Fault("poisoned_request", _poison, _nothing),
-    Fault("endpoint_drained", _drain_endpoint, harness.undrain),
-    Fault("data_centre_drained", _drain_data_centre, harness.undrain),
-    Fault("host_leaving", _leave_host, _nothing),
-    Fault("node_stopped", _stop_node, _restart),
+    Fault("endpoint_drained", _drain_endpoint, harness.undrain, planned=True),
+    Fault(
+        "data_centre_drained",
+        _drain_data_centre,
+        harness.undrain,
+        planned=True,
+    ),
+    Fault("host_leaving", _leave_host, _nothing, planned=True),
+    Fault("node_stopped", _stop_node, _restart, planned=True),
     Fault("host_list_down", _host_list_down, _host_list_up),
     Fault("callers_hang_up", _hang_up, _nothing),
+    _clock_step("clock_ahead", 3 * 86400.0),
+    _clock_step("clock_behind", -3 * 86400.0),
     Fault("popularity_shift", _shift, _nothing),
 ]
 BY_NAME = {fault.name: fault for fault in FAULTS}
--- a/tests/faults/harness.py
+++ b/tests/faults/harness.py
@@ -7,6 +7,7 @@
 import collections
 import dataclasses
 import json
+import math
 import random
 import uuid
 
@@ -19,6 +20,7 @@
 from coltsfootsail import _http
 from coltsfootsail import _kv
 from coltsfootsail import exceptions
+from tests import conftest
 
 WARM_S = 5.0
 FAULT_S = 25.0
@@ -26,12 +28,12 @@
 SETTLE_S = 45.0
 RATE_PER_S = 12.0
 CALL_TIMEOUT_S = 40.0
+SLOTS = 3
 ORDER_REPEATS = 4
 PROBE = "probe"
 PROBE_VERSIONS = tuple(f"v{number:03d}" for number in range(40))
 IN_FORCE_S = 9.0
 DRAIN_S = 3.0
-WALL_START_S = 1_700_000_000.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -49,6 +51,16 @@
     problem: str = ""
 
 
+@dataclasses.dataclass(slots=True)
+class Drained:
+    """What must get no new work, and from when to when."""
+
+    since_s: float
+    kind: str
+    name: str
+    until_s: float = math.inf
+
+
 @dataclasses.dataclass(slots=True)
 class World:
     """One run: the system, its traffic and what was changed."""
@@ -60,7 +72,8 @@
     drained: list = dataclasses.field(default_factory=list)
     pins: list = dataclasses.field(default_factory=list)
     stopped: bool = False
-    poison: tuple = ()
+    poison: str = ""
+    planned: bool = False
 
     def victim(self, pool):
         """Pick a name the same way for the same seed."""
@@ -168,7 +181,7 @@
 
 async def send_order(world, path):
     """Send a non-idempotent call, repeating it as callers do."""
-    key = uuid7(WALL_START_S + trio.current_time(), world.rng)
+    key = uuid7(conftest.WALL_START_S + trio.current_time(), world.rng)
     for _ in range(ORDER_REPEATS):
         sent = Sent("order", key, key=key)
         world.sent.append(sent)
@@ -261,14 +274,15 @@
     """Order a drain and note when it was accepted."""
     entry = _document.Drain(kind, name)
     await apply_entry(world, "drains", f"{kind}-{name}", entry)
-    world.drained.append((trio.current_time(), kind, name))
+    world.drained.append(Drained(trio.current_time(), kind, name))
 
 
 async def undrain(world):
     """Take all drain orders back."""
-    for _, kind, name in world.drained:
-        await apply_entry(world, "drains", f"{kind}-{name}", None)
-    world.drained.clear()
+    for item in world.drained:
+        item.until_s = trio.current_time()
+        key = f"{item.kind}-{item.name}"
+        await apply_entry(world, "drains", key, None)
 
 
 # -- checks -------------------------------------------------------------
@@ -360,9 +374,9 @@
 def check_drained(world):
     """A drained endpoint gets no new work after a few seconds."""
     found = []
-    for at_s, kind, name in world.drained:
+    for item in world.drained:
         for key, entry in world.system.document().endpoints.items():
-            drain = _document.Drain(kind, name)
+            drain = _document.Drain(item.kind, item.name)
             document = _document.Document(drains={"d": drain})
             if not _document.is_drained(document, key, entry):
                 continue
@@ -370,13 +384,25 @@
             late = [
                 run
                 for run in (engine.runs if engine else ())
-                if run.started_s > at_s + DRAIN_S
+                if item.since_s + DRAIN_S < run.started_s < item.until_s
             ]
             found += [f"{key}: run at {run.started_s:.1f}" for run in late]
     return found
 
 
+def check_planned(world):
+    """Planned changes cut off no request."""
+    if not world.planned:
+        return []
+    return [
+        f"{sent.kind} {sent.content}: {sent.code} at {sent.ended_s:.1f}"
+        for sent in world.sent
+        if sent.state in ("broken", "unknown")
+    ]
+
+
 CHECKS = {
+    "planned": check_planned,
     "answers": check_answers,
     "evictions": check_evictions,
     "not_run": check_not_run,
@@ -418,6 +444,7 @@
     :returns: the ``World``.
     """
     world = World(system, random.Random(seed))
+    world.planned = all(fault.planned for fault in faults)
     async with trio.open_nursery() as nursery:
         await system.start_standins(nursery)
         system._nursery = nursery
--- /dev/null
+++ b/tests/faults/test_pairs.py
@@ -0,0 +1,23 @@
+"""The long form: every pair of faults, on both deployments."""
+
+import itertools
+import os
+
+import pytest
+
+from tests.faults import cases
+from tests.faults import harness
+
+PAIRS = list(itertools.combinations(cases.FAULTS[1:], 2))
+SEED = int(os.environ.get("FAULT_SEED", "2"))
+
+
+@pytest.mark.long
+@pytest.mark.parametrize("name", ["museum", "registry"])
+@pytest.mark.parametrize(
+    "pair", PAIRS, ids=["+".join(f.name for f in pair) for pair in PAIRS]
+)
+def test_pair_of_faults_breaks_no_promise(seeded, system, name, pair):
+    found = system(name, engine_slots=harness.SLOTS)
+    world = seeded(SEED, harness.run_world, found, pair, SEED)
+    assert harness.violations(world) == {}
--- a/tests/faults/test_singles.py
+++ b/tests/faults/test_singles.py
@@ -11,7 +11,8 @@
 @pytest.mark.parametrize("name", ["museum", "registry"])
 @pytest.mark.parametrize("fault", cases.FAULTS, ids=lambda f: f.name)
 def test_single_fault_breaks_no_promise(seeded, system, name, fault):
-    world = seeded(SEED, harness.run_world, system(name), [fault], SEED)
+    found = system(name, engine_slots=harness.SLOTS)
+    world = seeded(SEED, harness.run_world, found, [fault], SEED)
     assert harness.violations(world) == {}
-    answered = [s for s in world.sent if s.state == "answered"]
-    assert answered, harness.summary(world)
+    kinds = {sent.kind for sent in world.sent if sent.state == "answered"}
+    assert {"order", harness.PROBE} < kinds, harness.summary(world)
