--- a/src/coltsfootsail/_cli.py
+++ b/src/coltsfootsail/_cli.py
@@ -499,6 +499,58 @@
     ]
 
 
+@cappa.command(
+    name="policy",
+    help="Replay a trace under the policy, its baselines and bounds.",
+    description=(
+        "Example: coltsfootsail bench policy --deployment museum "
+        "--scenario night --policy all --seed 1 --json"
+    ),
+)
+@dataclasses.dataclass
+class BenchPolicy:
+    """Replay a scenario."""
+
+    deployment: typing.Annotated[
+        str, cappa.Arg(long="--deployment", help="museum or registry.")
+    ] = "museum"
+    policy: typing.Annotated[
+        str, cappa.Arg(long="--policy", help="A policy's name, or all.")
+    ] = "all"
+    scenario: typing.Annotated[
+        str, cappa.Arg(long="--scenario", help="A scenario's name.")
+    ] = "day"
+    seed: typing.Annotated[
+        int, cappa.Arg(long="--seed", help="Seed of the trace.")
+    ] = 1
+    plot: typing.Annotated[
+        str, cappa.Arg(long="--plot", help="PNG file to draw.")
+    ] = ""
+    json: Json = False
+
+    def __call__(self):
+        from coltsfootsail import _bench
+
+        result = _bench.run(
+            self.deployment, self.policy, self.seed, self.scenario
+        )
+        if self.plot:
+            _bench.plot(result, self.plot)
+        if self.json:
+            print(_bench.to_json(result))
+        else:
+            print("\n".join(_bench.lines(result)))
+        return EXIT_OK
+
+
+@cappa.command(name="bench", help="Measure the policy, size and relay.")
+@dataclasses.dataclass
+class BenchCommand:
+    """Measurements."""
+
+    command: cappa.Subcommands[BenchPolicy]
+
+
 @cappa.command(
     name="coltsfootsail",
     help="A serving layer for very many LoRA adapters.",
@@ -514,6 +566,7 @@
         | CompleteCommand
         | StatusCommand
         | ConfigCommand
+        | BenchCommand
     ]
 
 
--- a/src/coltsfootsail/_node.py
+++ b/src/coltsfootsail/_node.py
@@ -29,6 +29,7 @@
 from coltsfootsail import _permits
 from coltsfootsail import _placement
 from coltsfootsail import _poison
+from coltsfootsail import _policy
 from coltsfootsail import _popularity
 from coltsfootsail import _records
 from coltsfootsail import _residency
@@ -104,7 +105,7 @@
         self.strikes = _poison.Strikes(self.cluster.strikes)
         self.budget = _retries.RetryBudget(0.1)
         self.residency = _residency.Residency()
-        self.popularity = _popularity.Popularity()
+        self.popularity = _popularity.Popularity(_policy.HALF_LIFE_S)
         self.ownership = _ownership.Ownership(
             self.identity,
             self.kv,
@@ -313,7 +314,7 @@
         owner = self._owners.get(endpoint)
         if owner is None:
             raise exceptions.NotOwner()
-        weight = 1.0 if work.protected else _scheduler.BATCH_WEIGHT
+        weight = _policy.popularity_weight(work.protected)
         self.popularity.add(work.adapter, self.now(), weight)
         limits = _document.limits_of(self.document())
         await owner.serve(work, sink, limits.queue_max)
@@ -453,9 +454,7 @@
 
     def _rules(self):
         limits = _document.limits_of(self.document())
-        return _scheduler.Rules(
-            value=self.popularity.rate, batch_age_s=limits.batch_age_s
-        )
+        return _policy.make_rules(self.popularity.rate, limits.batch_age_s)
 
     def _make_owner(self, endpoint, entry):
         hooks = self._hooks()
--- a/src/coltsfootsail/_owner.py
+++ b/src/coltsfootsail/_owner.py
@@ -16,6 +16,7 @@
 from coltsfootsail import _engine
 from coltsfootsail import _http
 from coltsfootsail import _outcomes
+from coltsfootsail import _policy
 from coltsfootsail import _relay
 from coltsfootsail import _scheduler
 from coltsfootsail import exceptions
@@ -379,7 +380,7 @@
         plan = self._plan()
         if plan is None:
             return False
-        rank = plan.rank if plan.protected else plan.rank + 100
+        rank = _policy.permit_rank(plan)
         async with self._permits.permit(rank, plan.waited_s):
             plan = self._plan()
             if plan is None:
--- a/src/coltsfootsail/_permits.py
+++ b/src/coltsfootsail/_permits.py
@@ -13,6 +13,8 @@
 from coltsfootsail import _wire
 from coltsfootsail import exceptions
 
+BATCH_RANK = 100
+TURNS = 16
 GRANT_TIMEOUT_S = 30.0
 ASK_TIMEOUT_S = 10.0
 
@@ -28,10 +30,18 @@
 
 
 class PermitQueue:
-    """Decides who loads next; no I/O and no clock of its own."""
+    """Decides who loads next; no I/O and no clock of its own.
 
-    def __init__(self, width=1):
+    Asks of rank ``BATCH_RANK`` and above wait for the others, but get one
+    grant in ``turns``, so that they don't starve.
+
+    :param width: loads that the store serves at once.
+    """
+
+    def __init__(self, width=1, turns=TURNS):
         self._width = width
+        self._turns = turns
+        self._urgent_in_row = 0
         self._waiting = {}
         self._granted = {}
 
@@ -62,13 +72,24 @@
         self._expire(now_s)
         if len(self._granted) >= self._width or not self._waiting:
             return None
-        first = min(
-            self._waiting.values(), key=lambda ask: (ask.rank, ask.since_s)
-        )
+        first = self._first()
         del self._waiting[first.ticket]
         self._granted[first.ticket] = now_s
         return first
 
+    def _first(self):
+        """Choose by class and wait; every few turns by class reversed."""
+        asks = self._waiting.values()
+        others = [ask for ask in asks if ask.rank >= BATCH_RANK]
+        self._urgent_in_row += 1
+        if others and self._urgent_in_row >= self._turns:
+            self._urgent_in_row = 0
+            return min(others, key=lambda ask: ask.since_s)
+        first = min(asks, key=lambda ask: (ask.rank, ask.since_s))
+        if first.rank >= BATCH_RANK:
+            self._urgent_in_row = 0
+        return first
+
     def _expire(self, now_s):
         self._granted = {
             ticket: at_s
--- a/src/coltsfootsail/_scheduler.py
+++ b/src/coltsfootsail/_scheduler.py
@@ -10,9 +10,9 @@
 import enum
 import heapq
 
-BATCH_WEIGHT = 0.02
 PROTECTED_KEEP_RATE = 1 / 240.0
-PREFETCH_GAIN = 1.5
+EVICTED_PER_SLOT = 4
+PREFETCH_RANK = 9
 
 
 class SlotState(enum.Enum):
@@ -82,7 +82,8 @@
     :param reserve: batch places only protected requests may take.
     :param protected_slot_share: share of slots that loads for batch
         classes leave alone, at least one.
-    :param prefetch: ``(scheduler, now_s) -> adapter`` or None.
+    :param prefetch_gain: a recently evicted adapter worth this many times
+        the least valuable resident one is loaded again; 0 is never.
     """
 
     value: collections.abc.Callable
@@ -92,7 +93,7 @@
     keep_value: float = PROTECTED_KEEP_RATE
     reserve: int = 1
     protected_slot_share: float = 0.25
-    prefetch: collections.abc.Callable | None = None
+    prefetch_gain: float = 0.0
 
 
 class EndpointScheduler:
@@ -113,6 +114,7 @@
         self.suspect_running = False
         self._waiting = {}
         self._slot_of = {}
+        self._evicted = {}
         self._by_age = []
         self._by_count = []
         self._steps = 0
@@ -336,18 +338,22 @@
 
         :returns: a ``LoadPlan`` or None.
         """
-        if self.rules.prefetch is None:
-            return None
-        adapter = self.rules.prefetch(self, now_s)
-        if adapter is None or adapter in self.resident:
+        gain = self.rules.prefetch_gain
+        if not gain or not self._evicted or self._by_age:
             return None
+        value, adapter = max(
+            (self.rules.value(adapter, now_s), adapter)
+            for adapter in self._evicted
+        )
+        self._steps += len(self._evicted)
         victim = ""
         if len(self.resident) >= self.slots:
-            ceiling = self.rules.value(adapter, now_s) / PREFETCH_GAIN
-            victim = self._victim(now_s, ceiling, False, False)
+            victim = self._victim(now_s, value / gain, False, False)
             if victim is None:
                 return None
-        return LoadPlan(adapter, victim, 9, False, 0.0, prefetch=True)
+        return LoadPlan(
+            adapter, victim, PREFETCH_RANK, False, 0.0, prefetch=True
+        )
 
     def begin_evict(self, adapter):
         """Note that an eviction is ordered."""
@@ -356,6 +362,9 @@
     def evicted(self, adapter):
         """Note that an adapter has left its slot."""
         self.resident.pop(adapter, None)
+        self._evicted[adapter] = None
+        if len(self._evicted) > EVICTED_PER_SLOT * self.slots:
+            self._evicted.pop(next(iter(self._evicted)))
         self._reindex(adapter)
 
     def _reindex(self, adapter):
@@ -364,6 +373,7 @@
 
     def begin_load(self, adapter, now_s, for_batch=False):
         """Note that a load is ordered; it takes a slot from now."""
+        self._evicted.pop(adapter, None)
         self.resident[adapter] = Slot(
             SlotState.LOADING, now_s, last_used_s=now_s, for_batch=for_batch
         )
@@ -411,6 +421,10 @@
         """Count the requests waiting for an adapter."""
         return len(self._waiting.get(adapter, ()))
 
+    def waiting_orders(self, adapter):
+        """List the orders of the requests waiting for an adapter."""
+        return [order for _, order, _ in self._waiting.get(adapter, ())]
+
     def take_waiting(self, adapter):
         """Remove and list all requests that wait for an adapter."""
         queue = self._waiting.pop(adapter, [])
