Hold a failing engine's loads off the others, and resolve former owners

Cause: one engine hanging on a load held the weight-store permit for 20 s (4 of 10 requests for other adapters answered in time); a takeover condemned the last loaded adapter for a minute although its order had ended, since records were overwritten but never cleared; a record could drop an order that was still unsure. Change: grants lapse after six load times, loads time out after 6 s, engines with a failed load are placed last for 15 s; records are cleared when idle and keep unsure orders.

--- a/src/coltsfootsail/_engine.py
+++ b/src/coltsfootsail/_engine.py
@@ -10,7 +10,7 @@
 from coltsfootsail import exceptions
 
 ORDER_TIMEOUT_S = 5.0
-LOAD_TIMEOUT_S = 20.0
+LOAD_TIMEOUT_S = 6.0
 REPORT_TIMEOUT_S = 2.0
 FENCE_HEADER = "x-fencing-token"
 REQUEST_ID_HEADER = "x-request-id"
--- a/src/coltsfootsail/_node.py
+++ b/src/coltsfootsail/_node.py
@@ -76,6 +76,7 @@
         self._seen_members = {}
         self._announced = {}
         self._dirty = set()
+        self._dirty_event = trio.Event()
         self._nursery = None
         self._build(wall_s)
 
@@ -145,6 +146,7 @@
             self.mesh.send,
             self.now,
             self._alone_period_s,
+            settings.platform.weight_store_loads_per_s,
         )
         self.frontend = _frontend.Frontend(self)
         self.admin = _admin.Admin(self)
@@ -400,13 +402,20 @@
             waiting=scheduler.waiting_count,
             running=scheduler.running,
             full=len(scheduler.resident) >= scheduler.slots,
+            failing=self._owners[endpoint].failing(),
         )
 
+    def _note_dirty(self, endpoint):
+        self._dirty.add(endpoint)
+        self._dirty_event.set()
+
     async def _announce(self):
         """Tell peers what changed on owned endpoints."""
         while True:
+            await self._dirty_event.wait()
+            self._dirty_event = trio.Event()
             dirty, self._dirty = self._dirty, set()
-            for endpoint in dirty:
+            for endpoint in sorted(dirty):
                 if endpoint in self._owners:
                     self._announce_one(endpoint)
             await trio.sleep(_kv.jittered(ANNOUNCE_S))
@@ -452,7 +461,7 @@
     def _hooks(self):
         return _owner.Hooks(
             count=self.metrics.count,
-            changed=self._dirty.add,
+            changed=self._note_dirty,
             crashed=self._crashed,
             cleared=self._cleared,
             suspect=self.strikes.suspect,
@@ -669,6 +678,7 @@
         nursery.start_soon(self._reconcile)
         nursery.start_soon(self._announce)
         nursery.start_soon(self._probe_gone)
+        nursery.start_soon(self.permits.run)
         nursery.start_soon(self._sweep)
 
     async def drain(self):
--- a/src/coltsfootsail/_owner.py
+++ b/src/coltsfootsail/_owner.py
@@ -24,11 +24,13 @@
 REPORT_PERIOD_S = 1.0
 LOAD_FAILURES_MAX = 2
 LOAD_PAUSE_S = 3.0
+FAILING_S = 15.0
 ORDER_LINGER_S = 60.0
 ANSWER_BYTES_MAX = 16_777_216
 RETRY_AFTER_S = 2.0
 REFUSING_STATUSES = frozenset({404, 429, 503})
 GONE_REPORTS = 2
+RECORD_IDLE_S = 1.0
 CRASH_SIGNS = (exceptions.OutcomeUnknown, exceptions.AnswerTruncated)
 
 
@@ -125,6 +127,9 @@
         self._incarnation = None
         self._closed_s = {}
         self._restarted = False
+        self._failing_until_s = 0.0
+        self._recorded_s = None
+        self._unsure_until_s = {}
         self.outstanding = 0
 
     # -- requests ---------------------------------------------------
@@ -347,10 +352,35 @@
     async def run_loader(self):
         """Carry out loads and evictions for as long as the task runs."""
         while True:
-            if not await self._load_next():
-                with trio.move_on_after(1.0):
-                    await self._wake_loader.wait()
-                self._wake_loader = trio.Event()
+            if await self._load_next():
+                continue
+            await self._clear_record()
+            with trio.move_on_after(1.0):
+                await self._wake_loader.wait()
+            self._wake_loader = trio.Event()
+
+    def _unsure(self):
+        """List adapters whose orders may yet take effect."""
+        now_s = self._now()
+        self._unsure_until_s = {
+            adapter: until_s
+            for adapter, until_s in self._unsure_until_s.items()
+            if until_s > now_s
+        }
+        return tuple(sorted(self._unsure_until_s))
+
+    async def _clear_record(self):
+        """Take back the record of orders that have ended for a while."""
+        if self._recorded_s is None or not self._guards.may_order():
+            return
+        if self._now() - self._recorded_s < RECORD_IDLE_S:
+            return
+        unsure = self._unsure()
+        self._recorded_s = self._now() if unsure else None
+        try:
+            await self._guards.record(unsure)
+        except exceptions.ColtsfootsailError as exc:
+            self._hooks.count("order_failures", exc.code)
 
     def _usable_slots(self):
         """Slots that no order of an earlier owner may yet take."""
@@ -397,7 +427,9 @@
         if plan.victim:
             self.scheduler.begin_evict(plan.victim)
         try:
-            await self._guards.record(tuple(adapters))
+            names = {*adapters, *self._unsure()}
+            await self._guards.record(tuple(sorted(names)))
+            self._recorded_s = self._now()
             if plan.victim:
                 await self._evict(plan.victim)
         except exceptions.ColtsfootsailError as exc:
@@ -418,6 +450,7 @@
         if not sure:
             slot.since_s = self._now()
             slot.condemned_until_s = slot.since_s + ORDER_LINGER_S
+            self._unsure_until_s[victim] = slot.condemned_until_s
 
     async def _evict(self, adapter):
         if not self._guards.may_order():
@@ -446,8 +479,11 @@
 
     def _load_failed(self, adapter, unsure):
         self._hooks.count("load_failures", "unsure" if unsure else "failed")
+        if unsure:
+            self._unsure_until_s[adapter] = self._now() + ORDER_LINGER_S
         self.scheduler.resident[adapter].since_s = self._now()
         self.scheduler.load_failed(adapter, unsure)
+        self._failing_until_s = self._now() + FAILING_S
         self._load_failures[adapter] += 1
         self._load_after_s[adapter] = self._now() + LOAD_PAUSE_S
         if self._load_failures[adapter] < LOAD_FAILURES_MAX and not unsure:
@@ -503,13 +539,18 @@
             self._refuse_all(exceptions.NotOwner)
         self.draining = draining
 
+    def failing(self):
+        """Say whether a load failed here a short while ago."""
+        return self._now() < self._failing_until_s
+
     def stop(self):
         """End the owner's tasks."""
         self.scope.cancel()
 
     def idle(self):
         """Say whether nothing of this node uses the endpoint."""
-        return not self._waiters and not self.outstanding
+        busy = self._waiters or self.outstanding or self._unsure()
+        return not busy
 
     async def run_reports(self):
         """Compare with the engine's reports while the task runs."""
@@ -541,6 +582,7 @@
         if self._incarnation not in (None, report.incarnation):
             self.scheduler.restarted(report.resident, report.asked_s)
             self._restarted = True
+            self._unsure_until_s.clear()
             self._closed_s.clear()
             self._missing.clear()
         self._incarnation = report.incarnation
--- a/src/coltsfootsail/_permits.py
+++ b/src/coltsfootsail/_permits.py
@@ -15,7 +15,7 @@
 
 BATCH_RANK = 100
 TURNS = 16
-GRANT_TIMEOUT_S = 30.0
+HOLD_LOADS = 6.0
 ASK_TIMEOUT_S = 10.0
 
 
@@ -36,10 +36,12 @@
     grant in ``turns``, so that they don't starve.
 
     :param width: loads that the store serves at once.
+    :param hold_s: a grant held for longer counts as given back.
     """
 
-    def __init__(self, width=1, turns=TURNS):
+    def __init__(self, width=1, turns=TURNS, hold_s=float("inf")):
         self._width = width
+        self._hold_s = hold_s
         self._turns = turns
         self._urgent_in_row = 0
         self._waiting = {}
@@ -94,7 +96,7 @@
         self._granted = {
             ticket: at_s
             for ticket, at_s in self._granted.items()
-            if now_s - at_s < GRANT_TIMEOUT_S
+            if now_s - at_s < self._hold_s
         }
 
 
@@ -107,15 +109,16 @@
     :param now: closure that reads the clock.
     :param share_s: ``() -> seconds`` between loads when nobody holds
         the queue.
+    :param loads_per_s: rate of the weight store.
     """
 
-    def __init__(self, node, holder, send, now, share_s):
+    def __init__(self, node, holder, send, now, share_s, loads_per_s):
         self._node = node
         self._holder = holder
         self._send = send
         self._now = now
         self._share_s = share_s
-        self._queue = PermitQueue()
+        self._queue = PermitQueue(hold_s=HOLD_LOADS / loads_per_s)
         self._grants = {}
         self._numbers = itertools.count()
         self._last_alone_s = float("-inf")
@@ -188,6 +191,12 @@
         self._queue.drop_node(node)
         self._grant()
 
+    async def run(self):
+        """Take back grants that are held for too long."""
+        while True:
+            await trio.sleep(1.0)
+            self._grant()
+
     def _grant(self):
         granted = self._queue.next(self._now())
         if granted is None:
--- a/src/coltsfootsail/_placement.py
+++ b/src/coltsfootsail/_placement.py
@@ -21,6 +21,7 @@
     LOADING = 1
     FREE_SLOT = 2
     EVICTION = 3
+    FAILING = 4
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -69,6 +70,7 @@
     Residence.LOADING: 0.25,
     Residence.FREE_SLOT: 1.0,
     Residence.EVICTION: 1.25,
+    Residence.FAILING: 4.0,
 }
 
 
--- a/src/coltsfootsail/_residency.py
+++ b/src/coltsfootsail/_residency.py
@@ -11,6 +11,7 @@
     waiting: int = 0
     running: int = 0
     full: bool = False
+    failing: bool = False
 
 
 class Residency:
@@ -26,6 +27,7 @@
         row.waiting = msg.waiting
         row.running = msg.running
         row.full = msg.full
+        row.failing = msg.failing
         for adapter in msg.removed:
             row.adapters.discard(adapter)
             self._forget_holder(adapter, msg.endpoint)
@@ -64,6 +66,8 @@
                 endpoint, residences.EVICTION, 0.0, local
             )
         residence = residences.EVICTION if row.full else residences.FREE_SLOT
+        if row.failing:
+            residence = residences.FAILING
         if adapter in row.adapters:
             residence = residences.LOADED
         load = (row.waiting + row.running) / max(1, batch)
--- a/src/coltsfootsail/_wire.py
+++ b/src/coltsfootsail/_wire.py
@@ -36,7 +36,8 @@
 class Residency:
     """Adapters that became resident on an endpoint or left it.
 
-    ``waiting`` and ``running`` are counts of requests.
+    ``waiting`` and ``running`` are counts of requests; ``failing`` says
+    that a load failed there a short while ago.
     """
 
     endpoint: str
@@ -45,6 +46,7 @@
     waiting: int
     running: int
     full: bool
+    failing: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/faults/test_bite.py
+++ b/tests/faults/test_bite.py
@@ -38,7 +38,7 @@
     patch.setattr(
         _scheduler.EndpointScheduler,
         "_evictable",
-        lambda self, slot, now_s: slot.state is ready,
+        lambda self, slot, now_s: slot.state is ready and slot.running,
     )
 
 
