--- a/src/coltsfootsail/_cli.py
+++ b/src/coltsfootsail/_cli.py
@@ -543,12 +543,29 @@
         return EXIT_OK
 
 
+@cappa.command(
+    name="relay", help="Measure what a node adds to a stream of tokens."
+)
+@dataclasses.dataclass
+class BenchRelay:
+    """Measure the relay."""
+
+    json: Json = False
+
+    def __call__(self):
+        from coltsfootsail import _bench_relay
+
+        result = _bench_relay.run()
+        _print(result, self.json, _bench_relay.lines(result))
+        return EXIT_OK
+
+
 @cappa.command(name="bench", help="Measure the policy, size and relay.")
 @dataclasses.dataclass
 class BenchCommand:
     """Measurements."""
 
-    command: cappa.Subcommands[BenchPolicy]
+    command: cappa.Subcommands[BenchPolicy | BenchRelay]
 
 
 @cappa.command(
--- a/src/coltsfootsail/_frontend.py
+++ b/src/coltsfootsail/_frontend.py
@@ -28,6 +28,7 @@
         self._stream = stream
         self._count = count
         self._parts = []
+        self._write = resp.write_unbounded if stream else resp.write
         self._keep = not stream
         self.started = False
         self.status = 0
@@ -42,7 +43,7 @@
     async def write(self, data):
         if self._keep:
             self._parts.append(data)
-        await self._resp.write(data)
+        await self._write(data)
 
     async def end(self):
         await self._resp.end()
--- a/src/coltsfootsail/_http.py
+++ b/src/coltsfootsail/_http.py
@@ -102,7 +102,7 @@
 
     def __init__(self, conn, stream, limits):
         self._conn = conn
-        self._stream = stream
+        self.stream = stream
         self._limits = limits
         self.status = None
         self.ended = False
@@ -110,7 +110,7 @@
     async def _send(self, *events):
         data = b"".join(self._conn.send(event) or b"" for event in events)
         with trio.fail_after(self._limits.write_timeout_s):
-            await self._stream.send_all(data)
+            await self.stream.send_all(data)
 
     async def start(self, status, headers=()):
         """Send the head of an answer of unknown length."""
@@ -123,6 +123,10 @@
         """Send a part of the body."""
         await self._send(h11.Data(data=data))
 
+    async def write_unbounded(self, data):
+        """Send a part of the body; the caller bounds the time."""
+        await self.stream.send_all(self._conn.send(h11.Data(data=data)))
+
     async def end(self):
         """Mark the answer as whole."""
         self.ended = True
@@ -154,7 +158,7 @@
         """Return when the caller has closed its side of the stream."""
         while True:
             try:
-                data = await self._stream.receive_some(RECEIVE_BYTES)
+                data = await self.stream.receive_some(RECEIVE_BYTES)
             except STREAM_ERRORS:
                 return
             if not data:
@@ -342,6 +346,7 @@
         self.headers = ()
         self._stream = stream
         self._conn = conn
+        self._drained = False
 
     def header(self, name, default=""):
         """Get a header of the answer by its lower-case name."""
@@ -386,21 +391,20 @@
 
         :returns: bytes, as many as one read brought; empty at the end.
         """
-        first = await _next_event(self._conn, self._stream)
-        if isinstance(first, h11.EndOfMessage):
-            self.phase = Phase.DONE
-            return b""
-        if not isinstance(first, h11.Data):
-            raise h11.RemoteProtocolError("answer broke off")
-        parts = [first.data]
-        while True:
-            event = self._conn.next_event()
-            if not isinstance(event, h11.Data):
-                break
+        conn = self._conn
+        if self._drained:
+            conn.receive_data(await self._stream.receive_some(RECEIVE_BYTES))
+        event = await _next_event(conn, self._stream)
+        parts = []
+        while isinstance(event, h11.Data):
             parts.append(event.data)
+            event = conn.next_event()
+        self._drained = event is h11.NEED_DATA
         if isinstance(event, h11.EndOfMessage):
             self.phase = Phase.DONE
-        return b"".join(parts)
+        elif not self._drained:
+            raise h11.RemoteProtocolError("answer broke off")
+        return parts[0] if len(parts) == 1 else b"".join(parts)
 
     async def read_body(self, limit_bytes):
         """Read the whole body.
--- a/src/coltsfootsail/_owner.py
+++ b/src/coltsfootsail/_owner.py
@@ -31,6 +31,7 @@
 REFUSING_STATUSES = frozenset({404, 429, 503})
 GONE_REPORTS = 2
 RECORD_IDLE_S = 1.0
+WATCH_STEP_S = 1.0
 CRASH_SIGNS = (exceptions.OutcomeUnknown, exceptions.AnswerTruncated)
 
 
@@ -319,20 +320,35 @@
         await _pass_on(sink, exchange, body)
 
     async def _relay_events(self, exchange, work, sink):
+        """Pass events on, as many at a time as one read brought.
+
+        One cancel scope watches the whole stream; moving its deadline
+        every ``WATCH_STEP_S`` costs less than a scope for each read.
+        """
         checker = _relay.EventChecker(work.request_id, work.adapter)
-        silence_s = self._limits.silence_timeout_s
-        started = False
-        while exchange.phase is not _http.Phase.DONE:
-            with trio.fail_after(silence_s):
+        silence_s = self._limits.silence_timeout_s + WATCH_STEP_S
+        started = writing = False
+        moved_s = -math.inf
+        with trio.CancelScope() as scope:
+            while exchange.phase is not _http.Phase.DONE:
+                now_s = trio.current_time()
+                if now_s - moved_s > WATCH_STEP_S:
+                    scope.deadline = now_s + silence_s
+                    moved_s = now_s
                 data = await exchange.read_some()
-            whole = checker.feed(data) if data else b""
-            if not whole:
-                continue
-            if not started:
-                started = True
-                headers = _kept_headers(exchange, None)
-                await _to_caller(sink.start, exchange.status, headers)
-            await _to_caller(sink.write, whole)
+                whole = checker.feed(data) if data else b""
+                if not whole:
+                    continue
+                writing = True
+                if not started:
+                    started = True
+                    headers = _kept_headers(exchange, None)
+                    await _to_caller(sink.start, exchange.status, headers)
+                await _to_caller(sink.write, whole)
+                writing = False
+        if scope.cancelled_caught:
+            raise exceptions.CallerGone() if writing else trio.TooSlowError
+        self._hooks.count("tokens", "relayed", checker.events)
         checker.finish()
         await _to_caller(sink.end)
 
