Work the capacity page out from measured slopes, and meet its budgets

Cause, found by the slopes: 483 bytes an adapter and 1.1 MB a link put a node at 89 MB and more before its links; announcing each load change would send some 6,700 messages a second; a claim by every node at once after an outage 369 KV writes a second; engines of other regions were claimed. Ruled out: the KV view (3 MB) and the residency table (2.3 MB). Change: interned texts, shared tuples, chunk by chunk decoding, 4 KB unpackers, cached lists of engines by region, load levels and residency changes on heartbeats, heartbeats slower with more links, 50 claims a second and region, a daemon start without the command-line library.

--- a/Makefile
+++ b/Makefile
@@ -31,3 +31,8 @@
 
 clean:
 	rm -rf $(VENV) build dist
+
+capacity: setup
+	$(BIN)/python -m coltsfootsail._capacity docs/CAPACITY.md \
+	    $$($(BIN)/python -c "import coltsfootsail._node as n; \
+	    print(int(open('/proc/self/statm').read().split()[1]) * 4096 / 1e6)")
--- /dev/null
+++ b/src/coltsfootsail/_capacity.py
@@ -0,0 +1,393 @@
+"""Works docs/CAPACITY.md out from measured slopes.
+
+Usage: ``python -m coltsfootsail._capacity docs/CAPACITY.md IMPORTS_MB``,
+where ``IMPORTS_MB`` is the memory of a process that has imported the node
+and nothing else, as ``make capacity`` measures it.  Only
+the text between ``<!-- begin: NAME -->`` and ``<!-- end: NAME -->``
+changes.
+"""
+
+import dataclasses
+import re
+import sys
+
+from coltsfootsail import _bench_capacity
+from coltsfootsail import _mesh
+from coltsfootsail import _ownership
+
+CPU_BUDGET_SHARE = 0.023
+MEMORY_BUDGET_MB = 64.0
+BYTES_BUDGET_S = 18_000
+KV_WRITES_MAX_S = 300
+KV_READS_MAX_S = 2000
+ACK_BYTES = 52
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Target:
+    """The size to carry, from the users' letter."""
+
+    nodes: int = 330
+    regions: int = 4
+    endpoints: int = 2700
+    adapters: int = 50_000
+    requests_s: float = 17_000.0
+    tokens_s: float = 5_600_000.0
+    changes_day: float = 1600.0
+    churn_hour: float = 0.082
+    failures_day: float = 32.0
+    replacements_day: float = 300.0
+    slots: int = 8
+    lease_renew_s: float = 5.0
+    loads_region_s: float = 30.0
+    once_share: float = 0.01
+
+    @property
+    def peers(self):
+        """Links of a node: the other nodes of its region."""
+        return round(self.nodes / self.regions) - 1
+
+    @property
+    def endpoints_region(self):
+        """Endpoints of a region."""
+        return self.endpoints / self.regions
+
+    @property
+    def owned(self):
+        """Endpoints that a node owns."""
+        return self.endpoints / self.nodes
+
+    @property
+    def heartbeat_s(self):
+        """Time between heartbeats of a link."""
+        wanted_s = _mesh.HEARTBEAT_PER_LINK_S * self.peers
+        return min(_mesh.HEARTBEAT_MAX_S, wanted_s)
+
+    @property
+    def beats_s(self):
+        """Heartbeats that a node sends, and receives, in a second."""
+        return self.peers / self.heartbeat_s
+
+    @property
+    def changes_s(self):
+        """Configuration changes in a second."""
+        return self.changes_day / 86400.0
+
+    @property
+    def residency_s(self):
+        """Residency changes of a region in a second; a load makes two."""
+        return 2 * self.loads_region_s
+
+
+def _table(head, rows):
+    lines = ["| " + " | ".join(head) + " |"]
+    lines.append("|" + "---|" * len(head))
+    lines += ["| " + " | ".join(row) + " |" for row in rows]
+    return "\n".join(lines)
+
+
+def _slopes(result, _target):
+    rows = [
+        (part, name.replace("_", " "), f"{value:.1f}")
+        for part, values in result.items()
+        for name, value in values.items()
+    ]
+    return _table(("kind", "of", "slope"), rows)
+
+
+def _memory_rows(result, target):
+    memory = result["memory_bytes"]
+    return [
+        ("interpreter and libraries", 1, memory["imports"]),
+        ("adapters", target.adapters, memory["adapter"]),
+        ("endpoint entries", target.endpoints, memory["endpoint_entry"]),
+        (
+            "claims and holders",
+            target.endpoints,
+            memory["claim"],
+        ),
+        ("members", target.nodes, memory["member"]),
+        (
+            "residency of the region",
+            target.endpoints_region,
+            memory["residency_row"],
+        ),
+        (
+            "popularity of awake adapters",
+            target.adapters * target.churn_hour,
+            memory["popularity_row"],
+        ),
+        ("links", target.peers, memory["peer_link"]),
+    ]
+
+
+def memory_mb(result, target):
+    """Compute the memory of a node at target size, in MB."""
+    rows = _memory_rows(result, target)
+    return sum(count * size for _, count, size in rows) / 1e6
+
+
+def _memory_table(result, target):
+    rows = [
+        (name, f"{count:.0f}", f"{size:.0f}", f"{count * size / 1e6:.2f}")
+        for name, count, size in _memory_rows(result, target)
+    ]
+    total = memory_mb(result, target)
+    rows.append(("**sum**", "", "", f"**{total:.1f}**"))
+    rows.append(("budget", "", "", f"{MEMORY_BUDGET_MB:.0f}"))
+    return _table(("state of a node", "count", "bytes each", "MB"), rows)
+
+
+def _cpu_rows(result, target):
+    cpu = result["cpu_us"]
+    scans_s = 2.0
+    change_us = (
+        cpu["config_change_fixed"]
+        + cpu["config_change_per_adapter"] * target.adapters
+    )
+    claims_s = 2 * target.failures_day / 86400.0 * target.owned
+    return [
+        (
+            "heartbeats and loads, sent and received",
+            target.beats_s,
+            "member",
+            cpu["heartbeat"],
+        ),
+        (
+            "residency changes received",
+            target.residency_s,
+            "member",
+            cpu["residency_change"],
+        ),
+        (
+            "residency changes sent, a link each",
+            target.residency_s / (target.peers + 1) * target.peers,
+            "owner",
+            cpu["residency_encode"],
+        ),
+        (
+            "claim scan, two a second",
+            scans_s * target.endpoints_region,
+            "member",
+            cpu["claims_scan_per_endpoint"],
+        ),
+        (
+            "owner scan, two a second",
+            scans_s * target.endpoints_region,
+            "owner",
+            cpu["claims_scan_per_endpoint"],
+        ),
+        (
+            "configuration changes",
+            target.changes_s,
+            "configuration reader",
+            change_us,
+        ),
+        (
+            "claims watched after failures",
+            claims_s,
+            "member",
+            cpu["claims_scan_per_endpoint"] * target.endpoints_region,
+        ),
+    ]
+
+
+def cpu_share(result, target):
+    """Compute the share of a core that control takes on a node."""
+    rows = _cpu_rows(result, target)
+    return sum(rate * cost_us for _, rate, _, cost_us in rows) / 1e6
+
+
+def _cpu_table(result, target):
+    rows = [
+        (
+            name,
+            role,
+            f"{rate:.2f}",
+            f"{cost_us:.1f}",
+            f"{rate * cost_us / 1e4:.3f} %",
+        )
+        for name, rate, role, cost_us in _cpu_rows(result, target)
+    ]
+    share = cpu_share(result, target)
+    rows.append(("**sum**", "", "", "", f"**{share * 100:.2f} %**"))
+    rows.append(("budget", "", "", "", f"{CPU_BUDGET_SHARE * 100:.1f} %"))
+    head = ("control work of a node", "role", "a second", "µs each", "core")
+    return _table(head, rows)
+
+
+def _bytes_rows(result, target):
+    sizes = result["message_bytes"]
+    sent = target.residency_s / (target.peers + 1) * target.peers
+    residency = sizes["residency_change"]
+    return [
+        ("heartbeats out", target.beats_s, sizes["heartbeat"]),
+        ("heartbeats in", target.beats_s, sizes["heartbeat"]),
+        ("acknowledgements", target.beats_s, ACK_BYTES),
+        ("residency out, with heartbeats", sent, residency),
+        ("residency in", target.residency_s, residency),
+        ("configuration roots in", target.changes_s, sizes["config_root"]),
+        ("lease renewals", 1 / target.lease_renew_s, 600.0),
+    ]
+
+
+def bytes_s(result, target):
+    """Compute the bytes a second that control sends and receives."""
+    rows = _bytes_rows(result, target)
+    return sum(rate * size for _, rate, size in rows)
+
+
+def _bytes_table(result, target):
+    rows = [
+        (name, f"{rate:.2f}", f"{size:.0f}", f"{rate * size / 1e3:.2f}")
+        for name, rate, size in _bytes_rows(result, target)
+    ]
+    total = bytes_s(result, target)
+    rows.append(("**sum**", "", "", f"**{total / 1e3:.2f}**"))
+    rows.append(("budget", "", "", f"{BYTES_BUDGET_S / 1e3:.0f}"))
+    return _table(("traffic of a node", "a second", "bytes", "KB/s"), rows)
+
+
+def _kv_rows(target):
+    renewals = target.nodes / target.lease_renew_s
+    evictions = target.loads_region_s * target.regions / 2
+    once = target.requests_s * target.once_share
+    rack = 10
+    centre_nodes = target.nodes / 9
+    centre_claims = target.endpoints / 9
+    return [
+        ("lease renewals", renewals, 0.0, "one lease a node"),
+        (
+            "configuration changes",
+            target.changes_s,
+            0.1,
+            "root by CAS; the watch event carries the delta",
+        ),
+        (
+            "records before orders",
+            evictions,
+            evictions,
+            "one write a swap, on endpoints that ignore fencing only",
+        ),
+        (
+            "ledger, one claim in ten a write",
+            2 * once / 10,
+            once / 10,
+            "claims of a bucket share a compare-and-swap",
+        ),
+        ("configuration poll", 0.0, target.nodes / 3.0, "one read in 3 s"),
+        (
+            "a rack of 10 nodes lost, over 5 s",
+            rack * target.owned / 5,
+            rack * target.owned / 5,
+            "claims by rank, a second apart",
+        ),
+        (
+            "a data centre lost, over 10 s",
+            centre_claims / 10,
+            centre_claims / 10,
+            "as above; its endpoints are gone with it",
+        ),
+        (
+            "return after an outage",
+            target.nodes * 2 / 10 + target.regions * _ownership.CLAIMS_PER_S,
+            target.nodes * 12 / 10,
+            "backoff up to 10 s with jitter; 50 claims/s a region",
+        ),
+        (
+            "300 replacements a day",
+            300 * (3 + 2 * target.owned) / 86400,
+            300 * 12 / 86400,
+            "eight chunk reads of 32 a start",
+        ),
+        ("of a lost centre, nodes", centre_nodes / 10, 0.0, "members"),
+    ]
+
+
+def _kv_table(_result, target):
+    rows = [
+        (name, f"{writes:.1f}", f"{reads:.1f}", how)
+        for name, writes, reads, how in _kv_rows(target)
+    ]
+    steady = _kv_rows(target)[:5]
+    writes = sum(row[1] for row in steady)
+    reads = sum(row[2] for row in steady)
+    rows.append(
+        ("**steady state**", f"**{writes:.0f}**", f"**{reads:.0f}**", "")
+    )
+    rows.append(("budget", str(KV_WRITES_MAX_S), str(KV_READS_MAX_S), ""))
+    return _table(("KV calls", "writes/s", "reads/s", "mechanism"), rows)
+
+
+def _request_table(result, target):
+    cpu = result["cpu_us"]
+    requests = target.requests_s / target.nodes
+    tokens = target.tokens_s / target.nodes
+    rows = [
+        ("requests a node and second", f"{requests:.1f}"),
+        ("token events a node and second", f"{tokens:.0f}"),
+        (
+            "placement, 675 endpoints, µs",
+            f"{cpu['placement_675_endpoints']:.1f}",
+        ),
+        (
+            "placement, 11 endpoints, µs",
+            f"{cpu['placement_11_endpoints']:.1f}",
+        ),
+        (
+            "first placement of an adapter, µs",
+            f"{cpu['cold_placement_675_endpoints']:.0f}",
+        ),
+        ("scheduling of a request, µs", f"{cpu['schedule']:.1f}"),
+        (
+            "adapters that wake, a second",
+            f"{target.adapters * target.churn_hour / 3600:.2f}",
+        ),
+    ]
+    return _table(("data path of a node", "figure"), rows)
+
+
+BLOCKS = {
+    "slopes": _slopes,
+    "memory": _memory_table,
+    "cpu": _cpu_table,
+    "bytes": _bytes_table,
+    "kv": _kv_table,
+    "requests": _request_table,
+}
+
+
+def fill(text, result, target):
+    """Replace the generated blocks of the page.
+
+    :param text: the page.
+    :returns: the page with current figures.
+    """
+    for name, make in BLOCKS.items():
+        if f"<!-- begin: {name} -->" not in text:
+            continue
+        pattern = rf"(<!-- begin: {name} -->\n).*?(<!-- end: {name} -->)"
+        block = make(result, target)
+        text = re.sub(
+            pattern,
+            lambda match, block=block: (
+                f"{match.group(1)}{block}\n{match.group(2)}"
+            ),
+            text,
+            flags=re.DOTALL,
+        )
+    return text
+
+
+def main(path, imports_mb):
+    """Measure and rewrite the page at a path."""
+    result = _bench_capacity.run()
+    result["memory_bytes"]["imports"] = float(imports_mb) * 1e6
+    with open(path, encoding="utf-8") as file:
+        text = file.read()
+    with open(path, "w", encoding="utf-8") as file:
+        file.write(fill(text, result, Target()))
+
+
+if __name__ == "__main__":
+    main(sys.argv[1], sys.argv[2])
--- a/src/coltsfootsail/_cli.py
+++ b/src/coltsfootsail/_cli.py
@@ -3,7 +3,6 @@
 import contextlib
 import dataclasses
 import json
-import signal
 import sys
 import typing
 
@@ -11,6 +10,7 @@
 import trio
 
 from coltsfootsail import _config
+from coltsfootsail import _daemon
 from coltsfootsail import _document
 from coltsfootsail import _schema
 from coltsfootsail import _settings
@@ -75,16 +75,6 @@
 )
 
 
-def _report(exc):
-    """Print a failure to standard error."""
-    if isinstance(exc, exceptions.SettingsError):
-        for problem in exc.problems:
-            print(f"{exc.code}: {problem}", file=sys.stderr)
-        return
-    text = f"{exc.code} ({exc.outcome}): {exc.detail}"
-    print(text, file=sys.stderr)
-
-
 @cappa.command(
     name="node",
     help="Run a node of the system.",
@@ -102,40 +92,11 @@
     ] = False
 
     def __call__(self):
-        settings = _settings.load(self.settings)
         if self.check:
+            _settings.load(self.settings)
             print(f"{self.settings}: ok")
             return EXIT_OK
-        return run_node(settings)
-
-
-def run_node(settings):
-    """Run a node until it is told to stop.
-
-    :returns: the exit code.
-    """
-    from coltsfootsail import _logs
-    from coltsfootsail import _net
-    from coltsfootsail import _node
-
-    _logs.configure()
-    trio.run(_run_node, _node.Node(settings, _net.tcp_network()))
-    return EXIT_OK
-
-
-async def _run_node(node):
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(_drain_on_signal, node)
-        await node.run()
-        nursery.cancel_scope.cancel()
-
-
-async def _drain_on_signal(node):
-    wanted = (signal.SIGTERM, signal.SIGINT)
-    with trio.open_signal_receiver(*wanted) as signals:
-        async for _ in signals:
-            await node.drain()
-            return
+        return _daemon.run(self.settings)
 
 
 @cappa.command(
@@ -560,12 +521,29 @@
         return EXIT_OK
 
 
+@cappa.command(
+    name="capacity", help="Measure slopes of memory, CPU and bytes."
+)
+@dataclasses.dataclass
+class BenchCapacity:
+    """Measure slopes."""
+
+    json: Json = False
+
+    def __call__(self):
+        from coltsfootsail import _bench_capacity
+
+        result = _bench_capacity.run()
+        _print(result, self.json, _bench_capacity.lines(result))
+        return EXIT_OK
+
+
 @cappa.command(name="bench", help="Measure the policy, size and relay.")
 @dataclasses.dataclass
 class BenchCommand:
     """Measurements."""
 
-    command: cappa.Subcommands[BenchPolicy | BenchRelay]
+    command: cappa.Subcommands[BenchPolicy | BenchRelay | BenchCapacity]
 
 
 @cappa.command(
@@ -599,5 +577,5 @@
     try:
         return command()
     except exceptions.ColtsfootsailError as exc:
-        _report(exc)
+        _daemon.report(exc)
         return _exit_code(exc)
--- a/src/coltsfootsail/_config.py
+++ b/src/coltsfootsail/_config.py
@@ -9,6 +9,7 @@
 import dataclasses
 import datetime
 import hashlib
+import itertools
 import secrets
 import zlib
 
@@ -27,6 +28,7 @@
 HISTORY_MAX = 1000
 DELTA_MAX = 50
 CHANGE_BYTES_MAX = 200_000
+EMPTY_CHUNK = msgpack.packb([])
 EMPTY_ROOT = _records.ConfigRoot(revision=0, nonce="", chunks=())
 
 
@@ -135,27 +137,33 @@
 
     :param document: the document the old chunks belong to.
     :param old_chunks: encoded chunks to take out.
-    :param new_chunks: encoded chunks to put in.
+    :param new_chunks: encoded chunks to put in, in the same order of
+        positions; one after the other is held decoded.
     :returns: a new ``Document``; sections not touched are shared.
     """
-    old_rows = {
-        (section, key): data
-        for chunk in old_chunks
-        for section, key, data in msgpack.unpackb(chunk)
-    }
-    new_rows = {
-        (section, key): data
-        for chunk in new_chunks
-        for section, key, data in msgpack.unpackb(chunk)
-    }
     changed = {}
+    pairs = itertools.zip_longest(
+        old_chunks, new_chunks, fillvalue=EMPTY_CHUNK
+    )
+    for old, new in pairs:
+        _replace_chunk(document, changed, old, new)
+    return dataclasses.replace(document, **changed)
+
+
+def _chunk_rows(chunk):
+    return {
+        (section, key): data for section, key, data in msgpack.unpackb(chunk)
+    }
+
+
+def _replace_chunk(document, changed, old, new):
+    old_rows, new_rows = _chunk_rows(old), _chunk_rows(new)
     for section, key in old_rows.keys() - new_rows.keys():
         _section_copy(document, changed, section).pop(key, None)
-    for (section, key), data in sorted(new_rows.items()):
+    for (section, key), data in new_rows.items():
         if old_rows.get((section, key)) != data:
             entries = _section_copy(document, changed, section)
             entries[key] = decode_entry(section, data)
-    return dataclasses.replace(document, **changed)
 
 
 def _section_copy(document, changed, section):
@@ -297,9 +305,12 @@
 
 
 async def _read_all(kv, root, mod_revision):
-    chunks = await _fetch_chunks(kv, root.chunks)
-    found = [chunks[digest] for digest in root.chunks]
-    document = with_chunks(_document.Document(), [], found)
+    document = _document.Document()
+    wanted = sorted(set(root.chunks))
+    for start in range(0, len(wanted), _kv.KEYS_PER_CALL):
+        part = wanted[start : start + _kv.KEYS_PER_CALL]
+        chunks = await _fetch_chunks(kv, part)
+        document = with_chunks(document, [], chunks.values())
     return Stored(document, root, mod_revision)
 
 
--- /dev/null
+++ b/src/coltsfootsail/_daemon.py
@@ -0,0 +1,57 @@
+"""Runs one node as a daemon: settings, signals and exit code."""
+
+import signal
+import sys
+
+import trio
+
+from coltsfootsail import _settings
+from coltsfootsail import exceptions
+
+EXIT_OK = 0
+EXIT_SETTINGS = 2
+
+
+def report(exc):
+    """Print a failure to standard error, a line for each problem."""
+    if isinstance(exc, exceptions.SettingsError):
+        for problem in exc.problems:
+            print(f"{exc.code}: {problem}", file=sys.stderr)
+        return
+    text = f"{exc.code} ({exc.outcome}): {exc.detail}"
+    print(text, file=sys.stderr)
+
+
+def run(path):
+    """Run a node until SIGTERM or SIGINT has drained it.
+
+    :param path: the settings file.
+    :returns: the exit code.
+    """
+    try:
+        settings = _settings.load(path)
+    except exceptions.SettingsError as exc:
+        report(exc)
+        return EXIT_SETTINGS
+    from coltsfootsail import _logs
+    from coltsfootsail import _net
+    from coltsfootsail import _node
+
+    _logs.configure()
+    trio.run(_run, _node.Node(settings, _net.tcp_network()))
+    return EXIT_OK
+
+
+async def _run(node):
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_drain_on_signal, node)
+        await node.run()
+        nursery.cancel_scope.cancel()
+
+
+async def _drain_on_signal(node):
+    wanted = (signal.SIGTERM, signal.SIGINT)
+    with trio.open_signal_receiver(*wanted) as signals:
+        async for _ in signals:
+            await node.drain()
+            return
--- a/src/coltsfootsail/_document.py
+++ b/src/coltsfootsail/_document.py
@@ -83,7 +83,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Endpoint:
-    """A model engine or an instance of a plain service."""
+    """A model engine or an instance of a plain service.
+
+    An empty ``region`` means that nodes of any region may own it.
+    """
 
     kind: EndpointKind
     address: str
@@ -94,6 +97,7 @@
     slots: int = 0
     batch: int = 0
     fencing: bool = False
+    region: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/coltsfootsail/_forward.py
+++ b/src/coltsfootsail/_forward.py
@@ -208,7 +208,7 @@
     with contextlib.suppress(OSError):
         while True:
             await trio.sleep(BEAT_S)
-            await messages.send(_wire.Heartbeat(0, True))
+            await messages.send(_wire.Heartbeat(0, True, ()))
 
 
 def _to_answer_error(exc):
--- a/src/coltsfootsail/_mesh.py
+++ b/src/coltsfootsail/_mesh.py
@@ -14,7 +14,9 @@
 from coltsfootsail import _wire
 from coltsfootsail import exceptions
 
-HEARTBEAT_S = 2.0
+HEARTBEAT_MIN_S = 0.5
+HEARTBEAT_MAX_S = 2.0
+HEARTBEAT_PER_LINK_S = 0.025
 SILENCE_S = 6.5
 REDIAL_S = 1.0
 QUEUE_MAX = 2000
@@ -27,13 +29,16 @@
     :param message: ``(node, message)``.
     :param up: ``(node)``.
     :param down: ``(node)``.
-    :param heartbeat: ``() -> Heartbeat`` to send.
+    :param heartbeat: ``(told) -> Heartbeat`` to send; ``told`` is a dict
+        that the closure keeps for the link.
+    :param beaten: ``(node, Heartbeat)``, one was received.
     """
 
     message: object
     up: object
     down: object
     heartbeat: object
+    beaten: object
 
 
 @dataclasses.dataclass(slots=True)
@@ -43,6 +48,8 @@
     outbox: object
     scope: trio.CancelScope
     heartbeat: _wire.Heartbeat | None = None
+    told: dict = dataclasses.field(default_factory=dict)
+    pending: list = dataclasses.field(default_factory=list)
 
 
 class Mesh:
@@ -91,6 +98,12 @@
         for node in list(self._links):
             self.send(node, msg)
 
+    def announce(self, msg):
+        """Send a message to all linked nodes with the next heartbeats."""
+        for link in self._links.values():
+            link.pending.append(msg)
+            self.sent += 1
+
     async def run(self, peers, listed):
         """Keep links to peers for as long as the task runs.
 
@@ -157,11 +170,18 @@
                 await link.stream.send(msg)
         link.scope.cancel()
 
+    def _heartbeat_s(self):
+        """Beat more rarely with more links: the total stays bounded."""
+        wanted_s = HEARTBEAT_PER_LINK_S * len(self._links)
+        return min(HEARTBEAT_MAX_S, max(HEARTBEAT_MIN_S, wanted_s))
+
     async def _beat(self, link):
         with contextlib.suppress(OSError):
             while True:
-                await link.stream.send(self._events.heartbeat())
-                await trio.sleep(_kv.jittered(HEARTBEAT_S))
+                pending, link.pending = link.pending, []
+                beat = self._events.heartbeat(link.told)
+                await link.stream.send_many((beat, *pending))
+                await trio.sleep(_kv.jittered(self._heartbeat_s()))
         link.scope.cancel()
 
     async def _receive_all(self, link):
@@ -175,5 +195,6 @@
                     return
                 if isinstance(msg, _wire.Heartbeat):
                     link.heartbeat = msg
+                    self._events.beaten(link.node, msg)
                 else:
                     self._events.message(link.node, msg)
--- a/src/coltsfootsail/_node.py
+++ b/src/coltsfootsail/_node.py
@@ -1,5 +1,6 @@
 """A node: every part of the system that runs on one entry host."""
 
+import collections
 import contextlib
 import random
 import secrets
@@ -75,6 +76,7 @@
         self._gone_since_s = {}
         self._seen_members = {}
         self._announced = {}
+        self._dispatched = collections.Counter()
         self._dirty = set()
         self._dirty_event = trio.Event()
         self._nursery = None
@@ -125,6 +127,7 @@
             up=self._on_link_up,
             down=self._on_link_down,
             heartbeat=self._heartbeat,
+            beaten=self._on_heartbeat,
         )
         self.mesh = _mesh.Mesh(hello, self._network, events)
         self.follower = _follower.Follower(
@@ -226,16 +229,17 @@
     # -- placement --------------------------------------------------
 
     def _candidates(self, base):
-        """List the engines of a base model, cached per document."""
+        """List a base model's engines, of this region if there are any."""
         if base not in self._bases:
             kind = _document.EndpointKind.ENGINE
-            self._bases[base] = tuple(
-                sorted(
-                    name
-                    for name, entry in self.document().endpoints.items()
-                    if entry.kind is kind and entry.base in ("", base)
-                )
-            )
+            found = {
+                name: entry.region
+                for name, entry in self.document().endpoints.items()
+                if entry.kind is kind and entry.base in ("", base)
+            }
+            near = ("", self.identity.region)
+            own = [name for name in found if found[name] in near]
+            self._bases[base] = tuple(sorted(own or found))
         return self._bases[base]
 
     def _look(self, endpoint, adapter):
@@ -245,7 +249,8 @@
         if self.ownership.owner(endpoint) is None:
             return None
         local = entry.data_centre == self.identity.data_centre
-        return self.residency.candidate(endpoint, adapter, entry.batch, local)
+        own = self._dispatched[endpoint] / max(1, entry.batch)
+        return self.residency.candidate(endpoint, adapter, own, local)
 
     def place(self, work, tried):
         """Choose the endpoint for a request.
@@ -303,6 +308,13 @@
 
         :raises ColtsfootsailError: with what is true of the request.
         """
+        self._dispatched[endpoint] += 1
+        try:
+            await self._dispatch(endpoint, work, sink)
+        finally:
+            self._dispatched[endpoint] -= 1
+
+    async def _dispatch(self, endpoint, work, sink):
         owner = self.ownership.owner(endpoint)
         if owner == self.identity.node:
             await self._serve_owned(endpoint, work, sink)
@@ -325,8 +337,25 @@
 
     # -- peers ------------------------------------------------------
 
-    def _heartbeat(self):
-        return _wire.Heartbeat(self.stored.root.revision, self.lease.kv_ok)
+    def _heartbeat(self, told):
+        """Make a heartbeat with the loads that a link was not told yet."""
+        levels = {
+            endpoint: _residency.load_level(owner.scheduler.load)
+            for endpoint, owner in self._owners.items()
+            if owner.active
+        }
+        changed = tuple(
+            (endpoint, level)
+            for endpoint, level in levels.items()
+            if told.get(endpoint) != level
+        )
+        told.update(changed)
+        return _wire.Heartbeat(
+            self.stored.root.revision, self.lease.kv_ok, changed
+        )
+
+    def _on_heartbeat(self, node, msg):
+        self.residency.apply_loads(msg.loads)
 
     def _peers(self):
         """List the region's other nodes to keep links to."""
@@ -399,8 +428,6 @@
             endpoint=endpoint,
             added=tuple(sorted(ready - set(known))),
             removed=tuple(sorted(set(known) - ready)),
-            waiting=scheduler.waiting_count,
-            running=scheduler.running,
             full=len(scheduler.resident) >= scheduler.slots,
             failing=self._owners[endpoint].failing(),
         )
@@ -425,7 +452,7 @@
         msg = self._residency_message(endpoint, known)
         self.residency.apply(msg)
         self._announced[endpoint] = (known | set(msg.added)) - set(msg.removed)
-        self.mesh.broadcast(msg)
+        self.mesh.announce(msg)
 
     # -- owners -----------------------------------------------------
 
@@ -512,9 +539,8 @@
     async def _reconcile(self):
         """Start, update and end owners as claims and entries change."""
         while True:
-            for endpoint, entry in list(self.document().endpoints.items()):
-                if entry.kind is _document.EndpointKind.ENGINE:
-                    self._reconcile_one(endpoint, entry)
+            for endpoint, entry in self.ownership.engines().items():
+                self._reconcile_one(endpoint, entry)
             for endpoint in list(self._owners):
                 await self._resolve_one(endpoint)
             await trio.sleep(_kv.jittered(RECONCILE_S))
--- a/src/coltsfootsail/_ownership.py
+++ b/src/coltsfootsail/_ownership.py
@@ -21,6 +21,7 @@
 RANK_DELAY_S = 1.0
 LOAD_FACTOR = 1.25
 ORDER_LINGER_S = 60.0
+CLAIMS_PER_S = 50.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -84,6 +85,8 @@
         self._gone_s = gone_s
         self._now = now
         self._count = count
+        self._listed_of = None
+        self._listed = {}
         self._vacant_since_s = {}
         self._skip_until_s = {}
 
@@ -139,13 +142,21 @@
             if member.region == self._me.region and not member.draining
         }
 
-    def _engines(self):
-        kind = _document.EndpointKind.ENGINE
-        return {
-            name: entry
-            for name, entry in self._document().endpoints.items()
-            if entry.kind is kind
-        }
+    def engines(self):
+        """List the engines that nodes of this region may own.
+
+        :returns: dict of name to entry; made once per document.
+        """
+        document = self._document()
+        if self._listed_of is not document:
+            kind = _document.EndpointKind.ENGINE
+            self._listed_of = document
+            self._listed = {
+                name: entry
+                for name, entry in document.endpoints.items()
+                if entry.kind is kind and entry.region in ("", self._me.region)
+            }
+        return self._listed
 
     def _counts(self, engines):
         counts = {}
@@ -160,7 +171,7 @@
         members = self._members()
         if self._me.node not in members:
             return []
-        engines = self._engines()
+        engines = self.engines()
         counts = self._counts(engines)
         limit = share_max(len(engines), len(members))
         found = []
@@ -202,6 +213,7 @@
             except exceptions.KvError:
                 self._skip_until_s[endpoint] = self._now() + 2.0
                 return
+            await trio.sleep(len(self._members()) / CLAIMS_PER_S)
         await self._claim_permits()
 
     async def _claim(self, endpoint):
--- a/src/coltsfootsail/_placement.py
+++ b/src/coltsfootsail/_placement.py
@@ -9,7 +9,7 @@
 import functools
 import hashlib
 
-RANK_CACHE_SIZE = 65536
+RANK_CACHE_SIZE = 8192
 HOMES = 3
 HOME_STEP = 0.1
 
--- a/src/coltsfootsail/_schema.py
+++ b/src/coltsfootsail/_schema.py
@@ -7,12 +7,17 @@
 import dataclasses
 import difflib
 import enum
+import functools
+import sys
 import typing
 
 import cattrs
 from cattrs import errors
 from cattrs import gen
 
+INTERN_CHARS_MAX = 64
+SHARED_TUPLES = 4096
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Problem:
@@ -50,6 +55,8 @@
             return _strict_enum(value, wanted)
         if type(value) not in accepted:
             raise _WrongTypeError(value, _EXPECTED[kind])
+        if kind is str and len(value) <= INTERN_CHARS_MAX:
+            return sys.intern(value)
         return kind(value)
 
     return convert
@@ -81,11 +88,20 @@
                 failures.append(exc)
         if failures:
             raise errors.IterableValidationError("list", failures, kind)
-        return tuple(items)
+        found = tuple(items)
+        if item_type is not str:
+            return found
+        return _shared_tuple(found)
 
     return convert
 
 
+@functools.lru_cache(maxsize=SHARED_TUPLES)
+def _shared_tuple(items):
+    """Return one tuple for all equal ones, to hold it once."""
+    return items
+
+
 def _is_tuple(kind):
     args = typing.get_args(kind)
     return typing.get_origin(kind) is tuple and args[1:] == (Ellipsis,)
--- a/src/coltsfootsail/_wire.py
+++ b/src/coltsfootsail/_wire.py
@@ -13,6 +13,7 @@
 
 MESSAGE_BYTES_MAX = 4_194_304
 RECEIVE_BYTES = 65536
+READ_BYTES = 4096
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -26,25 +27,28 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Heartbeat:
-    """Shows that the sender lives, with its revision and its view of KV."""
+    """Shows that the sender lives, with its revision and its view of KV.
+
+    :param loads: pairs of an owned endpoint and its load level, those
+        that changed since the last heartbeat on this link.
+    """
 
     revision: int
     kv_ok: bool
+    loads: tuple = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Residency:
     """Adapters that became resident on an endpoint or left it.
 
-    ``waiting`` and ``running`` are counts of requests; ``failing`` says
-    that a load failed there a short while ago.
+    ``full`` says that all slots are taken, ``failing`` that a load
+    failed there a short while ago.
     """
 
     endpoint: str
     added: tuple
     removed: tuple
-    waiting: int
-    running: int
     full: bool
     failing: bool
 
@@ -220,6 +224,7 @@
         self._lock = trio.Lock()
         self._unpacker = msgpack.Unpacker(
             use_list=False,
+            read_size=READ_BYTES,
             max_buffer_size=MESSAGE_BYTES_MAX,
         )
         self.sent_bytes = 0
@@ -229,7 +234,14 @@
 
         :raises OSError: if the stream has failed.
         """
-        data = encode(msg)
+        await self.send_many((msg,))
+
+    async def send_many(self, msgs):
+        """Send messages in one write.
+
+        :raises OSError: if the stream has failed.
+        """
+        data = b"".join(map(encode, msgs))
         try:
             async with self._lock:
                 await self._stream.send_all(data)
