--- a/src/coltsfootsail/_config.py
+++ b/src/coltsfootsail/_config.py
@@ -281,7 +281,7 @@
         return EMPTY
     root = _records.loads(entry.value, _records.ConfigRoot)
     if root == stored.root:
-        return stored
+        return dataclasses.replace(stored, mod_revision=entry.mod_revision)
     advanced = advance(stored, root, entry.mod_revision)
     if advanced is not None:
         return advanced
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -188,6 +188,21 @@
     store(main, 5000)
 
 
+def test_a_node_that_followed_by_watch_can_store_an_edit(store):
+    async def main(kv, service):
+        base = await _config.refresh(kv, _config.EMPTY)
+        first = _set_pin(base.document, "a-00001", "v2")
+        await _config.apply(kv, _config.Edit(first), base)
+        entry = await kv.get(_keys.CONFIG_ROOT)
+        root = _records.loads(entry.value, _records.ConfigRoot)
+        followed = _config.advance(base, root, 0)
+        second = _set_pin(followed.document, "a-00002", "v2")
+        edit = _config.Edit(second)
+        assert await _config.apply(kv, edit, followed) == 3
+
+    store(main)
+
+
 def test_a_delta_that_does_not_fit_is_not_followed(store):
     async def main(kv, service):
         base = await _config.refresh(kv, _config.EMPTY)
