Document design, operation and terms

Cause: the parts had no pages; two order errors stood outside the exceptions module and were missing from the list of codes. Measured: the test fails if a code or counter is not listed.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/installed
 
-.PHONY: setup run test lint format faults capacity dist dist-test clean
+.PHONY: setup run test lint format faults capacity docs dist dist-test clean
 
 setup: $(STAMP)
 
@@ -43,3 +43,6 @@
 dist-test: dist
 	COLTSFOOTSAIL_PROGRAM="python3 -I -S dist/coltsfootsail" \
 	    $(BIN)/pytest tests/test_cli.py
+
+docs: setup
+	$(BIN)/python tools/make_operations.py docs/OPERATIONS.md
--- a/src/coltsfootsail/_engine.py
+++ b/src/coltsfootsail/_engine.py
@@ -34,19 +34,6 @@
     sampled_s: float
 
 
-class OrderUnsure(exceptions.ColtsfootsailError):
-    """An order may or may not have taken effect, or may yet."""
-
-    code = "order_unsure"
-
-
-class OrderRefused(exceptions.ColtsfootsailError):
-    """The engine refused an order."""
-
-    code = "order_refused"
-    outcome = exceptions.Outcome.NOT_RUN
-
-
 class Engine:
     """Calls one engine.
 
@@ -74,7 +61,7 @@
                 fresh=True,
             )
         except OSError as exc:
-            raise OrderUnsure(str(exc)) from exc
+            raise exceptions.OrderUnsure(str(exc)) from exc
         return status
 
     async def load(self, adapter, fence):
@@ -88,7 +75,7 @@
             "/v1/load_lora_adapter", value, fence, LOAD_TIMEOUT_S
         )
         if status != SUCCESS_STATUS:
-            raise OrderRefused(f"load {adapter}: status {status}")
+            raise exceptions.OrderRefused(f"load {adapter}: status {status}")
 
     async def unload(self, adapter, fence):
         """Order an eviction; raises as ``load`` does."""
@@ -99,7 +86,7 @@
             ORDER_TIMEOUT_S,
         )
         if status not in (SUCCESS_STATUS, NOT_FOUND_STATUS):
-            raise OrderRefused(f"unload {adapter}: status {status}")
+            raise exceptions.OrderRefused(f"unload {adapter}: status {status}")
 
     async def take_over(self, fence):
         """Show the engine a new fencing number; raises as ``load``."""
@@ -107,7 +94,7 @@
             "/v1/role", {"role": "serve"}, fence, ORDER_TIMEOUT_S
         )
         if status == FENCED_STATUS:
-            raise OrderRefused("a newer owner exists")
+            raise exceptions.OrderRefused("a newer owner exists")
 
     async def report(self):
         """Ask what is resident and running.
--- a/src/coltsfootsail/_owner.py
+++ b/src/coltsfootsail/_owner.py
@@ -485,7 +485,7 @@
         try:
             await self._engine.load(adapter, self.fence)
         except exceptions.ColtsfootsailError as exc:
-            unsure = isinstance(exc, _engine.OrderUnsure)
+            unsure = isinstance(exc, exceptions.OrderUnsure)
             self._load_failed(adapter, unsure)
             return
         self._load_failures.pop(adapter, None)
--- a/src/coltsfootsail/exceptions.py
+++ b/src/coltsfootsail/exceptions.py
@@ -314,6 +314,19 @@
     outcome = Outcome.UNKNOWN
 
 
+class OrderUnsure(ColtsfootsailError):
+    """An order to an engine may have taken effect, or may yet."""
+
+    code = "order_unsure"
+
+
+class OrderRefused(ColtsfootsailError):
+    """An engine refused an order, which will not take effect."""
+
+    code = "order_refused"
+    outcome = Outcome.NOT_RUN
+
+
 class CallerGone(ColtsfootsailError):
     """The caller closed its connection before the answer was whole."""
 
--- a/tests/test_contract_engine.py
+++ b/tests/test_contract_engine.py
@@ -57,7 +57,7 @@
     async def main(engine, service):
         await engine.load("a@v1", 7)
         if fencing:
-            with pytest.raises(_engine.OrderRefused):
+            with pytest.raises(exceptions.OrderRefused):
                 await engine.unload("a@v1", 6)
         else:
             await engine.unload("a@v1", 6)
@@ -79,9 +79,9 @@
 @pytest.mark.parametrize(
     ("fault", "error"),
     [
-        (FAULTS.LOAD_FAILS, _engine.OrderRefused),
-        (FAULTS.LOAD_HANGS, _engine.OrderUnsure),
-        (FAULTS.SILENT, _engine.OrderUnsure),
+        (FAULTS.LOAD_FAILS, exceptions.OrderRefused),
+        (FAULTS.LOAD_HANGS, exceptions.OrderUnsure),
+        (FAULTS.SILENT, exceptions.OrderUnsure),
     ],
 )
 def test_failing_loads_have_types(edge, fault, error):
--- /dev/null
+++ b/tests/test_docs.py
@@ -0,0 +1,26 @@
+"""The pages list what the code has."""
+
+import pathlib
+
+from coltsfootsail import _metrics
+from coltsfootsail import exceptions
+
+DOCS = pathlib.Path(__file__).parent.parent / "docs"
+
+
+def test_operations_lists_every_code_and_counter():
+    text = (DOCS / "OPERATIONS.md").read_text()
+    for code, kind in exceptions.refusals().items():
+        assert f"| `{code}` | {kind.status} | {kind.outcome} |" in text
+    for name in _metrics.COUNTERS:
+        assert f"`coltsfootsail_{name}_total`" in text
+
+
+def test_every_error_has_a_code_of_its_own():
+    found = []
+    todo = [exceptions.ColtsfootsailError]
+    while todo:
+        kind = todo.pop()
+        found.append(kind.code)
+        todo.extend(kind.__subclasses__())
+    assert len(found) == len(set(found))
