--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -39,6 +39,44 @@
     items[:] = short
 
 
+def pytest_terminal_summary(terminalreporter, config):
+    """Print the table of faults after the long form."""
+    if not config.getoption("--long"):
+        return
+    rows = []
+    for outcome in ("passed", "failed"):
+        for report in terminalreporter.stats.get(outcome, ()):
+            rows += [
+                value
+                for name, value in getattr(report, "user_properties", ())
+                if name == "world"
+            ]
+    if rows:
+        terminalreporter.write_line("")
+    for line in _fault_table(rows):
+        terminalreporter.write_line(line)
+
+
+def _fault_table(rows):
+    """Sum the runs of each deployment and fault up, a line each."""
+    if not rows:
+        return
+    promises = list(rows[0]["violations"])
+    yield "deployment faults requests answered " + " ".join(promises)
+    for row in sorted(rows, key=lambda row: (row["name"], row["faults"])):
+        counts = " ".join(str(row["violations"][name]) for name in promises)
+        codes = " ".join(
+            f"{code}={count}" for code, count in sorted(row["codes"].items())
+        )
+        yield (
+            f"{row['name']} {row['faults']} {row['requests']} "
+            f"{row['answered_share']:.3f} {counts}  {codes}"
+        )
+    total = sum(row["requests"] for row in rows)
+    broken = sum(sum(row["violations"].values()) for row in rows)
+    yield f"{len(rows)} runs, {total} requests, {broken} violations"
+
+
 @pytest.fixture
 def virtual():
     """Run an async function in virtual time."""
--- a/tests/faults/harness.py
+++ b/tests/faults/harness.py
@@ -436,6 +436,19 @@
     }
 
 
+def row(world, name, faults):
+    """Describe a run for the table of faults."""
+    found = violations(world)
+    counts = {promise: len(found.get(promise, ())) for promise in CHECKS}
+    label = "+".join(fault.name for fault in faults)
+    return {
+        "name": name,
+        "faults": label,
+        "violations": counts,
+        **summary(world),
+    }
+
+
 async def run_world(system, faults, seed, check_at_end=None):
     """Run traffic through fault windows.
 
--- a/tests/faults/test_pairs.py
+++ b/tests/faults/test_pairs.py
@@ -21,7 +21,10 @@
 @pytest.mark.parametrize(
     "pair", PAIRS, ids=["+".join(f.name for f in pair) for pair in PAIRS]
 )
-def test_pair_of_faults_breaks_no_promise(seeded, system, name, pair):
+def test_pair_of_faults_breaks_no_promise(
+    seeded, system, record_property, name, pair
+):
     found = system(name, engine_slots=harness.SLOTS)
     world = seeded(SEED, harness.run_world, found, pair, SEED)
+    record_property("world", harness.row(world, name, pair))
     assert harness.violations(world) == {}
