Keep long answers in one piece alive, and part dispatch from ownership

Cause: reading the owner module showed that an answer in one piece was held to the silence limit (20 s) although its head comes only at its end. Ruled out: raising the limit, which would hide silent engines. Change: such an answer is waited for up to the request limit while the engine answers reports; the exchange moved to its own module.

--- a/src/coltsfootsail/_owner.py
+++ b/src/coltsfootsail/_owner.py
@@ -13,11 +13,8 @@
 
 import trio
 
-from coltsfootsail import _engine
-from coltsfootsail import _http
-from coltsfootsail import _outcomes
+from coltsfootsail import _dispatch
 from coltsfootsail import _policy
-from coltsfootsail import _relay
 from coltsfootsail import _scheduler
 from coltsfootsail import exceptions
 
@@ -26,12 +23,9 @@
 LOAD_PAUSE_S = 3.0
 FAILING_S = 15.0
 ORDER_LINGER_S = 60.0
-ANSWER_BYTES_MAX = 16_777_216
 RETRY_AFTER_S = 2.0
-REFUSING_STATUSES = frozenset({404, 429, 503})
 GONE_REPORTS = 2
 RECORD_IDLE_S = 1.0
-WATCH_STEP_S = 1.0
 CRASH_SIGNS = (exceptions.OutcomeUnknown, exceptions.AnswerTruncated)
 
 
@@ -117,6 +111,16 @@
         self._hooks = hooks
         self._now = now
         self._limits = limits
+        self._reported_s = now()
+        self._line = _dispatch.Line(
+            engine=engine,
+            limits=limits,
+            now=now,
+            may_dispatch=guards.may_dispatch,
+            is_answering=self._is_answering,
+            forgotten=self._forgotten,
+            count=hooks.count,
+        )
         self._waiters = {}
         self._orders = itertools.count()
         self._wake_loader = trio.Event()
@@ -238,7 +242,7 @@
             with trio.CancelScope() as scope:
                 async with trio.open_nursery() as nursery:
                     nursery.start_soon(_cancel_after, sink.hangup, scope)
-                    failure = await self._attempt(work, sink)
+                    failure = await _dispatch.attempt(self._line, work, sink)
                     nursery.cancel_scope.cancel()
         finally:
             beside = tuple(self._running.values())
@@ -250,107 +254,17 @@
             await self._judge(beside)
         raise failure
 
-    async def _attempt(self, work, sink):
-        """Send a request to the engine once.
-
-        :returns: None, or the typed error that ended it.
-        """
-        phase = _http.Phase.CONNECTING
-        try:
-            async with self._engine.exchange() as exchange:
-                try:
-                    await self._send(exchange, work)
-                    await self._relay(exchange, work, sink)
-                finally:
-                    phase = exchange.phase
-        except exceptions.ColtsfootsailError as exc:
-            return exc
-        except _outcomes.EXCHANGE_ERRORS as exc:
-            verdict = _outcomes.verdict(phase, _outcomes.classify(exc))
-            return verdict.error(f"{verdict.error.__doc__} ({exc})")
-        return None
-
-    async def _send(self, exchange, work):
-        headers = [
-            ("host", self._engine.address),
-            ("content-type", "application/json"),
-            (_engine.REQUEST_ID_HEADER, work.request_id),
-        ]
-        if work.key:
-            headers.append(("idempotency-key", work.key))
-        if not self._guards.may_dispatch():
-            raise exceptions.LeaseLapsed(retry_after_s=RETRY_AFTER_S)
-        with trio.fail_after(self._limits.silence_timeout_s):
-            await exchange.send("POST", work.route, headers, work.body)
-            await exchange.read_head()
-
-    async def _relay(self, exchange, work, sink):
-        if exchange.status in REFUSING_STATUSES:
-            self._note_refusal(exchange.status, work)
-            raise exceptions.EndpointRefused(f"status {exchange.status}")
-        echoed = exchange.header(_engine.REQUEST_ID_HEADER, work.request_id)
-        if echoed != work.request_id:
-            raise exceptions.AnswerMismatch("answer to another request")
-        if exchange.status != _engine.SUCCESS_STATUS:
-            await self._relay_failure(exchange, sink)
-        elif work.stream:
-            await self._relay_events(exchange, work, sink)
-        else:
-            await self._relay_body(exchange, work, sink)
-
-    def _note_refusal(self, status, work):
-        if status != _engine.NOT_FOUND_STATUS:
-            return
-        slot = self.scheduler.resident.get(work.adapter)
+    def _forgotten(self, adapter):
+        """Note that the engine does not know a resident adapter."""
+        slot = self.scheduler.resident.get(adapter)
         if slot is not None and slot.running <= 1:
             self._hooks.count("lost_adapters", "engine_forgot")
             slot.state = _scheduler.SlotState.UNSURE
 
-    async def _relay_failure(self, exchange, sink):
-        body = await self._read(exchange)
-        await _pass_on(sink, exchange, body)
-
-    async def _read(self, exchange):
-        with trio.fail_after(self._limits.request_timeout_s):
-            return await exchange.read_body(ANSWER_BYTES_MAX)
-
-    async def _relay_body(self, exchange, work, sink):
-        body = await self._read(exchange)
-        _relay.check_body(body, work.request_id, work.adapter)
-        await _pass_on(sink, exchange, body)
-
-    async def _relay_events(self, exchange, work, sink):
-        """Pass events on, as many at a time as one read brought.
-
-        One cancel scope watches the whole stream; moving its deadline
-        every ``WATCH_STEP_S`` costs less than a scope for each read.
-        """
-        checker = _relay.EventChecker(work.request_id, work.adapter)
-        silence_s = self._limits.silence_timeout_s + WATCH_STEP_S
-        started = writing = False
-        moved_s = -math.inf
-        with trio.CancelScope() as scope:
-            while exchange.phase is not _http.Phase.DONE:
-                now_s = trio.current_time()
-                if now_s - moved_s > WATCH_STEP_S:
-                    scope.deadline = now_s + silence_s
-                    moved_s = now_s
-                data = await exchange.read_some()
-                whole = checker.feed(data) if data else b""
-                if not whole:
-                    continue
-                writing = True
-                if not started:
-                    started = True
-                    headers = _kept_headers(exchange, None)
-                    await _to_caller(sink.start, exchange.status, headers)
-                await _to_caller(sink.write, whole)
-                writing = False
-        if scope.cancelled_caught:
-            raise exceptions.CallerGone() if writing else trio.TooSlowError
-        self._hooks.count("tokens", "relayed", checker.events)
-        checker.finish()
-        await _to_caller(sink.end)
+    def _is_answering(self):
+        """Say whether the engine has answered a report lately."""
+        silent_s = self._now() - self._reported_s
+        return silent_s < self._limits.silence_timeout_s
 
     async def _judge(self, beside):
         """Find out whether the engine crashed, and strike if so."""
@@ -595,6 +509,7 @@
             await self._engine.take_over(self.fence)
 
     def _apply_report(self, report):
+        self._reported_s = self._now()
         if self._incarnation not in (None, report.incarnation):
             self.scheduler.restarted(report.resident, report.asked_s)
             self._restarted = True
@@ -658,28 +573,3 @@
 async def _cancel_after(wait, scope):
     await wait()
     scope.cancel()
-
-
-async def _to_caller(send, *args):
-    try:
-        await send(*args)
-    except _outcomes.EXCHANGE_ERRORS as exc:
-        raise exceptions.CallerGone() from exc
-
-
-async def _pass_on(sink, exchange, body):
-    headers = _kept_headers(exchange, len(body))
-    await _to_caller(sink.start, exchange.status, headers)
-    await _to_caller(sink.write, body)
-    await _to_caller(sink.end)
-
-
-def _kept_headers(exchange, length):
-    headers = [
-        (name, value)
-        for name, value in exchange.headers
-        if name in ("content-type", _engine.REQUEST_ID_HEADER)
-    ]
-    if length is not None:
-        headers.append(("content-length", str(length)))
-    return headers
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -304,6 +304,19 @@
     virtual(main)
 
 
+def test_a_long_answer_in_one_piece_is_not_taken_for_silence(virtual, system):
+    found = system("museum")
+
+    async def main():
+        async with found.running():
+            limit_s = found.settings("entry-0").limits.silence_timeout_s
+            tokens = int(2 * limit_s / 0.02)
+            status, answer = await _complete(found, "entry-0", MODEL, tokens)
+            assert status == 200, answer
+
+    virtual(main)
+
+
 def test_poison_is_refused_everywhere_after_two_crashes(virtual, system):
     found = system("museum")
 
