--- a/src/coltsfootsail/_admin.py
+++ b/src/coltsfootsail/_admin.py
@@ -201,7 +201,7 @@
         },
         "endpoints": {
             name: _endpoint_status(owner)
-            for name, owner in sorted(node.owners().items())
+            for name, owner in sorted(node.owners.items())
         },
         "counters": node.metrics.table(),
     }
--- a/src/coltsfootsail/_embedded.py
+++ b/src/coltsfootsail/_embedded.py
@@ -215,7 +215,7 @@
                 return False
             ready |= {
                 name
-                for name, owner in node.owners().items()
+                for name, owner in node.owners.items()
                 if owner.active and owner.ready
             }
         return ready == set(self.engines)
--- a/src/coltsfootsail/_node.py
+++ b/src/coltsfootsail/_node.py
@@ -12,20 +12,18 @@
 from coltsfootsail import _cluster
 from coltsfootsail import _config
 from coltsfootsail import _document
-from coltsfootsail import _engine
 from coltsfootsail import _follower
 from coltsfootsail import _forward
 from coltsfootsail import _frontend
 from coltsfootsail import _hosts
 from coltsfootsail import _http
-from coltsfootsail import _keys
 from coltsfootsail import _kv
 from coltsfootsail import _lease
 from coltsfootsail import _ledger
 from coltsfootsail import _logs
 from coltsfootsail import _mesh
 from coltsfootsail import _metrics
-from coltsfootsail import _owner
+from coltsfootsail import _owners
 from coltsfootsail import _ownership
 from coltsfootsail import _permits
 from coltsfootsail import _placement
@@ -36,14 +34,11 @@
 from coltsfootsail import _residency
 from coltsfootsail import _retries
 from coltsfootsail import _routing
-from coltsfootsail import _scheduler
+from coltsfootsail import _runs
 from coltsfootsail import _services
 from coltsfootsail import _wire
 from coltsfootsail import exceptions
 
-RECONCILE_S = 0.5
-ANNOUNCE_S = 0.1
-PROBE_S = 2.0
 HELLO_TIMEOUT_S = 5.0
 SWEEP_S = 300.0
 
@@ -72,13 +67,7 @@
         self._network = network
         self._router = _routing.Router(self.stored.document)
         self._bases = {}
-        self._owners = {}
-        self._gone_since_s = {}
-        self._seen_members = {}
-        self._announced = {}
         self._dispatched = collections.Counter()
-        self._dirty = set()
-        self._dirty_event = trio.Event()
         self._nursery = None
         self._build(wall_s)
 
@@ -97,12 +86,15 @@
         self.hosts = _hosts.HostList(
             self.client, settings.platform.host_list_address, self.now
         )
+        self.runs = _runs.Runs(
+            self.cluster, self.hosts, self._network, self.now
+        )
         self.ledger = _ledger.Ledger(
             self.kv,
             settings.ledger,
             settings.node.name,
             self.incarnation,
-            self._is_alive,
+            self.runs.is_alive,
             wall_s,
         )
         self.strikes = _poison.Strikes(self.cluster.strikes)
@@ -115,7 +107,7 @@
             self.cluster,
             self.lease,
             self.document,
-            self._gone_s,
+            self.runs.gone_s,
             self.now,
             count,
         )
@@ -151,6 +143,7 @@
             self._alone_period_s,
             settings.platform.weight_store_loads_per_s,
         )
+        self.owners = _owners.Owners(self)
         self.frontend = _frontend.Frontend(self)
         self.admin = _admin.Admin(self)
 
@@ -164,22 +157,6 @@
         """Get the router of the document in force."""
         return self._router
 
-    def owners(self):
-        """Get the endpoint owners of this node by endpoint."""
-        return self._owners
-
-    def _is_alive(self, node, incarnation):
-        member = self.cluster.member(node)
-        return member is not None and member.incarnation == incarnation
-
-    def _gone_s(self, node, incarnation):
-        """Tell for how long a run of a node is known to have ended."""
-        since_s = self._gone_since_s.get((node, incarnation))
-        host_s = self.hosts.gone_s(node)
-        if since_s is None:
-            return host_s
-        return max(host_s, self.now() - since_s)
-
     def _permit_holder(self):
         held = self.cluster.permits(self.identity.region)
         return held.record.node if held else None
@@ -327,7 +304,7 @@
         await _forward.send(self._network, member.peer_address, msg, sink)
 
     async def _serve_owned(self, endpoint, work, sink):
-        owner = self._owners.get(endpoint)
+        owner = self.owners.get(endpoint)
         if owner is None:
             raise exceptions.NotOwner()
         weight = _policy.popularity_weight(work.protected)
@@ -341,7 +318,7 @@
         """Make a heartbeat with the loads that a link was not told yet."""
         levels = {
             endpoint: _residency.load_level(owner.scheduler.load)
-            for endpoint, owner in self._owners.items()
+            for endpoint, owner in self.owners.items()
             if owner.active
         }
         changed = tuple(
@@ -361,18 +338,28 @@
         """List the region's other nodes to keep links to."""
         return {
             name: member.peer_address
-            for name, member in self._seen_members.items()
+            for name, member in self.runs.seen.items()
             if name != self.identity.node
             and member.region == self.identity.region
         }
 
+    def _doubtful_runs(self):
+        """List the runs of nodes that owned endpoints may wait for."""
+        timeout_s = self.settings.limits.request_timeout_s
+        return {
+            (holder.node, holder.incarnation)
+            for endpoint, _ in self.owners.items()
+            for holder in self.ownership.unresolved(endpoint, timeout_s)
+        }
+
     def _is_listed(self):
-        return self._is_alive(self.identity.node, self.incarnation)
+        return self.runs.is_alive(self.identity.node, self.incarnation)
 
     def _on_link_up(self, node):
         self.metrics.count("peer_links", "up")
-        for endpoint in self._owners:
-            self.mesh.send(node, self._residency_message(endpoint, ()))
+        for endpoint, _ in self.owners.items():
+            msg = self.owners.residency_message(endpoint, ())
+            self.mesh.send(node, msg)
 
     def _on_link_down(self, node):
         self.metrics.count("peer_links", "down")
@@ -417,207 +404,10 @@
         except exceptions.WireError as exc:
             self.metrics.count("peer_messages", exc.code)
 
-    def _residency_message(self, endpoint, known):
-        scheduler = self._owners[endpoint].scheduler
-        ready = {
-            adapter
-            for adapter, slot in scheduler.resident.items()
-            if slot.state is _scheduler.SlotState.READY
-        }
-        return _wire.Residency(
-            endpoint=endpoint,
-            added=tuple(sorted(ready - set(known))),
-            removed=tuple(sorted(set(known) - ready)),
-            full=len(scheduler.resident) >= scheduler.slots,
-            failing=self._owners[endpoint].failing(),
-        )
-
-    def _note_dirty(self, endpoint):
-        self._dirty.add(endpoint)
-        self._dirty_event.set()
-
-    async def _announce(self):
-        """Tell peers what changed on owned endpoints."""
-        while True:
-            await self._dirty_event.wait()
-            self._dirty_event = trio.Event()
-            dirty, self._dirty = self._dirty, set()
-            for endpoint in sorted(dirty):
-                if endpoint in self._owners:
-                    self._announce_one(endpoint)
-            await trio.sleep(_kv.jittered(ANNOUNCE_S))
-
-    def _announce_one(self, endpoint):
-        known = self._announced.get(endpoint, frozenset())
-        msg = self._residency_message(endpoint, known)
-        self.residency.apply(msg)
-        self._announced[endpoint] = (known | set(msg.added)) - set(msg.removed)
-        self.mesh.announce(msg)
-
-    # -- owners -----------------------------------------------------
-
-    def _may_order(self, endpoint):
-        return self.lease.valid() and bool(self.ownership.fence(endpoint))
-
-    def _may_fill(self, endpoint):
-        """Say whether loads into free slots are safe without a lease.
-
-        The endpoint must refuse old fencing numbers, so that an order is
-        void if somebody else took over.
-        """
-        entry = self.document().endpoints.get(endpoint)
-        held = bool(self.ownership.fence(endpoint))
-        return entry is not None and entry.fencing and held
-
-    def _guards(self, endpoint, entry):
-        async def record(adapters):
-            if entry.fencing:
-                return
-            fence = self.ownership.fence(endpoint)
-            await self.ownership.record(endpoint, fence, adapters)
-
-        timeout_s = self.settings.limits.request_timeout_s
-        return _owner.Guards(
-            may_dispatch=lambda: bool(self.ownership.fence(endpoint)),
-            may_order=lambda: self._may_order(endpoint),
-            may_fill=lambda: self._may_fill(endpoint),
-            record=record,
-            unresolved=lambda: self.ownership.unresolved(endpoint, timeout_s),
-        )
-
-    def _hooks(self):
-        return _owner.Hooks(
-            count=self.metrics.count,
-            changed=self._note_dirty,
-            crashed=self._crashed,
-            cleared=self._cleared,
-            suspect=self.strikes.suspect,
-            refused=self.strikes.refused,
-        )
-
-    def _rules(self):
-        limits = _document.limits_of(self.document())
-        return _policy.make_rules(self.popularity.rate, limits.batch_age_s)
-
-    def _make_owner(self, endpoint, entry):
-        hooks = self._hooks()
-        return _owner.EndpointOwner(
-            endpoint,
-            entry,
-            _engine.Engine(self.client, entry.address, self.now),
-            self._rules(),
-            self.permits,
-            self._guards(endpoint, entry),
-            hooks,
-            self.now,
-            self.settings.limits,
-        )
-
-    async def _crashed(self, fingerprints):
-        """Strike the contents that ran when an engine crashed."""
-        for content in fingerprints:
-            count = self.strikes.add(content)
-            self.metrics.count("strikes", str(count))
-            self.mesh.broadcast(_wire.Strike(content, count))
-            await self._store_strike(content, count)
-
-    async def _store_strike(self, content, count):
-        record = _records.dumps(_records.StrikeRecord(count))
-        with contextlib.suppress(exceptions.KvError):
-            await self.kv.txn([], [_kv.Put(_keys.strike(content), record)])
-
-    def _cleared(self, content):
-        if self.strikes.clear(content):
-            self.metrics.count("strikes", "cleared")
-            self.mesh.broadcast(_wire.Strike(content, 0))
-            self._nursery.start_soon(self._delete_strike, content)
-
-    async def _delete_strike(self, content):
-        with contextlib.suppress(exceptions.KvError):
-            await self.kv.txn([], [_kv.Delete(_keys.strike(content))])
-
-    async def _reconcile(self):
-        """Start, update and end owners as claims and entries change."""
-        while True:
-            for endpoint, entry in self.ownership.engines().items():
-                self._reconcile_one(endpoint, entry)
-            for endpoint in list(self._owners):
-                await self._resolve_one(endpoint)
-            await trio.sleep(_kv.jittered(RECONCILE_S))
-
-    def _reconcile_one(self, endpoint, entry):
-        fence = self.ownership.fence(endpoint)
-        owner = self._owners.get(endpoint)
-        if fence and owner is None:
-            owner = self._make_owner(endpoint, entry)
-            self._owners[endpoint] = owner
-            self._nursery.start_soon(self._run_owner, owner)
-        if owner is None:
-            return
-        if fence and (fence != owner.fence or not owner.active):
-            _logs.state("endpoint_owned", endpoint=endpoint, fence=fence)
-            owner.activate(fence)
-        elif not fence and owner.active:
-            _logs.state("endpoint_lost", endpoint=endpoint)
-            owner.deactivate()
-        owner.set_draining(not self.usable(endpoint, entry))
-
-    async def _resolve_one(self, endpoint):
-        owner = self._owners[endpoint]
-        if owner.active or not owner.idle():
-            return
-        self._announced.pop(endpoint, None)
-        if not self.lease.kv_ok:
-            return
-        resolved = await self.ownership.resolve(endpoint)
-        if resolved and not owner.active and owner.idle():
-            owner.stop()
-            del self._owners[endpoint]
-
-    async def _run_owner(self, owner):
-        with owner.scope:
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(owner.run_loader)
-                nursery.start_soon(owner.run_reports)
-
-    async def _probe_gone(self):
-        """Find out which runs of nodes have ended."""
-        while True:
-            for holder in self._doubtful_holders():
-                await self._probe(holder)
-            await trio.sleep(_kv.jittered(PROBE_S))
-
-    def _doubtful_holders(self):
-        timeout_s = self.settings.limits.request_timeout_s
-        return {
-            (holder.node, holder.incarnation)
-            for endpoint in self._owners
-            for holder in self.ownership.unresolved(endpoint, timeout_s)
-        }
-
-    async def _probe(self, run):
-        node, incarnation = run
-        member = self.cluster.member(node)
-        if member is not None:
-            if member.incarnation != incarnation:
-                self._gone_since_s.setdefault(run, self.now())
-            return
-        seen = self._seen_members.get(node)
-        if seen is None:
-            return
-        try:
-            stream = await self._network.open_stream(seen.peer_address)
-        except ConnectionRefusedError:
-            self._gone_since_s.setdefault(run, self.now())
-        except OSError:
-            return
-        else:
-            await trio.aclose_forcefully(stream)
-
     # -- configuration ----------------------------------------------
 
     def _on_change(self, keys):
-        self._seen_members.update(self.cluster.members())
+        self.runs.note_members()
         self.follower.on_change(keys)
 
     def _region_size(self):
@@ -625,7 +415,7 @@
         return 1 + len(self._peers())
 
     def _peer_address(self, node):
-        member = self._seen_members.get(node)
+        member = self.runs.seen.get(node)
         return member.peer_address if member else None
 
     def put_in_force(self, stored):
@@ -701,9 +491,8 @@
         nursery.start_soon(self.hosts.run, lambda: None)
         nursery.start_soon(self.mesh.run, self._peers, self._is_listed)
         nursery.start_soon(self.ownership.run, lambda: not self.draining)
-        nursery.start_soon(self._reconcile)
-        nursery.start_soon(self._announce)
-        nursery.start_soon(self._probe_gone)
+        nursery.start_soon(self.owners.run)
+        nursery.start_soon(self.runs.run, self._doubtful_runs)
         nursery.start_soon(self.permits.run)
         nursery.start_soon(self._sweep)
 
@@ -718,7 +507,7 @@
         self.draining = True
         with contextlib.suppress(exceptions.KvError):
             await self.lease.publish(self._member())
-        for endpoint in list(self._owners):
+        for endpoint, _ in self.owners.items():
             await self.ownership.hand_over(endpoint)
         settings = self.settings.drain
         await trio.sleep(settings.address_ttl_s)
@@ -731,8 +520,7 @@
         self._nursery.cancel_scope.cancel()
 
     def _busy(self):
-        unresolved = any(not owner.idle() for owner in self._owners.values())
-        return unresolved or self.frontend.active > 0
+        return self.owners.busy() or self.frontend.active > 0
 
 
 _PEER_MESSAGES = {
--- a/src/coltsfootsail/_owner.py
+++ b/src/coltsfootsail/_owner.py
@@ -458,6 +458,12 @@
         ]
         self._refuse_waiting(waiting, make_error)
 
+    def update(self, entry, rules):
+        """Take over a changed entry or changed rules."""
+        self.entry = entry
+        self.scheduler.batch = entry.batch
+        self.scheduler.rules = rules
+
     def set_draining(self, draining):
         """Take no new work, or take it again.
 
--- a/tests/faults/cases.py
+++ b/tests/faults/cases.py
@@ -88,7 +88,7 @@
     hosts = [
         host
         for host, node in world.system.live().items()
-        if any(owner.active for owner in node.owners().values())
+        if any(owner.active for owner in dict(node.owners.items()).values())
     ]
     return world.victim(hosts)
 
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import json
+import random
 
 import pytest
 import trio
@@ -14,6 +15,7 @@
 from coltsfootsail.standins import engine
 from coltsfootsail.standins import kv
 from coltsfootsail.standins import network
+from tests.faults import harness
 
 MODEL = "gift-note-0001@v2"
 
@@ -96,7 +98,7 @@
             found.net.pause(host)
             await trio.sleep(30.0)
             successor = found.nodes[_owner_host(found, name)]
-            owner = successor.owners()[name]
+            owner = successor.owners.get(name)
             slot = owner.scheduler.resident[MODEL]
             assert slot.adopted
             assert slot.pinned_until_s > trio.current_time() + 1000.0
@@ -126,7 +128,7 @@
             await found.start_node(host)
             await trio.sleep(45.0)
             successor = found.nodes[_owner_host(found, name)]
-            slot = successor.owners()[name].scheduler.resident[MODEL]
+            slot = successor.owners.get(name).scheduler.resident[MODEL]
             assert slot.pinned_until_s <= trio.current_time()
 
     virtual(main)
@@ -160,7 +162,7 @@
             found.net.pause(host)
             await trio.sleep(30.0)
             successor = found.nodes[_owner_host(found, name)]
-            slot = successor.owners()[name].scheduler.resident[MODEL]
+            slot = successor.owners.get(name).scheduler.resident[MODEL]
             assert slot.condemned
             other = next(h for h in found.live() if h != host)
             status, answer = await _complete(found, other)
@@ -518,3 +520,25 @@
             assert b"coltsfootsail_kv_calls_total{" in text
 
     virtual(main)
+
+
+def test_an_engine_that_moves_to_another_address_is_served(virtual, system):
+    found = system("museum", engines=1)
+
+    async def main():
+        async with found.running():
+            await _complete(found, "entry-0")
+            engine_0 = found.engines["engine-0"]
+            serve = found.net.network("moved").serve
+            await found._nursery.start(serve, "moved:1", engine_0.serve)
+            old = found.document().endpoints["engine-0"]
+            new = dataclasses.replace(old, address="moved:1", batch=2)
+            world = harness.World(found, random.Random(1))
+            await harness.apply_entry(world, "endpoints", "engine-0", new)
+            await trio.sleep(5.0)
+            before = found.net.connects["moved:1"]
+            status, answer = await _complete(found, "entry-0")
+            assert status == 200, answer
+            assert found.net.connects["moved:1"] > before
+
+    virtual(main)
