Date a node's knowledge by what it heard, and sharpen the fault table

Cause: an isolated node counted its configuration as fresh while its links stood, up to 12.5 s after it was cut off (links fall after 6.5 s, then 6 s of grace), past the 9 s bound; it also named itself in address answers. Seen by a new test that cuts a node from all but callers. Change: freshness is dated by the last peer needed for a majority.

--- a/src/coltsfootsail/_embedded.py
+++ b/src/coltsfootsail/_embedded.py
@@ -5,6 +5,7 @@
 
 import contextlib
 import dataclasses
+import os
 import socket
 import time
 
@@ -26,10 +27,14 @@
 CALLER = "caller"
 
 
-def _free_address():
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{sock.getsockname()[1]}"
+def _own_loopback():
+    """Choose a loopback address that no other process uses.
+
+    Ports chosen on a shared address may be taken by another process
+    between the choice and the listening.
+    """
+    pid = os.getpid()
+    return f"127.{1 + pid // 62500 % 250}.{pid // 250 % 250}.{1 + pid % 250}"
 
 
 def loopback_addresses(names):
@@ -37,7 +42,14 @@
 
     :returns: dict of name to ``ip:port``.
     """
-    return {name: _free_address() for name in names}
+    found = {}
+    with contextlib.ExitStack() as stack:
+        for name in names:
+            sock = stack.enter_context(socket.socket())
+            sock.bind((_own_loopback(), 0))
+            host, port = sock.getsockname()
+            found[name] = f"{host}:{port}"
+    return found
 
 
 def memory_addresses(names):
--- a/src/coltsfootsail/_follower.py
+++ b/src/coltsfootsail/_follower.py
@@ -129,12 +129,22 @@
                 await self._ask_seeds()
             elif ahead:
                 await self._ask(self._peer_address(min(ahead)))
-            elif mine and self._is_majority(beats):
-                self._fresh_s = self._network.now()
+            elif mine:
+                self._fresh_s = max(self._fresh_s, self._majority_s())
             await trio.sleep(_kv.jittered(PEER_CHECK_S))
 
-    def _is_majority(self, beats):
-        return 2 * (len(beats) + 1) > self._region_size()
+    def _majority_s(self):
+        """Tell up to when a majority of the region was surely linked.
+
+        :returns: when the last peer needed for it was heard of.
+        """
+        needed = self._region_size() // 2
+        heard_s = self._mesh.heard_s()
+        if not needed:
+            return self._network.now()
+        if len(heard_s) < needed:
+            return float("-inf")
+        return heard_s[needed - 1]
 
     async def _ask_seeds(self):
         """Learn from any seed while the KV service tells nothing."""
--- a/src/coltsfootsail/_mesh.py
+++ b/src/coltsfootsail/_mesh.py
@@ -48,6 +48,7 @@
     outbox: object
     scope: trio.CancelScope
     heartbeat: _wire.Heartbeat | None = None
+    heard_s: float = 0.0
     told: dict = dataclasses.field(default_factory=dict)
     pending: list = dataclasses.field(default_factory=list)
 
@@ -77,6 +78,13 @@
         beats = {node: link.heartbeat for node, link in self._links.items()}
         return {node: beat for node, beat in beats.items() if beat}
 
+    def heard_s(self):
+        """List when each linked node was last heard of, newest first."""
+        times = [
+            link.heard_s for link in self._links.values() if link.heartbeat
+        ]
+        return sorted(times, reverse=True)
+
     def send(self, node, msg):
         """Queue a message for a node.
 
@@ -195,6 +203,7 @@
                     return
                 if isinstance(msg, _wire.Heartbeat):
                     link.heartbeat = msg
+                    link.heard_s = self._network.now()
                     self._events.beaten(link.node, msg)
                 else:
                     self._events.message(link.node, msg)
--- a/src/coltsfootsail/_node.py
+++ b/src/coltsfootsail/_node.py
@@ -261,6 +261,8 @@
             for name, member in self.cluster.members().items()
             if not member.draining
         }
+        if self.readiness() != "ready":
+            members.pop(self.identity.node, None)
         names = self._owner_names(model) if model else []
         ranked = [name for name in names if name in members]
         others = sorted(set(members) - set(ranked))
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -542,3 +542,31 @@
             assert found.net.connects["moved:1"] > before
 
     virtual(main)
+
+
+def test_a_node_that_is_cut_off_refuses_until_it_is_up_to_date(
+    virtual, system
+):
+    found = system("museum")
+
+    async def main():
+        async with found.running():
+            host = "entry-2"
+            others = [name for name in found.hosts if name != host]
+            for other in ("kv", "hosts", *others):
+                found.net.cut(host, other)
+            await trio.sleep(10.0)
+            status, answer = await _complete(found, host)
+            assert status == 503
+            error = answer["error"]
+            assert error["code"] == "stale_configuration"
+            assert error["outcome"] == "not_run"
+            _, route = await found.client.call_json(
+                found.caller_address(host), "GET", "/v1/route"
+            )
+            assert found.caller_address(host) not in route["addresses"]
+            found.net.heal()
+            await trio.sleep(15.0)
+            assert (await _complete(found, host))[0] == 200
+
+    virtual(main)
