Give up a forwarded caller that stops reading, and drop dead code

Cause, found by reading the whole change: writing stream parts without a time limit was meant for the relay, which watches them with one scope, but the forward path uses the same sink and watched only its reads; a stalled caller held its stream and its place in the batch for good. Change: the forward bounds each write by 30 s; a test with a caller that stops reading. Removed: Popularity.top, Ownership.holds_permits and next_load's urgent_only, which nothing called. Before -> after: the test's forward never ended -> CallerGone after 30 s. Measured: 51 tests of forward, path, policy, permits, machines and ownership pass; lint clean.

--- a/src/coltsfootsail/_forward.py
+++ b/src/coltsfootsail/_forward.py
@@ -14,6 +14,7 @@
 
 BEAT_S = 2.0
 SILENCE_S = 6.5
+WRITE_TIMEOUT_S = 30.0
 _ERRORS = exceptions.refusals()
 
 
@@ -160,7 +161,8 @@
 
 async def _to_caller(call, *args):
     try:
-        await call(*args)
+        with trio.fail_after(WRITE_TIMEOUT_S):
+            await call(*args)
     except (OSError, trio.BrokenResourceError, trio.TooSlowError) as exc:
         raise exceptions.CallerGone() from exc
 
--- a/src/coltsfootsail/_ownership.py
+++ b/src/coltsfootsail/_ownership.py
@@ -108,11 +108,6 @@
         held = self._cluster.claim(endpoint)
         return held.record.node if held else None
 
-    def holds_permits(self):
-        """Say whether this node holds the weight-store queue."""
-        held = self._cluster.permits(self._me.region)
-        return held is not None and self._mine(held.record)
-
     def unresolved(self, endpoint, request_timeout_s):
         """List earlier holders that may still use an endpoint.
 
--- a/src/coltsfootsail/_popularity.py
+++ b/src/coltsfootsail/_popularity.py
@@ -67,9 +67,3 @@
         for name in idle:
             del self._rows[name]
         return len(idle)
-
-    def top(self, count, now_s):
-        """List the most requested adapters, highest rate first."""
-        return sorted(
-            self._rows, key=lambda name: self.rate(name, now_s), reverse=True
-        )[:count]
--- a/src/coltsfootsail/_scheduler.py
+++ b/src/coltsfootsail/_scheduler.py
@@ -293,12 +293,11 @@
             heapq.heappop(self._by_count)
         return None
 
-    def next_load(self, now_s, may_evict=True, urgent_only=False):
+    def next_load(self, now_s, may_evict=True):
         """Choose the next load.
 
         :param now_s: the time.
         :param may_evict: whether evictions are allowed.
-        :param urgent_only: only loads for protected requests.
         :returns: a ``LoadPlan`` or None; it is not yet noted as begun.
         """
         first = self._oldest()
@@ -307,8 +306,6 @@
         aged = now_s - first.arrival_s > self.rules.batch_age_s
         ceiling = float("inf")
         if self.rules.protect and not first.protected:
-            if urgent_only:
-                return None
             if self.rules.gather and not aged:
                 first = self._fullest() or first
             if not aged:
--- /dev/null
+++ b/tests/test_forward.py
@@ -0,0 +1,40 @@
+"""Forwarded requests: a caller that stops reading is given up."""
+
+import pytest
+import trio
+import trio.testing
+
+from coltsfootsail import _forward
+from coltsfootsail import _wire
+from coltsfootsail import _work
+from coltsfootsail import exceptions
+from coltsfootsail.standins import network as memory
+
+
+def test_a_caller_that_stops_reading_ends_the_forward(virtual):
+    async def main():
+        net = memory.MemoryNetwork()
+
+        async def owner(stream):
+            messages = _wire.MessageStream(stream)
+            await messages.receive()
+            await messages.send(_wire.AnswerHead(200, ()))
+            await messages.send(_wire.AnswerData(b"x"))
+            await trio.sleep_forever()
+
+        async def start(status, headers):
+            await trio.lowlevel.checkpoint()
+
+        async def stuck(*args):
+            await trio.sleep_forever()
+
+        sink = _work.Sink(start=start, write=stuck, end=stuck, hangup=stuck)
+        msg = _wire.Forward("r", "e", "/v1/completions", (), b"", 60.0)
+        async with trio.open_nursery() as nursery:
+            await nursery.start(net.network("o").serve, "o:1", owner)
+            with trio.fail_after(2 * _forward.WRITE_TIMEOUT_S):
+                with pytest.raises(exceptions.CallerGone):
+                    await _forward.send(net.network("n"), "o:1", msg, sink)
+            nursery.cancel_scope.cancel()
+
+    virtual(main)
