--- a/src/coltsfootsail/_daemon.py
+++ b/src/coltsfootsail/_daemon.py
@@ -40,10 +40,10 @@
 
     if settings.gateway.ready_address:
         _logs.configure(logging.DEBUG, sys.stdout)
-        trio.run(_run, _gateway(settings))
+        trio.run(_run, _gateway(settings), path)
         return EXIT_OK
     _logs.configure()
-    trio.run(_run, _node(settings))
+    trio.run(_run, _node(settings), path)
     return EXIT_OK
 
 
@@ -62,16 +62,30 @@
     return _node.Node(settings, _net.tcp_network())
 
 
-async def _run(node):
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(_drain_on_signal, node)
-        await node.run()
-        nursery.cancel_scope.cancel()
+async def _run(node, path):
+    with trio.open_signal_receiver(*_SIGNALS) as signals:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_obey, signals, node, path)
+            await node.run()
+            nursery.cancel_scope.cancel()
 
 
-async def _drain_on_signal(node):
-    wanted = (signal.SIGTERM, signal.SIGINT)
-    with trio.open_signal_receiver(*wanted) as signals:
-        async for _ in signals:
+async def _obey(signals, node, path):
+    """Drain on the first signal to stop; reload as often as asked."""
+    async for signum in signals:
+        if signum != signal.SIGHUP:
             await node.drain()
             return
+        _reload(node, path)
+
+
+def _reload(node, path):
+    try:
+        settings = _settings.load(path)
+    except exceptions.SettingsError as exc:
+        report(exc)
+        return
+    node.reload(settings)
+
+
+_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
--- a/src/coltsfootsail/_gateway.py
+++ b/src/coltsfootsail/_gateway.py
@@ -4,6 +4,7 @@
 store, keeps links to its peers and owns engines by claim.
 """
 
+import dataclasses
 import random
 import secrets
 import zlib
@@ -106,7 +107,9 @@
         )
         self.popularity = _popularity.Popularity(HALF_LIFE_S, prior_s=2.0)
         self.orderers = {}
-        self.desk = _grants.Desk(self.orderers, self.now)
+        self.desk = _grants.Desk(
+            self.orderers, self.view.leaving, self.now
+        )
         self.asker = _grants.Asker(self._name, self.desk, self.mesh, self.now)
         self.placing = _placing.Placing(
             self._name, self.view, self.mesh, self._backlog_s, self.now
@@ -302,6 +305,9 @@
 
     def _on_view(self, changed):
         self.balance.keep(self.view.servers)
+        for name, orderer in self.orderers.items():
+            if self.view.leaving(name):
+                orderer.close("engine leaving")
         own = _keys.member(self._name)
         lost = own not in self.view.records
         if lost and self.lease.valid() and not self.draining:
@@ -421,6 +427,20 @@
             )
             task_status.started()
 
+    def reload(self, settings):
+        """Take changed settings; addresses need a new start.
+
+        :param settings: ``Settings`` read again.
+        """
+        if settings.node != self.settings.node:
+            _logs.state("settings_need_restart", node=self._name)
+        self.settings = dataclasses.replace(
+            settings, node=self.settings.node, platform=self.settings.platform
+        )
+        bounds = settings.gateway
+        self.budget.set_bounds(bounds.retry_ratio, bounds.retry_extra)
+        _logs.state("settings_reloaded", node=self._name)
+
     async def drain(self):
         """Stop without cutting off a request.
 
--- a/src/coltsfootsail/_grants.py
+++ b/src/coltsfootsail/_grants.py
@@ -103,11 +103,13 @@
     """The owner's side: queues wishes of all nodes on owned engines.
 
     :param orderers: dict of server name to ``Orderer``.
+    :param leaving: ``(server name) -> bool``.
     :param now: closure that reads the clock.
     """
 
-    def __init__(self, orderers, now):
+    def __init__(self, orderers, leaving, now):
         self._orderers = orderers
+        self._leaving = leaving
         self._now = now
         self._remote = {}
 
@@ -121,6 +123,8 @@
         orderer = self._orderers.get(server)
         if orderer is None:
             raise TurnedAway("not the owner", 0.1)
+        if self._leaving(server):
+            raise TurnedAway("engine leaving", 0.1)
         if orderer.down():
             raise TurnedAway("engine down", 0.2)
         if not orderer.active() and not orderer.holds(wish):
--- a/src/coltsfootsail/_node.py
+++ b/src/coltsfootsail/_node.py
@@ -498,6 +498,10 @@
         nursery.start_soon(self.permits.run)
         nursery.start_soon(self._sweep)
 
+    def reload(self, settings):
+        """Note that settings changed; this node takes them at a start."""
+        _logs.state("settings_need_restart", node=settings.node.name)
+
     async def drain(self):
         """Stop without cutting off a request.
 
--- a/src/coltsfootsail/_orderer.py
+++ b/src/coltsfootsail/_orderer.py
@@ -126,7 +126,7 @@
         self._turn_all_away("engine down")
 
     def close(self, why):
-        """Turn all waiting requests away."""
+        """Turn all waiting requests away, to other engines."""
         self._turn_all_away(why)
 
     def _turn_all_away(self, why):
@@ -253,6 +253,10 @@
             sequence=order.sequence,
             answer=answer.value,
         )
+        if self.book.sequence != order.sequence:
+            # The engine was found down meanwhile: its report decides.
+            self.book.sequence = None
+            return
         _APPLY[answer](self, plan)
 
     def _accepted(self, plan):
--- a/src/coltsfootsail/_retries.py
+++ b/src/coltsfootsail/_retries.py
@@ -58,6 +58,11 @@
         self._requests = collections.defaultdict(collections.deque)
         self._repeats = collections.defaultdict(collections.deque)
 
+    def set_bounds(self, ratio, extra):
+        """Change what the fleet may send."""
+        self._ratio = ratio
+        self._extra = extra
+
     def _count(self, times):
         oldest_s = self._now() - self._window_s
         while times and times[0] < oldest_s:
--- a/src/coltsfootsail/_serving.py
+++ b/src/coltsfootsail/_serving.py
@@ -230,7 +230,10 @@
         """Allow another send, or refuse it.
 
         :raises RetryBudgetSpent: if it would exceed a bound.
+        :raises EndpointLeaving: if the server began to leave meanwhile.
         """
+        if self._gateway.view.leaving(server.name):
+            raise exceptions.EndpointLeaving()
         new_server = server.name not in call.ran
         full = len(call.ran) >= call.route.attempts
         if call.ran and new_server and full:
@@ -470,7 +473,7 @@
 
 
 _ELSEWHERE = frozenset(
-    {"not the owner", "engine down", "no orders yet", "closing"}
+    {"not the owner", "engine down", "engine leaving", "no orders yet"}
 )
 
 
--- a/src/coltsfootsail/_view.py
+++ b/src/coltsfootsail/_view.py
@@ -80,6 +80,11 @@
             if self.engine(server) is not None
         }
 
+    def leaving(self, name):
+        """Say whether a server is gone or takes no new requests."""
+        server = self.servers.get(name)
+        return server is None or server.draining
+
     def engine(self, server):
         """Get a server's ``Engine``, or None for a plain one."""
         service = self.deployment.services.get(server.service)
--- a/src/coltsfootsail/exceptions.py
+++ b/src/coltsfootsail/exceptions.py
@@ -221,6 +221,12 @@
     status = 502
 
 
+class EndpointLeaving(Refusal):
+    """The endpoint began to leave while the request waited for it."""
+
+    code = "endpoint_leaving"
+
+
 class NoConfiguration(Refusal):
     """No configuration is in force on this node yet."""
 
