--- a/src/coltsfootsail/_book.py
+++ b/src/coltsfootsail/_book.py
@@ -35,6 +35,7 @@
     """The next order.
 
     :param load: whether to load; otherwise the adapter is dropped.
+    :param adapter: adapter key, or the name of a base model.
     """
 
     load: bool
@@ -45,15 +46,17 @@
 class Book:
     """Places of one engine.
 
-    :param places: adapters that it can hold.
+    :param engine: the ``Engine``.
     :param value: ``(adapter, now_s) -> float``, worth of keeping it.
     """
 
-    def __init__(self, places, value):
-        self.places = places
+    def __init__(self, engine, value):
+        self._engine = engine
         self._value = value
         self._recent = {}
         self.held = {}
+        self.models = ()
+        self.model_pending = ""
         self.sequence = None
 
     # -- queries ----------------------------------------------------
@@ -86,8 +89,13 @@
         """
         if self.sequence is None:
             return None
+        if not self.models:
+            return self._plan_model(wanted)
         needed = {adapter for adapter, _ in wanted}
         for adapter, version in wanted:
+            model, _, name = adapter.partition("/")
+            if not name or model not in self.models:
+                continue
             place = self.held.get(adapter)
             if place is not None:
                 stale = place.version < version and not place.dropping
@@ -96,12 +104,28 @@
                 continue
             if self.in_transit(now_s) >= transit_max:
                 return None
-            if len(self.held) < self.places:
+            if len(self.held) < self._engine.adapter_places:
                 return Plan(True, adapter, version)
             victim = self._victim(needed, now_s)
             return Plan(False, victim) if victim else None
         return None
 
+    def _plan_model(self, wanted):
+        """Choose the base model of an engine that holds none.
+
+        An engine that has restarted is empty; its disk is not.
+        """
+        if self.model_pending:
+            return None
+        asked = [adapter.partition("/")[0] for adapter, _ in wanted]
+        fits = [
+            model.name
+            for model in self._engine.models
+            if model.weights_mb <= self._engine.weights_mb
+        ]
+        ranked = [name for name in asked if name in fits] or fits
+        return Plan(True, ranked[0]) if ranked else None
+
     def _victim(self, needed, now_s):
         best = None
         for adapter, place in self.held.items():
@@ -119,6 +143,9 @@
     def loading(self, adapter, version, now_s):
         """Note that a load was accepted."""
         self.sequence += 1
+        if "/" not in adapter:
+            self.model_pending = adapter
+            return
         delay_s = WARM_S if adapter in self._recent else COLD_S
         old = self.held.get(adapter)
         running = old.running if old else 0
@@ -175,6 +202,9 @@
         """
         old = self.held
         self.held = {}
+        self.models = report.models
+        if self.model_pending in report.models or not report.busy:
+            self.model_pending = ""
         for adapter, version in report.adapters.items():
             if "/" not in adapter:
                 continue
--- a/src/coltsfootsail/_fleet.py
+++ b/src/coltsfootsail/_fleet.py
@@ -68,11 +68,22 @@
         return self.targets[-1].service
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Model:
+    """A base model and what its weights and adapters take."""
+
+    name: str
+    weights_mb: float
+    adapter_mb: float
+    load_s: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Engine:
     """What the engines of one service can hold and run.
 
-    :param models: names of the base models.
+    :param weights_mb: room for weights of models and adapters.
+    :param models: the base models that it may hold.
     :param event_tokens: tokens in one event of a stream.
     """
 
@@ -80,7 +91,8 @@
     memory_tokens: int
     adapter_places: int
     event_tokens: int
-    models: tuple[str, ...]
+    weights_mb: float
+    models: tuple[Model, ...]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -130,6 +142,7 @@
     data_centre: str
     draining: bool
     slots: int
+    models: tuple[str, ...]
     adapters: dict[str, int]
     created: int = 0
 
@@ -141,6 +154,7 @@
     :param sequence: number of orders that it has accepted.
     :param adapters: adapter key to version, those it holds.
     :param pending: adapter keys on their way.
+    :param busy: whether an order for a base model is under way.
     """
 
     sequence: int
@@ -149,6 +163,7 @@
     running: int
     waiting: int
     models: tuple[str, ...]
+    busy: bool = False
 
 
 class RouteTable:
--- a/src/coltsfootsail/_gateway.py
+++ b/src/coltsfootsail/_gateway.py
@@ -43,7 +43,7 @@
 LOAD_STEP_S = 0.05  # resolution of the backlog told to peers
 IDLE_CONNECTIONS = 12  # kept to one server
 ACCEPT_AFTER_TERM_S = 3.0  # requests are still taken so long after SIGTERM
-EXIT_MARGIN_S = 0.5
+EXIT_MARGIN_S = 1.2
 RESET_S = 0.3  # how often the set of owned engines is checked
 
 
--- a/src/coltsfootsail/_grants.py
+++ b/src/coltsfootsail/_grants.py
@@ -127,6 +127,8 @@
             raise TurnedAway("engine leaving", 0.1)
         if orderer.down():
             raise TurnedAway("engine down", 0.2)
+        if not orderer.has_model(wish):
+            raise TurnedAway("no model yet", 0.3)
         if not orderer.active() and not orderer.holds(wish):
             raise TurnedAway("no orders yet", 0.2)
         unread = orderer.parts.unread(wish)
--- a/src/coltsfootsail/_orderer.py
+++ b/src/coltsfootsail/_orderer.py
@@ -22,6 +22,7 @@
 REPORT_LAG_S = 0.12  # a report shows the engine as it was so long ago
 DOWN_S = 1.0  # an engine that refuses connections is left alone so long
 IDLE_S = 1.0
+MODEL_POLL_S = 0.25  # between reports while a base model is loaded
 
 Answer = engines.Answer
 
@@ -49,7 +50,7 @@
         self._now = now
         self._count = count
         self._holder = holder
-        self.book = _book.Book(engine.adapter_places, popularity.rate)
+        self.book = _book.Book(engine, popularity.rate)
         self._popularity = popularity
         self.parts = _grants.PromptParts()
         self.queue = _admission.Admission(engine.slots, engine.memory_tokens)
@@ -70,6 +71,10 @@
         known = self.book.sequence is not None
         return known and self._claims.may_order(self.server.name)
 
+    def has_model(self, wish):
+        """Say whether the engine holds the base model of a wish."""
+        return wish.adapter.partition("/")[0] in self.book.models
+
     def holds(self, wish):
         """Say whether a wish needs no order."""
         if "/" not in wish.adapter:
@@ -192,11 +197,11 @@
         """
         if self.book.sequence is None:
             return await self._settle()
+        if self.book.model_pending:
+            await trio.sleep(MODEL_POLL_S)
+            return await self._settle()
         now_s = self._now()
-        wanted = [
-            pair for pair in self.queue.wanted(now_s) if "/" in pair[0]
-        ]
-        plan = self.book.plan(wanted, now_s)
+        plan = self.book.plan(self.queue.wanted(now_s), now_s)
         if plan is None:
             return False
         await self._give(plan)
--- a/src/coltsfootsail/_placing.py
+++ b/src/coltsfootsail/_placing.py
@@ -58,8 +58,9 @@
         )
 
     def _usable(self, call):
+        """List the engines by address, those with the model if any."""
         now_s = self._now()
-        return {
+        found = {
             server.address: server
             for server in self._view.servers.values()
             if server.service == call.service
@@ -67,6 +68,13 @@
             and self._down.get(server.name, 0.0) <= now_s
             and server.name not in call.avoided
         }
+        model = call.meta.prompt.model
+        loaded = {
+            address: server
+            for address, server in found.items()
+            if model in server.models
+        }
+        return loaded or found
 
     def owner(self, server):
         """Get the node to ask for a start, or None if none is heard."""
--- a/src/coltsfootsail/_serving.py
+++ b/src/coltsfootsail/_serving.py
@@ -473,7 +473,13 @@
 
 
 _ELSEWHERE = frozenset(
-    {"not the owner", "engine down", "engine leaving", "no orders yet"}
+    {
+        "not the owner",
+        "engine down",
+        "engine leaving",
+        "no model yet",
+        "no orders yet",
+    }
 )
 
 
--- a/src/coltsfootsail/platform/engines.py
+++ b/src/coltsfootsail/platform/engines.py
@@ -35,9 +35,9 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Order:
-    """Loads or drops an adapter.
+    """Loads or drops an adapter or a base model.
 
-    :param adapter: adapter key.
+    :param adapter: adapter key, or the name of a base model.
     :param sequence: orders that the server must have accepted so far.
     :param version: version to load, 0 for the newest.
     """
@@ -56,11 +56,12 @@
     value = {
         "op": "load" if order.load else "unload",
         "model": model,
-        "adapter": adapter,
         "expected": order.sequence,
         "holder": order.holder,
         "fence": order.fence,
     }
+    if adapter:
+        value["adapter"] = adapter
     if order.load and order.version:
         value["version"] = order.version
     return json.dumps(value).encode()
@@ -104,6 +105,7 @@
             running=int(value.get("running", 0)),
             waiting=int(value.get("waiting", 0)),
             models=names,
+            busy=bool(value.get("busy", False)),
         )
     except (KeyError, TypeError, ValueError, AttributeError) as exc:
         raise exceptions.BadField(f"report: {exc!r}") from exc
--- a/src/coltsfootsail/platform/registry.py
+++ b/src/coltsfootsail/platform/registry.py
@@ -54,6 +54,15 @@
     )
 
 
+def _model(raw):
+    return _fleet.Model(
+        name=str(raw["name"]),
+        weights_mb=float(raw["weightsMb"]),
+        adapter_mb=float(raw.get("adapterMb") or 0),
+        load_s=float(raw.get("loadS") or 1),
+    )
+
+
 def _engine(raw):
     if not raw:
         return None
@@ -62,7 +71,8 @@
         memory_tokens=int(raw["kvTokens"]),
         adapter_places=int(raw.get("adapterSlots", 0)),
         event_tokens=int(raw.get("stride", 1)),
-        models=tuple(str(item["name"]) for item in raw.get("models", ())),
+        weights_mb=float(raw.get("weightsMb", 0)),
+        models=tuple(_model(item) for item in raw.get("models", ())),
     )
 
 
@@ -132,7 +142,7 @@
     """
     try:
         raw = _loads(entry.value)
-        _, adapters = models(raw.get("models"))
+        names, adapters = models(raw.get("models"))
         return _fleet.Server(
             name=entry.key.removeprefix(SERVER_PREFIX),
             service=str(raw["service"]),
@@ -140,6 +150,7 @@
             data_centre=str(raw.get("zone", "")),
             draining=_STATES[raw["state"]],
             slots=int(raw.get("slots") or 1),
+            models=names,
             adapters=adapters,
             created=entry.create_revision,
         )
