--- a/src/coltsfootsail/_book.py
+++ b/src/coltsfootsail/_book.py
@@ -11,6 +11,7 @@
 COLD_S = 0.30  # a load from the weight store, its place in time included
 WARM_S = 0.06  # a load of an adapter that the engine held recently
 RECENT_MAX = 100  # adapters that an engine is taken to hold recently
+BLOCKED_MAX_S = 6.0  # longer than most runs; then the order is repeated
 PENDING_MAX_S = 4.0  # a load not reported by then is asked for again
 
 
@@ -20,14 +21,15 @@
 
     :param version: version held, or on its way.
     :param ready_s: when requests for it may be sent.
-    :param dropping: an unload was accepted and is not yet complete.
+    :param blocked: an order for it waits for its runs to end; until
+        then the engine takes no other.
     """
 
     version: int
     ready_s: float
     since_s: float
     running: int = 0
-    dropping: bool = False
+    blocked: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -64,7 +66,7 @@
     def ready(self, adapter, version, now_s):
         """Say whether a request may be sent for a version."""
         place = self.held.get(adapter)
-        if place is None or place.dropping:
+        if place is None or place.blocked:
             return False
         return place.version >= version and place.ready_s <= now_s
 
@@ -98,7 +100,8 @@
                 continue
             place = self.held.get(adapter)
             if place is not None:
-                stale = place.version < version and not place.dropping
+                # A replacement waits for its runs and bars other orders.
+                stale = place.version < version and not place.running
                 if stale and self.in_transit(now_s) < transit_max:
                     return Plan(True, adapter, version)
                 continue
@@ -129,7 +132,7 @@
     def _victim(self, needed, now_s):
         best = None
         for adapter, place in self.held.items():
-            if place.running or place.dropping or adapter in needed:
+            if place.running or adapter in needed:
                 continue
             if place.ready_s > now_s:
                 continue
@@ -146,26 +149,36 @@
         if "/" not in adapter:
             self.model_pending = adapter
             return
+        if adapter in self.held:
+            self._block(adapter, now_s)
+            return
         delay_s = WARM_S if adapter in self._recent else COLD_S
-        old = self.held.get(adapter)
-        running = old.running if old else 0
-        self.held[adapter] = Place(version, now_s + delay_s, now_s, running)
-
-    def dropped(self, adapter, now_s, complete):
-        """Note that an unload was accepted.
+        self.held[adapter] = Place(version, now_s + delay_s, now_s)
 
-        :param complete: whether the place is free already.
-        """
+    def dropped(self, adapter):
+        """Note that an unload is complete."""
         self.sequence += 1
-        place = self.held.get(adapter)
         self._remember(adapter)
-        if place is None:
-            return
-        if complete:
-            del self.held[adapter]
-        else:
-            place.dropping = True
+        self.held.pop(adapter, None)
+
+    def waits(self, adapter, now_s):
+        """Note that an unload waits for runs that use the adapter."""
+        self._remember(adapter)
+        self._block(adapter, now_s)
+
+    def _block(self, adapter, now_s):
+        place = self.held.get(adapter)
+        if place is not None:
+            place.blocked = True
             place.since_s = now_s
+        self.sequence = None
+
+    def blocked(self, now_s):
+        """Say whether an order waits for runs and bars all others."""
+        return any(
+            place.blocked and now_s - place.since_s < BLOCKED_MAX_S
+            for place in self.held.values()
+        )
 
     def _remember(self, adapter):
         self._recent.pop(adapter, None)
@@ -213,9 +226,12 @@
             if adapter not in self.held:
                 self.held[adapter] = Place(0, now_s + COLD_S, now_s)
         for adapter, place in old.items():
-            if adapter in self.held:
-                self.held[adapter].running = place.running
-                self.held[adapter].dropping = (
-                    place.dropping and place.running > 0
-                )
+            found = self.held.get(adapter)
+            if found is None:
+                continue
+            found.running = place.running
+            same = found.version == place.version
+            if place.blocked and same:
+                found.blocked = now_s - place.since_s < BLOCKED_MAX_S
+                found.since_s = place.since_s
         self.sequence = report.sequence
--- a/src/coltsfootsail/_grants.py
+++ b/src/coltsfootsail/_grants.py
@@ -13,6 +13,7 @@
 import trio
 
 from coltsfootsail import _admission
+from coltsfootsail import _logs
 from coltsfootsail import _wire
 from coltsfootsail import exceptions
 
@@ -132,6 +133,8 @@
         if not orderer.active() and not orderer.holds(wish):
             raise TurnedAway("no orders yet", 0.2)
         unread = orderer.parts.unread(wish)
+        asked_s = self._now()
+        state = orderer.state(wish)
 
         def make(number):
             return _admission.Ask(
@@ -147,8 +150,19 @@
             )
 
         def granted(decision):
-            if isinstance(decision, _admission.Grant):
+            is_grant = isinstance(decision, _admission.Grant)
+            if is_grant:
                 orderer.parts.note(wish)
+            _logs.detail(
+                "grant" if is_grant else "turn_away",
+                server=server,
+                adapter=wish.adapter,
+                state=state,
+                unread=unread,
+                waited_s=round(self._now() - asked_s, 3),
+                running=len(orderer.queue.running),
+                waiting=len(orderer.queue.waiting),
+            )
             reply(decision)
 
         number = orderer.ask(make, granted)
--- a/src/coltsfootsail/_orderer.py
+++ b/src/coltsfootsail/_orderer.py
@@ -22,7 +22,7 @@
 REPORT_LAG_S = 0.12  # a report shows the engine as it was so long ago
 DOWN_S = 1.0  # an engine that refuses connections is left alone so long
 IDLE_S = 1.0
-MODEL_POLL_S = 0.25  # between reports while a base model is loaded
+POLL_S = 0.15  # between reports while an order is under way
 
 Answer = engines.Answer
 
@@ -71,6 +71,19 @@
         known = self.book.sequence is not None
         return known and self._claims.may_order(self.server.name)
 
+    def state(self, wish):
+        """Name the state of a wish's adapter, for the log."""
+        if "/" not in wish.adapter:
+            return "base"
+        place = self.book.held.get(wish.adapter)
+        if place is None:
+            return "absent" if self.active() else "absent, no orders"
+        if place.blocked:
+            return "blocked"
+        if place.version < wish.version:
+            return "old"
+        return "held" if place.ready_s <= self._now() else "loading"
+
     def has_model(self, wish):
         """Say whether the engine holds the base model of a wish."""
         return wish.adapter.partition("/")[0] in self.book.models
@@ -197,8 +210,8 @@
         """
         if self.book.sequence is None:
             return await self._settle()
-        if self.book.model_pending:
-            await trio.sleep(MODEL_POLL_S)
+        if self.book.model_pending or self.book.blocked(self._now()):
+            await trio.sleep(POLL_S)
             return await self._settle()
         now_s = self._now()
         plan = self.book.plan(self.queue.wanted(now_s), now_s)
@@ -269,14 +282,13 @@
         if plan.load:
             self.book.loading(plan.adapter, plan.version, now_s)
         else:
-            self.book.dropped(plan.adapter, now_s, complete=False)
+            self.book.waits(plan.adapter, now_s)
             self.parts.forget(plan.adapter)
         self._wake.set()
 
     def _holds(self, plan):
-        now_s = self._now()
         if not plan.load:
-            self.book.dropped(plan.adapter, now_s, complete=True)
+            self.book.dropped(plan.adapter)
             self.parts.forget(plan.adapter)
             return
         # The engine held it already: the report tells what else differs.
--- a/src/coltsfootsail/_serving.py
+++ b/src/coltsfootsail/_serving.py
@@ -400,6 +400,15 @@
         sent = self._sent(
             call, server, call.route.priority, wish.version, last
         )
+        _logs.detail(
+            "sent",
+            id=call.meta.request_id,
+            server=server.name,
+            adapter=wish.adapter,
+            version=wish.version,
+            after_s=round(self._now() - call.received_s, 3),
+            sends=call.sends,
+        )
         call.ran.add(server.name)
         try:
             with contextlib.ExitStack() as stack:
