Test the gateway over stand-ins of the users' store and servers

Found by the tests: a claim's fence was the revision of the record written after it, so that a store with a revision a write would have refused its release; a load assumed done could be dropped while under way. A new node now waits 1.2 s for the others to show up before it claims.

--- a/src/coltsfootsail/_book.py
+++ b/src/coltsfootsail/_book.py
@@ -12,6 +12,7 @@
 WARM_S = 0.06  # a load of an adapter that the engine held recently
 RECENT_MAX = 100  # adapters that an engine is taken to hold recently
 BLOCKED_MAX_S = 6.0  # longer than most runs; then the order is repeated
+SETTLED_S = 0.6  # until then a load may still be under way
 PENDING_MAX_S = 4.0  # a load not reported by then is asked for again
 
 
@@ -134,7 +135,7 @@
         for adapter, place in self.held.items():
             if place.running or adapter in needed:
                 continue
-            if place.ready_s > now_s:
+            if now_s < place.since_s + SETTLED_S:
                 continue
             entry = (self._value(adapter, now_s), adapter)
             if best is None or entry < best:
--- a/src/coltsfootsail/_claims.py
+++ b/src/coltsfootsail/_claims.py
@@ -21,7 +21,7 @@
 STEP_S = 0.25
 TURN_S = 1.5  # an absent candidate's turn passes to the next after this
 SLACK_S = 0.3  # clocks of two hosts and the way of an order
-NEVER_S = 1e9
+MEET_S = 1.2  # a new node first lets the others show up in the store
 
 
 @dataclasses.dataclass(slots=True)
@@ -185,6 +185,8 @@
             found = self._view.claim(name)
             if found is None:
                 turn = self._turn(name)
+                if self._now() < self._started_s + MEET_S:
+                    continue
                 chosen = candidate(server.address, nodes, owned, cap, turn)
                 if chosen == self._node:
                     owned[chosen] = owned.get(chosen, 0) + 1
@@ -202,13 +204,14 @@
         holder = _records.Holder(self._node, self._incarnation)
         result = await self._kv.txn(
             [_kv.Compare(_keys.claim(server), "mod", revision)],
+            # The claim comes last: the answer tells its revision.
             [
+                _kv.Put(_keys.intent(server), _records.dumps(holder)),
                 _kv.Put(
                     _keys.claim(server),
                     _records.dumps(claim),
                     self._lease.number,
                 ),
-                _kv.Put(_keys.intent(server), _records.dumps(holder)),
             ],
         )
         if not result.succeeded:
--- a/src/coltsfootsail/_gateway.py
+++ b/src/coltsfootsail/_gateway.py
@@ -16,7 +16,6 @@
 from coltsfootsail import _grants
 from coltsfootsail import _http
 from coltsfootsail import _keys
-from coltsfootsail import _kv
 from coltsfootsail import _lease
 from coltsfootsail import _logs
 from coltsfootsail import _mesh
@@ -107,9 +106,7 @@
         )
         self.popularity = _popularity.Popularity(HALF_LIFE_S, prior_s=2.0)
         self.orderers = {}
-        self.desk = _grants.Desk(
-            self.orderers, self.view.leaving, self.now
-        )
+        self.desk = _grants.Desk(self.orderers, self.view.leaving, self.now)
         self.asker = _grants.Asker(self._name, self.desk, self.mesh, self.now)
         self.placing = _placing.Placing(
             self._name, self.view, self.mesh, self._backlog_s, self.now
--- a/src/coltsfootsail/_grants.py
+++ b/src/coltsfootsail/_grants.py
@@ -49,25 +49,6 @@
     until_s: float
 
 
-class TurnedAway(exceptions.Refusal):
-    """An engine's owner turned the request away.
-
-    :param reason: the owner's reason.
-    """
-
-    code = "turned_away"
-
-    def __init__(self, reason, retry_after_s):
-        super().__init__(reason, retry_after_s=retry_after_s)
-        self.reason = reason
-
-
-class OwnerSilent(exceptions.Refusal):
-    """The engine's owner can't be reached."""
-
-    code = "owner_silent"
-
-
 class PromptParts:
     """Prompt parts that an engine was given to read, for each adapter."""
 
@@ -123,15 +104,15 @@
         """
         orderer = self._orderers.get(server)
         if orderer is None:
-            raise TurnedAway("not the owner", 0.1)
+            raise exceptions.TurnedAway("not the owner", 0.1)
         if self._leaving(server):
-            raise TurnedAway("engine leaving", 0.1)
+            raise exceptions.TurnedAway("engine leaving", 0.1)
         if orderer.down():
-            raise TurnedAway("engine down", 0.2)
+            raise exceptions.TurnedAway("engine down", 0.2)
         if not orderer.has_model(wish):
-            raise TurnedAway("no model yet", 0.3)
+            raise exceptions.TurnedAway("no model yet", 0.3)
         if not orderer.active() and not orderer.holds(wish):
-            raise TurnedAway("no orders yet", 0.2)
+            raise exceptions.TurnedAway("no orders yet", 0.2)
         unread = orderer.parts.unread(wish)
         asked_s = self._now()
         state = orderer.state(wish)
@@ -208,7 +189,7 @@
             end = self.queue(msg.server, wish, reply)
             if (node, msg.number) in self._remote:
                 self._remote[node, msg.number] = end
-        except TurnedAway as exc:
+        except exceptions.TurnedAway as exc:
             self._remote.pop((node, msg.number), None)
             send(
                 _wire.GrantReply(
@@ -294,7 +275,9 @@
             end(End.DONE)
             raise
         if isinstance(waiter.reply, _admission.TurnAway):
-            raise TurnedAway(waiter.reply.reason, waiter.reply.retry_after_s)
+            raise exceptions.TurnedAway(
+                waiter.reply.reason, waiter.reply.retry_after_s
+            )
         return end
 
     async def _ask_there(self, owner, server, wish):
@@ -319,7 +302,7 @@
         waiter = self._waiters[number] = _Waiter()
         try:
             if not self._mesh.send(owner, ask):
-                raise OwnerSilent(retry_after_s=0.2)
+                raise exceptions.OwnerSilent(retry_after_s=0.2)
             await self._wait(waiter, owner)
         except BaseException:
             end(End.DONE)
@@ -327,7 +310,9 @@
         finally:
             del self._waiters[number]
         if not waiter.reply.granted:
-            raise TurnedAway(waiter.reply.reason, waiter.reply.retry_after_s)
+            raise exceptions.TurnedAway(
+                waiter.reply.reason, waiter.reply.retry_after_s
+            )
         return end
 
     async def _wait(self, waiter, owner):
@@ -337,4 +322,4 @@
                 return
             silent_s = self._mesh.silent_s(owner)
             if silent_s is None or silent_s > STALE_S:
-                raise OwnerSilent(retry_after_s=0.2)
+                raise exceptions.OwnerSilent(retry_after_s=0.2)
--- a/src/coltsfootsail/_net.py
+++ b/src/coltsfootsail/_net.py
@@ -66,9 +66,7 @@
 
 
 def _set_user_timeout(stream, unacked_ms):
-    stream.setsockopt(
-        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, unacked_ms
-    )
+    stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, unacked_ms)
 
 
 async def _open_tcp(address, connect_timeout_s, unacked_ms):
@@ -108,9 +106,7 @@
     bound = listeners[0].socket.getsockname()
     async with trio.open_nursery() as nursery:
         for listener in listeners:
-            nursery.start_soon(
-                _accept, listener, handler, unacked_ms, nursery
-            )
+            nursery.start_soon(_accept, listener, handler, unacked_ms, nursery)
         task_status.started(f"{bound[0]}:{bound[1]}")
 
 
--- a/src/coltsfootsail/_serving.py
+++ b/src/coltsfootsail/_serving.py
@@ -76,9 +76,7 @@
         self.started = True
         headers = messages.answer_headers(exchange.headers)
         with _caller_errors():
-            await self._resp.start(
-                exchange.status, [*headers, *self._extra()]
-            )
+            await self._resp.start(exchange.status, [*headers, *self._extra()])
 
     def restart(self):
         """Drop the part of an event that a broken server left."""
@@ -305,7 +303,7 @@
             balance.unreachable(server)
             failed = True
             raise
-        except _upstream.NotRun:
+        except exceptions.EndpointNotRun:
             call.ran.discard(server.name)
             raise
         except exceptions.ColtsfootsailError:
@@ -357,7 +355,7 @@
             | exceptions.CallerGone,
         )
         overload = (
-            isinstance(exc, _grants.TurnedAway)
+            isinstance(exc, exceptions.TurnedAway)
             and exc.reason not in _ELSEWHERE
         )
         if final or overload or not self._may_repeat(call, exc):
@@ -379,16 +377,16 @@
             async with started as ends:
                 try:
                     await self._send_stream(call, sink, resp, server, wish)
-                except _upstream.NotRun:
+                except exceptions.EndpointNotRun:
                     ends(_grants.End.ABSENT)
                     raise
                 except exceptions.EndpointUnreachable:
                     ends(_grants.End.UNREACHABLE)
                     raise
-        except (_grants.TurnedAway, _grants.OwnerSilent) as exc:
+        except (exceptions.TurnedAway, exceptions.OwnerSilent) as exc:
             gateway.placing.avoid(call, server, exc)
             raise
-        except _upstream.NotRun:
+        except exceptions.EndpointNotRun:
             await trio.sleep(ABSENT_PAUSE_S)
             raise
 
@@ -425,7 +423,7 @@
             call.ran.discard(server.name)
             gateway.placing.unreachable(server)
             raise
-        except _upstream.NotRun:
+        except exceptions.EndpointNotRun:
             call.ran.discard(server.name)
             raise
 
--- a/src/coltsfootsail/_upstream.py
+++ b/src/coltsfootsail/_upstream.py
@@ -39,19 +39,6 @@
     body: bytes
 
 
-class NotRun(exceptions.Refusal):
-    """The server stated that it did not run the request.
-
-    :param server_status: the status of its answer.
-    """
-
-    code = "server_not_run"
-
-    def __init__(self, server_status):
-        super().__init__(f"status {server_status}")
-        self.server_status = server_status
-
-
 class EventSplitter:
     """Cuts a stream into whole events and remembers the last id."""
 
@@ -124,7 +111,7 @@
         """Send a request and read the whole answer.
 
         :returns: an ``Answer``.
-        :raises NotRun: if the server did not run it.
+        :raises EndpointNotRun: if the server did not run it.
         :raises EndpointUnreachable: if nothing was sent.
         :raises EndpointSilent: if time ran out after it was sent.
         :raises OutcomeUnknown: if the connection failed after that.
@@ -168,7 +155,7 @@
             _set_keep(exchange)
             if messages.was_not_run(exchange):
                 await exchange.read_body(BODY_BYTES_MAX)
-                raise NotRun(exchange.status)
+                raise exceptions.EndpointNotRun(exchange.status)
             _check_signed(exchange)
             await take(exchange)
 
--- a/src/coltsfootsail/_view.py
+++ b/src/coltsfootsail/_view.py
@@ -14,7 +14,6 @@
 from coltsfootsail import _records
 from coltsfootsail import exceptions
 from coltsfootsail.platform import registry
-from coltsfootsail.platform import store
 
 WATCH_WAIT_S = 2.0  # a silent connection is noticed in this time
 WATCH_PAUSE_S = 0.6  # gathers changes; well under the 2 s drain bound
@@ -207,7 +206,7 @@
                 self.reset(await self._kv.range(EVERYTHING))
                 backoff.reset()
                 await self._watch(backoff)
-            except store.HistoryGone:
+            except exceptions.KvHistoryGone:
                 _logs.state("watch_behind", revision=self.revision)
             except exceptions.KvError as exc:
                 _logs.state("store_read_failed", reason=exc.detail)
@@ -219,7 +218,7 @@
                 events, revision = await self._kv.changes(
                     EVERYTHING, self.revision, WATCH_WAIT_S
                 )
-            except store.HistoryGone:
+            except exceptions.KvHistoryGone:
                 raise
             except exceptions.KvError as exc:
                 # The position stands: the next call goes on from it.
--- a/src/coltsfootsail/exceptions.py
+++ b/src/coltsfootsail/exceptions.py
@@ -227,6 +227,38 @@
     code = "endpoint_leaving"
 
 
+class EndpointNotRun(Refusal):
+    """The endpoint stated that it did not run the request.
+
+    :param server_status: the status of its answer.
+    """
+
+    code = "endpoint_not_run"
+
+    def __init__(self, server_status):
+        super().__init__(f"status {server_status}")
+        self.server_status = server_status
+
+
+class TurnedAway(Refusal):
+    """The owner of an engine turned the request away.
+
+    :param reason: the owner's reason.
+    """
+
+    code = "turned_away"
+
+    def __init__(self, reason="", retry_after_s=None):
+        super().__init__(reason, retry_after_s=retry_after_s)
+        self.reason = reason
+
+
+class OwnerSilent(Refusal):
+    """The owner of an engine can't be reached."""
+
+    code = "owner_silent"
+
+
 class NoConfiguration(Refusal):
     """No configuration is in force on this node yet."""
 
@@ -377,6 +409,12 @@
     outcome = Outcome.UNKNOWN
 
 
+class KvHistoryGone(KvError):
+    """The store no longer has the changes that a watch asked for."""
+
+    code = "kv_history_gone"
+
+
 class WireError(ColtsfootsailError):
     """A peer sent something that is not a known message."""
 
--- a/src/coltsfootsail/platform/store.py
+++ b/src/coltsfootsail/platform/store.py
@@ -1,7 +1,6 @@
 """The platform's metadata store, behind the KV client's interface."""
 
 import base64
-import json
 import urllib.parse
 
 from coltsfootsail import _kv
@@ -12,12 +11,6 @@
 NO_REVISION = 0
 
 
-class HistoryGone(exceptions.KvError):
-    """The store no longer has the changes that a watch asked for."""
-
-    code = "kv_history_gone"
-
-
 def _entry(raw):
     return _kv.Entry(
         key=raw["key"],
@@ -71,7 +64,7 @@
             kind, "GET", f"{target}?{text}", **kwargs
         )
         if status == 410:
-            raise HistoryGone(kind)
+            raise exceptions.KvHistoryGone(kind)
         if status not in (200, 404):
             raise exceptions.KvError(f"{kind}: status {status}")
         return status, answer
@@ -116,7 +109,7 @@
         :param after: revision to continue from.
         :param wait_s: how long the store may hold the call.
         :returns: tuple of ``Event`` list and the revision to go on from.
-        :raises HistoryGone: if the prefix must be read again.
+        :raises KvHistoryGone: if the prefix must be read again.
         :raises KvError: if the store did not answer.
         """
         query = {
@@ -194,11 +187,4 @@
 
         :raises KvError: if the store did not answer.
         """
-        await self._call(
-            "lease_revoke", "DELETE", f"/v1/kv-lease-end/{lease}"
-        )
-
-
-def dumps(value):
-    """Encode a small value as this store's users expect it."""
-    return json.dumps(value).encode()
+        await self._call("lease_revoke", "DELETE", f"/v1/kv-lease-end/{lease}")
--- /dev/null
+++ b/tests/gateways.py
@@ -0,0 +1,255 @@
+"""A small deployment of gateways, the store and servers in memory."""
+
+import contextlib
+import dataclasses
+
+import h11
+import trio
+import trio.testing
+
+from coltsfootsail import _gateway
+from coltsfootsail import _settings
+from coltsfootsail.platform import messages
+from coltsfootsail.standins import network as memory
+from coltsfootsail.standins import servers
+from coltsfootsail.standins import store
+
+HOST = "shop.example"
+LIMITS = {
+    "maxHeaderBytes": 16384,
+    "maxBodyBytes": 4194304,
+    "headerTimeoutMs": 3000,
+    "idleTimeoutMs": 15000,
+}
+ENGINE = {
+    "slots": 64,
+    "kvTokens": 120000,
+    "stride": 3,
+    "models": [
+        {
+            "name": "base",
+            "weightsMb": 65000.0,
+            "loadS": 3.9,
+            "adapters": 3000,
+            "adapterMb": 12.0,
+        }
+    ],
+    "weightsMb": 66600.0,
+    "adapterSlots": 3,
+    "loadsPerS": 2.1,
+}
+
+
+def route(prefix, kind, service, **fields):
+    """Make a route of the operator's configuration."""
+    return {
+        "name": "r" + prefix.strip("/"),
+        "host": HOST,
+        "prefix": prefix,
+        "type": kind,
+        "timeoutMs": 3000,
+        "sloMs": 1000,
+        "priority": 1,
+        "service": service,
+        "attempts": 2,
+        "sticky": kind == "streaming",
+        "resumable": False,
+        **fields,
+    }
+
+
+def configuration(version, extra=()):
+    """Make the operator's configuration."""
+    return {
+        "version": version,
+        "routes": [
+            route("/notes/", "streaming", "engines", timeoutMs=15000),
+            route("/prints/", "streaming", "engines", resumable=True),
+            route("/orders/", "mutating", "shop"),
+            route("/stock/", "idempotent", "shop"),
+            *extra,
+        ],
+        "services": [
+            {"name": "engines", "maxConns": 370, "engine": ENGINE},
+            {"name": "shop", "maxConns": 110},
+        ],
+        "limits": LIMITS,
+    }
+
+
+def settings(name, data_centre="a"):
+    """Make the settings of a gateway on its own host."""
+    return _settings.Settings(
+        node=_settings.NodeSettings(
+            name=name,
+            region="here",
+            data_centre=data_centre,
+            caller_address=f"{name}:80",
+            peer_address=f"{name}:81",
+            admin_address=f"{name}:82",
+        ),
+        platform=_settings.PlatformSettings((f"store-{name}:1",)),
+        lease=_settings.LeaseSettings(ttl_s=8, renew_s=1.5, margin_s=2.0),
+        gateway=_settings.GatewaySettings(
+            ready_address=f"{name}:82",
+            directory_address=f"{name}:83",
+            retry_extra=58.0,
+        ),
+    )
+
+
+@dataclasses.dataclass(frozen=True)
+class Reply:
+    """What a caller got; ``whole`` is False if it broke off."""
+
+    status: int
+    headers: dict
+    body: bytes
+    whole: bool
+
+
+class Fleet:
+    """Gateways ``g0``, ``g1``, …, two engines and two shop servers."""
+
+    def __init__(self, nursery, nodes=2):
+        self.nursery = nursery
+        self.net = memory.MemoryNetwork()
+        self.store = store.StoreStandIn()
+        self.engines = [
+            servers.ModelServer(f"i-e{n}", self.store, f"e{n}:80")
+            for n in range(2)
+        ]
+        self.shops = [servers.PlainServer(f"i-s{n}") for n in range(2)]
+        self.gateways = {}
+        self.scopes = {}
+        self.names = [f"g{n}" for n in range(nodes)]
+
+    async def start(self, ready=True):
+        """Start everything and wait until it serves."""
+        self.store.put("op/config", configuration(1))
+        for number, shop in enumerate(self.shops):
+            await self.listen(f"s{number}:80", shop.serve)
+            self.register_shop(number)
+        for engine in self.engines:
+            await self.listen(engine.address, engine.serve)
+            engine.register()
+        for name in self.names:
+            await self.start_gateway(name)
+        if ready:
+            await trio.sleep(8.0)
+        return self
+
+    def register_shop(self, number, state="ready"):
+        """Write a shop server's entry."""
+        self.store.put(
+            f"servers/i-s{number}",
+            {
+                "service": "shop",
+                "addr": f"s{number}:80",
+                "zone": "a",
+                "slots": 6,
+                "state": state,
+                "seq": 0,
+            },
+        )
+
+    async def listen(self, address, handler):
+        """Listen on behalf of a host."""
+        network = self.net.network(address.rpartition(":")[0])
+        await self.nursery.start(network.serve, address, handler)
+
+    async def start_gateway(self, name):
+        """Start a gateway, or start it again."""
+        door = f"store-{name}:1"
+        with contextlib.suppress(KeyError):
+            self.scopes.pop(name).cancel()
+            await trio.sleep(0.01)
+        if name not in self.gateways:
+            await self.listen(door, self.store.door(door))
+        gateway = _gateway.Gateway(settings(name), self.net.network(name))
+        self.gateways[name] = gateway
+        started = trio.Event()
+        self.nursery.start_soon(self._run, name, gateway, started)
+        await started.wait()
+
+    async def _run(self, name, gateway, started):
+        with trio.CancelScope() as scope:
+            self.scopes[name] = scope
+            async with trio.open_nursery() as nursery:
+                await nursery.start(gateway.run)
+                started.set()
+
+    async def call(self, path, node="g0", body=b"x", method="POST", **extra):
+        """Send one request as a caller.
+
+        :param extra: ``adapter``, ``request_id``, ``deadline_ms``,
+            ``headers``.
+        :returns: a ``Reply``.
+        """
+        network = self.net.network("caller")
+        stream = await network.open_stream(f"{node}:80")
+        async with stream:
+            conn = h11.Connection(h11.CLIENT)
+            fields = [
+                ("host", HOST),
+                (messages.REQUEST_ID, extra.get("request_id", "r1")),
+                (messages.DEADLINE, str(extra.get("deadline_ms", 5000))),
+                ("content-length", str(len(body))),
+                *extra.get("headers", ()),
+            ]
+            if "adapter" in extra:
+                fields += [
+                    (messages.MODEL, extra["adapter"]),
+                    (messages.TOKENS, "400,80"),
+                    (messages.PREFIX, "aa:100,bb:300"),
+                ]
+            req = h11.Request(method=method, target=path, headers=fields)
+            parts = [req, h11.Data(data=body), h11.EndOfMessage()]
+            await stream.send_all(b"".join(map(conn.send, parts)))
+            return await _read(stream, conn)
+
+    async def resolve(self, node="g0", data_centre="a"):
+        """Ask a gateway which addresses to use."""
+        client = self.gateways[node].upstream._client
+        status, answer = await client.call_json(
+            f"{node}:83", "GET", f"/v1/resolve?name={HOST}&zone={data_centre}"
+        )
+        return answer["addrs"] if status == 200 else None
+
+
+async def _read(stream, conn):
+    status, headers, parts, whole = 0, {}, [], False
+    while not whole:
+        try:
+            event = conn.next_event()
+        except h11.RemoteProtocolError:
+            break
+        if event is h11.NEED_DATA:
+            try:
+                conn.receive_data(await stream.receive_some(65536))
+            except trio.BrokenResourceError:
+                break
+        elif isinstance(event, h11.Response):
+            status = event.status_code
+            headers = {k.decode(): v.decode() for k, v in event.headers}
+        elif isinstance(event, h11.Data):
+            parts.append(bytes(event.data))
+        elif isinstance(event, h11.EndOfMessage):
+            whole = True
+        else:
+            break
+    return Reply(status, headers, b"".join(parts), whole)
+
+
+def run(scenario, nodes=2, **options):
+    """Run ``async (fleet)`` in virtual time against a running fleet."""
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            fleet = Fleet(nursery, nodes)
+            await fleet.start(**options)
+            await scenario(fleet)
+            nursery.cancel_scope.cancel()
+
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    trio.run(main, clock=clock)
--- /dev/null
+++ b/tests/test_gateway.py
@@ -0,0 +1,461 @@
+"""The whole path through gateways, in memory and virtual time."""
+
+import h11
+import pytest
+import trio
+
+from coltsfootsail import _placement
+from coltsfootsail.platform import messages
+from coltsfootsail.standins import store as stores
+from tests import gateways
+
+EVENTS = [f"id: {n}\ndata: a7@1 {n}\n\n".encode() for n in range(5)]
+
+
+def _home(fleet, adapter):
+    """Find the engine that an adapter is placed on first."""
+    addresses = tuple(sorted(engine.address for engine in fleet.engines))
+    best = _placement.homes(adapter, addresses, 5)[0]
+    return next(e for e in fleet.engines if e.address == best)
+
+
+def _owner(fleet, engine):
+    return next(
+        name
+        for name, gateway in fleet.gateways.items()
+        if engine.name in gateway.claims.held
+    )
+
+
+def test_stream_loads_its_adapter_and_is_relayed_whole():
+    async def scenario(fleet):
+        reply = await fleet.call("/notes/1", adapter="base/a7")
+        assert reply.status == 200 and reply.whole
+        assert reply.body == b"".join(EVENTS)
+        assert reply.headers[messages.STAMP]
+        assert _home(fleet, "base/a7").runs[0].adapter == "a7"
+
+    gateways.run(scenario)
+
+
+def test_each_node_serves_through_the_owner_of_the_engine():
+    async def scenario(fleet):
+        for node in fleet.names:
+            reply = await fleet.call("/notes/1", node, adapter="base/a7")
+            assert reply.status == 200
+        loads = [o for e in fleet.engines for _, o in e.orders]
+        assert len(loads) == 1
+
+    gateways.run(scenario, nodes=3)
+
+
+def test_plain_request_is_forwarded_once_and_unchanged():
+    async def scenario(fleet):
+        reply = await fleet.call("/orders/9", body=b"order 9")
+        assert (reply.status, reply.body) == (200, b"done:order 9")
+        runs = [run for shop in fleet.shops for run in shop.runs]
+        assert [run.request_id for run in runs] == ["r1"]
+        sent = dict(runs[0].headers)
+        assert int(sent[messages.DEADLINE]) <= 3000
+
+    gateways.run(scenario)
+
+
+def test_reserved_headers_of_callers_are_dropped():
+    traps = [
+        ("coltsfootsail-hold", "h1"),
+        ("coltsfootsail-pin-ms", "9"),
+        ("coltsfootsail-kv-backup", "1.2.3.4:5"),
+        ("kv-from", "1.2.3.4:5/6"),
+        ("coltsfootsail-request-priority", "0"),
+    ]
+
+    async def scenario(fleet):
+        await fleet.call("/notes/1", adapter="base/a7", headers=traps)
+        run = _home(fleet, "base/a7").runs[0]
+        names = {name for name, _ in run.headers}
+        assert not names & {name for name, _ in traps[:4]}
+        assert dict(run.headers)[messages.PRIORITY] == "1"
+
+    gateways.run(scenario)
+
+
+def test_mutating_request_is_not_repeated_after_a_lost_answer():
+    async def scenario(fleet):
+        for shop in fleet.shops:
+            shop.answer = lambda req: trio.BrokenResourceError()
+        reply = await fleet.call("/orders/9")
+        assert reply.status in (502, 504)
+        assert sum(len(shop.runs) for shop in fleet.shops) == 1
+
+    gateways.run(scenario)
+
+
+def test_idempotent_request_is_repeated_once_elsewhere():
+    async def scenario(fleet):
+        fleet.shops[0].answer = lambda req: trio.BrokenResourceError()
+        for number in range(6):
+            reply = await fleet.call("/stock/9", request_id=f"r{number}")
+            assert reply.status == 200
+        assert fleet.shops[0].runs
+
+    gateways.run(scenario)
+
+
+def test_refused_mutating_request_is_told_that_it_was_not_run():
+    async def scenario(fleet):
+        for shop in fleet.shops:
+            shop.refuse = True
+        reply = await fleet.call("/orders/9")
+        assert reply.status == 503
+        assert float(reply.headers["retry-after"]) >= 0
+        assert not any(shop.runs for shop in fleet.shops)
+
+    gateways.run(scenario)
+
+
+def test_server_503_without_a_statement_is_no_promise():
+    async def scenario(fleet):
+        for shop in fleet.shops:
+            shop.answer = lambda req: 503
+        reply = await fleet.call("/orders/9")
+        assert reply.status == 502
+        assert messages.STAMP not in reply.headers
+
+    gateways.run(scenario)
+
+
+def test_unknown_route_is_refused_only_with_a_configuration():
+    async def scenario(fleet):
+        assert (await fleet.call("/nowhere/1")).status == 404
+        fleet.store.faults["store-g9:1"] = stores.StoreFault.DOWN
+        await fleet.start_gateway("g9")
+        assert (await fleet.call("/nowhere/1", "g9")).status == 503
+
+    gateways.run(scenario)
+
+
+def test_configuration_is_in_force_within_its_bound():
+    async def scenario(fleet):
+        extra = gateways.route("/added/", "idempotent", "shop")
+        fleet.store.put("op/config", gateways.configuration(5, [extra]))
+        await trio.sleep(1.9)
+        for node in fleet.names:
+            assert (await fleet.call("/added/1", node)).status == 200
+
+    gateways.run(scenario)
+
+
+def test_older_configuration_never_comes_back():
+    async def scenario(fleet):
+        extra = gateways.route("/added/", "idempotent", "shop")
+        fleet.store.put("op/config", gateways.configuration(5, [extra]))
+        await trio.sleep(1.0)
+        fleet.store.put("op/config", gateways.configuration(3))
+        await trio.sleep(2.0)
+        assert (await fleet.call("/added/1")).status == 200
+
+    gateways.run(scenario)
+
+
+def test_node_without_the_store_gets_configuration_from_a_peer():
+    async def scenario(fleet):
+        fleet.store.faults["store-g0:1"] = stores.StoreFault.SILENT
+        extra = gateways.route("/added/", "idempotent", "shop")
+        fleet.store.put("op/config", gateways.configuration(5, [extra]))
+        await trio.sleep(4.0)
+        assert (await fleet.call("/added/1", "g0")).status == 200
+
+    gateways.run(scenario)
+
+
+def test_leaving_server_gets_nothing_after_two_seconds():
+    async def scenario(fleet):
+        fleet.register_shop(0, "draining")
+        await trio.sleep(1.5)
+        before = fleet.shops[0].arrivals
+        for number in range(8):
+            await fleet.call("/orders/9", request_id=f"r{number}")
+        assert fleet.shops[0].arrivals == before
+
+    gateways.run(scenario)
+
+
+def test_request_that_waits_for_a_start_is_not_sent_to_a_leaving_engine():
+    """A start may be granted long after the engine was chosen."""
+
+    async def scenario(fleet):
+        home = _home(fleet, "base/a7")
+        home.load_s = 60.0
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_call_a7, fleet)
+            await trio.sleep(0.5)
+            home.draining = True
+            home.register()
+            home.adapters["a7"] = 1
+        assert not home.runs
+
+    gateways.run(scenario)
+
+
+async def _call_a7(fleet):
+    await fleet.call("/notes/1", adapter="base/a7")
+
+
+def test_unreadable_server_entry_names_nothing_and_harms_no_other():
+    async def scenario(fleet):
+        fleet.store.put("servers/i-x1", b"\xff\x00")
+        fleet.store.put("servers/i-x2", {"service": 7})
+        fleet.store.put(
+            "servers/i-x3",
+            {"service": "shop", "addr": "s0:80", "state": "odd"},
+        )
+        await trio.sleep(1.5)
+        assert (await fleet.call("/orders/9")).status == 200
+        view = fleet.gateways["g0"].view
+        assert set(view.servers) == {"i-e0", "i-e1", "i-s0", "i-s1"}
+
+    gateways.run(scenario)
+
+
+def test_caller_that_leaves_stops_the_servers_work():
+    async def scenario(fleet):
+        home = _home(fleet, "base/a7")
+        home.events = 200
+        with trio.move_on_after(2.0):
+            await fleet.call("/notes/1", adapter="base/a7")
+        await trio.sleep(0.5)
+        assert fleet.gateways["g0"].serving.active == 0
+
+    gateways.run(scenario)
+
+
+def test_truncated_stream_never_looks_whole():
+    async def scenario(fleet):
+        home = _home(fleet, "base/a7")
+        home.cut_after = 2
+        reply = await fleet.call("/notes/1", adapter="base/a7")
+        assert not reply.whole
+        assert reply.body == b"".join(EVENTS[:3])
+
+    gateways.run(scenario)
+
+
+def test_resumable_stream_goes_on_at_another_engine():
+    async def scenario(fleet):
+        home = _home(fleet, "base/a7")
+        home.cut_after = 2
+        reply = await fleet.call("/prints/1", adapter="base/a7")
+        assert reply.whole
+        assert reply.body == b"".join(EVENTS)
+        other = next(e for e in fleet.engines if e is not home)
+        assert dict(other.runs[0].headers)[messages.LAST_EVENT] == "2"
+
+    gateways.run(scenario)
+
+
+def test_answer_is_due_at_the_routes_time():
+    async def scenario(fleet):
+        for shop in fleet.shops:
+            shop.work_s = 60.0
+        begun_s = trio.current_time()
+        reply = await fleet.call("/orders/9", deadline_ms=9000)
+        assert reply.status == 504
+        assert trio.current_time() - begun_s == pytest.approx(3.0, abs=0.2)
+
+    gateways.run(scenario)
+
+
+def test_new_version_of_an_adapter_replaces_the_old_one():
+    async def scenario(fleet):
+        await fleet.call("/notes/1", adapter="base/a7")
+        for engine in fleet.engines:
+            engine.versions["a7"] = 4
+        fleet.store.put(
+            "op/version/base.a7",
+            {"model": "base", "adapter": "a7", "version": 4},
+        )
+        await trio.sleep(2.0)
+        reply = await fleet.call("/notes/1", adapter="base/a7")
+        assert b"a7@4" in reply.body and b"a7@1" not in reply.body
+
+    gateways.run(scenario)
+
+
+def test_restarted_engine_gets_its_base_model_before_adapters():
+    async def scenario(fleet):
+        for engine in fleet.engines:
+            engine.models.clear()
+            engine.adapters.clear()
+            engine.sequence = 0
+            fleet.store.drop(f"servers/{engine.name}")
+            engine.name += "b"
+            engine.register()
+        await trio.sleep(4.0)
+        for engine in fleet.engines:
+            engine.register()
+        await trio.sleep(1.5)
+        reply = await fleet.call("/notes/1", adapter="base/a7")
+        assert reply.status == 200
+        first = [engine.orders[0][1] for engine in fleet.engines]
+        assert all("adapter" not in order for order in first)
+
+    gateways.run(scenario)
+
+
+def test_engine_is_never_ordered_over_its_places():
+    async def scenario(fleet):
+        async def one(number):
+            await fleet.call(
+                "/notes/1",
+                fleet.names[number % 2],
+                adapter=f"base/a{number % 12}",
+                request_id=f"r{number}",
+            )
+
+        async with trio.open_nursery() as nursery:
+            for number in range(40):
+                nursery.start_soon(one, number)
+                await trio.sleep(0.1)
+        assert not any(engine.crashed for engine in fleet.engines)
+
+    gateways.run(scenario)
+
+
+def test_every_order_names_the_count_the_fence_and_the_server():
+    async def scenario(fleet):
+        for number in range(8):
+            await fleet.call("/notes/1", adapter=f"base/a{number}")
+        orders = [o for e in fleet.engines for _, o in e.orders]
+        assert orders
+        for order in orders:
+            assert order["fence"] > 0 and order["expected"] >= 0
+            assert order["holder"] in fleet.names
+
+    gateways.run(scenario)
+
+
+def test_killed_owner_takes_its_claims_back_at_once():
+    async def scenario(fleet):
+        engine = fleet.engines[0]
+        owner = _owner(fleet, engine)
+        fence = fleet.gateways[owner].claims.held[engine.name].fence
+        await fleet.start_gateway(owner)
+        await trio.sleep(2.0)
+        held = fleet.gateways[owner].claims.held[engine.name]
+        assert held.fence > fence
+        assert fleet.gateways[owner].claims.may_order(engine.name)
+
+    gateways.run(scenario)
+
+
+def test_successor_orders_only_after_the_former_owners_word_or_proof():
+    async def scenario(fleet):
+        engine = _home(fleet, "base/a7")
+        await fleet.call("/notes/1", adapter="base/a7")
+        owner = _owner(fleet, engine)
+        last_s = max(at for at, _ in engine.orders)
+        await fleet.gateways[owner].claims.release()
+        fleet.gateways[owner].draining = True
+        await fleet.gateways[owner]._publish()
+        await trio.sleep(4.5)
+        other = _owner(fleet, engine)
+        assert other != owner
+        for number in range(20, 26):
+            await fleet.call("/notes/1", other, adapter=f"base/a{number}")
+        later = [at for at, order in engine.orders if at > last_s]
+        assert not later or min(later) - last_s >= 3.0
+
+    gateways.run(scenario, nodes=3)
+
+
+def test_node_cut_from_the_store_stops_ordering_in_time():
+    async def scenario(fleet):
+        engine = fleet.engines[0]
+        owner = _owner(fleet, engine)
+        fleet.store.faults[f"store-{owner}:1"] = stores.StoreFault.SILENT
+        await trio.sleep(6.5)
+        assert not fleet.gateways[owner].claims.may_order(engine.name)
+
+    gateways.run(scenario)
+
+
+def test_held_adapter_is_served_while_its_owner_is_silent():
+    async def scenario(fleet):
+        await fleet.call("/notes/1", adapter="base/a7")
+        home = _home(fleet, "base/a7")
+        home.register()
+        await trio.sleep(1.0)
+        owner = _owner(fleet, home)
+        other = next(name for name in fleet.names if name != owner)
+        fleet.net.pause(owner)
+        await trio.sleep(2.0)
+        reply = await fleet.call("/notes/1", other, adapter="base/a7")
+        assert reply.status == 200 and reply.whole
+
+    gateways.run(scenario)
+
+
+def test_planned_stop_cuts_off_nothing_and_sends_callers_elsewhere():
+    async def scenario(fleet):
+        replies = []
+
+        async def stream():
+            replies.append(await fleet.call("/notes/1", adapter="base/a7"))
+
+        for engine in fleet.engines:
+            engine.events, engine.event_s = 60, 0.05
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(stream)
+            await trio.sleep(1.0)
+            nursery.start_soon(fleet.gateways["g0"].drain)
+            await trio.sleep(1.0)
+            assert await fleet.resolve("g1") == ["g1:80"]
+            late = await fleet.call("/orders/9", "g0")
+            assert late.status == 200
+            assert late.headers["connection"] == "close"
+        assert replies[0].whole
+
+    gateways.run(scenario)
+
+
+def test_store_that_dropped_its_history_is_read_again():
+    async def scenario(fleet):
+        fleet.store.faults["store-g0:1"] = stores.StoreFault.DOWN
+        fleet.register_shop(0, "draining")
+        fleet.store.drop("servers/i-s0")
+        fleet.store.forget_history()
+        await trio.sleep(2.0)
+        fleet.store.faults.clear()
+        await trio.sleep(2.0)
+        assert "i-s0" not in fleet.gateways["g0"].view.servers
+
+    gateways.run(scenario)
+
+
+def test_answer_to_an_earlier_request_is_dropped():
+    """A server may send an extra answer where the next one is due."""
+
+    async def extra(stream):
+        conn = h11.Connection(h11.SERVER)
+        data = await stream.receive_some(65536)
+        conn.receive_data(data)
+        text = b"HTTP/1.1 200 OK\r\ncoltsfootsail-request-id: %s\r\n"
+        text += b"coltsfootsail-server-stamp: s\r\ncontent-length: 2\r\n\r\n%s"
+        await stream.send_all(text % (b"other", b"no"))
+        await stream.send_all(text % (b"r1", b"ok"))
+        await trio.sleep(1.0)
+
+    async def scenario(fleet):
+        await fleet.listen("odd:80", extra)
+        for number in (0, 1):
+            fleet.store.drop(f"servers/i-s{number}")
+        fleet.store.put(
+            "servers/i-odd",
+            {"service": "shop", "addr": "odd:80", "state": "ready"},
+        )
+        await trio.sleep(1.5)
+        reply = await fleet.call("/orders/9")
+        assert (reply.status, reply.body) == (200, b"ok")
+
+    gateways.run(scenario)
