Refuse requests that crash servers, fleet-wide, and keep logs out of the way

A broken exchange is followed by one connection attempt: only a server that refuses it counts as crashed. Three strikes refuse the content on every node; a completed run clears it.

--- a/src/coltsfootsail/_daemon.py
+++ b/src/coltsfootsail/_daemon.py
@@ -1,6 +1,5 @@
 """Runs one node as a daemon: settings, signals and exit code."""
 
-import logging
 import signal
 import sys
 
@@ -39,7 +38,7 @@
     from coltsfootsail import _logs
 
     if settings.gateway.ready_address:
-        _logs.configure(logging.DEBUG, sys.stdout)
+        _logs.configure_pipe(sys.stdout.fileno())
         trio.run(_run, _gateway(settings), path)
         return EXIT_OK
     _logs.configure()
--- a/src/coltsfootsail/_gateway.py
+++ b/src/coltsfootsail/_gateway.py
@@ -22,6 +22,7 @@
 from coltsfootsail import _metrics
 from coltsfootsail import _orderer
 from coltsfootsail import _placing
+from coltsfootsail import _poison
 from coltsfootsail import _popularity
 from coltsfootsail import _records
 from coltsfootsail import _retries
@@ -43,6 +44,7 @@
 IDLE_CONNECTIONS = 12  # kept to one server
 ACCEPT_AFTER_TERM_S = 3.0  # requests are still taken so long after SIGTERM
 EXIT_MARGIN_S = 1.2
+STRIKES_MAX = 3  # crashes after which a content is refused everywhere
 RESET_S = 0.3  # how often the set of owned engines is checked
 
 
@@ -123,6 +125,7 @@
             self.now,
         )
         self.upstream = _upstream.Upstream(client)
+        self.strikes = _poison.Strikes(lambda content: 0, STRIKES_MAX)
         self.serving = _serving.Serving(self)
 
     # -- what callers meet ------------------------------------------
@@ -274,6 +277,38 @@
         for key, version in msg.versions:
             self.view.raise_version(key, version)
 
+    def _on_strike(self, node, msg):
+        if msg.count:
+            self.strikes.note(msg.fingerprint, msg.count)
+        else:
+            self.strikes.clear(msg.fingerprint)
+
+    def suspect(self, server, content):
+        """Look whether a server crashed while it ran a content."""
+        self._nursery.start_soon(self._look_for_crash, server, content)
+
+    async def _look_for_crash(self, server, content):
+        try:
+            stream = await self._network.open_stream(server.address)
+        except OSError as exc:
+            count = self.strikes.add(content)
+            _logs.state(
+                "strike",
+                server=server.name,
+                content=content,
+                count=count,
+                reason=repr(exc),
+            )
+            self.metrics.count("strikes", "crash")
+            self.mesh.broadcast(_wire.Strike(content, count))
+            return
+        await trio.aclose_forcefully(stream)
+
+    def absolve(self, content):
+        """Note that a content was run to its end."""
+        if self.strikes.clear(content):
+            self.mesh.broadcast(_wire.Strike(content, 0))
+
     def _peers(self):
         found = {
             name: member.peer_address
@@ -473,4 +508,5 @@
     _wire.ReleaseAsk: Gateway._on_release_ask,
     _wire.Released: Gateway._on_released,
     _wire.News: Gateway._on_news,
+    _wire.Strike: Gateway._on_strike,
 }
--- a/src/coltsfootsail/_poison.py
+++ b/src/coltsfootsail/_poison.py
@@ -26,10 +26,12 @@
 
     :param stored: ``(fingerprint) -> int``, strikes seen in the KV
         service.
+    :param most: strikes at which a content is refused.
     """
 
-    def __init__(self, stored):
+    def __init__(self, stored, most=STRIKES_MAX):
         self._stored = stored
+        self._most = most
         self._local = {}
         self._cleared = {}
 
@@ -41,11 +43,11 @@
 
     def suspect(self, content):
         """Say whether a content must run alone among suspects."""
-        return 0 < self.count(content) < STRIKES_MAX
+        return 0 < self.count(content) < self._most
 
     def refused(self, content):
         """Say whether a content is refused."""
-        return self.count(content) >= STRIKES_MAX
+        return self.count(content) >= self._most
 
     def add(self, content):
         """Add a strike.
--- a/src/coltsfootsail/_serving.py
+++ b/src/coltsfootsail/_serving.py
@@ -13,6 +13,7 @@
 from coltsfootsail import _grants
 from coltsfootsail import _http
 from coltsfootsail import _logs
+from coltsfootsail import _poison
 from coltsfootsail import _tasks
 from coltsfootsail import _upstream
 from coltsfootsail import exceptions
@@ -43,6 +44,7 @@
     service: str
     received_s: float
     until_s: float
+    content: str
     sends: int = 0
     tried: set = dataclasses.field(default_factory=set)
     ran: set = dataclasses.field(default_factory=set)
@@ -155,6 +157,7 @@
                     answer.body,
                     [*answer.headers, *self._gateway.closing_headers()],
                 )
+            self._gateway.absolve(call.content)
             self._count("requests", "answered")
             _logs.detail("answered", id=meta.request_id, sends=call.sends)
         except exceptions.ColtsfootsailError as exc:
@@ -192,6 +195,9 @@
         now_s = self._now()
         wait_s = meta.deadline_s
         wait_s = DEFAULT_DEADLINE_S if wait_s is None else wait_s
+        content = _poison.fingerprint(f"{host}{req.target}", req.body)
+        if gateway.strikes.refused(content):
+            raise exceptions.Poisoned()
         service = route.choose(meta.request_id)
         gateway.budget.request(service)
         return Call(
@@ -201,6 +207,7 @@
             service=service,
             received_s=now_s,
             until_s=now_s + min(wait_s, route.timeout_s),
+            content=content,
         )
 
     # -- sending ----------------------------------------------------
@@ -306,12 +313,17 @@
         except exceptions.EndpointNotRun:
             call.ran.discard(server.name)
             raise
-        except exceptions.ColtsfootsailError:
+        except exceptions.ColtsfootsailError as exc:
             failed = True
+            self._note_break(call, server, exc)
             raise
         finally:
             balance.end(server, failed)
 
+    def _note_break(self, call, server, exc):
+        if isinstance(exc, _BREAKS):
+            self._gateway.suspect(server, call.content)
+
     # -- streams ----------------------------------------------------
 
     async def _stream(self, call, resp):
@@ -426,6 +438,9 @@
         except exceptions.EndpointNotRun:
             call.ran.discard(server.name)
             raise
+        except exceptions.ColtsfootsailError as exc:
+            self._note_break(call, server, exc)
+            raise
 
     async def _relay(self, exchange, sink, resp, guard):
         guard.heard()
@@ -479,6 +494,11 @@
         return swallowed
 
 
+_BREAKS = (
+    exceptions.OutcomeUnknown,
+    exceptions.AnswerTruncated,
+    exceptions.EndpointSilent,
+)
 _ELSEWHERE = frozenset(
     {
         "not the owner",
--- a/tests/gateways.py
+++ b/tests/gateways.py
@@ -127,8 +127,8 @@
     async def start(self, ready=True):
         """Start everything and wait until it serves."""
         self.store.put("op/config", configuration(1))
-        for number, shop in enumerate(self.shops):
-            await self.listen(f"s{number}:80", shop.serve)
+        for number in range(len(self.shops)):
+            await self.restart_shop(number)
             self.register_shop(number)
         for engine in self.engines:
             await self.listen(engine.address, engine.serve)
@@ -153,6 +153,23 @@
             },
         )
 
+    async def restart_shop(self, number):
+        """Let a shop server listen, if it does not."""
+        name = f"s{number}"
+        scope = self.scopes.get(name)
+        if scope is not None and not scope.cancel_called:
+            return
+        scope = self.scopes[name] = trio.CancelScope()
+
+        async def serve(task_status=trio.TASK_STATUS_IGNORED):
+            network = self.net.network(name)
+            with scope:
+                await network.serve(
+                    f"{name}:80", self.shops[number].serve, task_status
+                )
+
+        await self.nursery.start(serve)
+
     async def listen(self, address, handler):
         """Listen on behalf of a host."""
         network = self.net.network(address.rpartition(":")[0])
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -459,3 +459,47 @@
         assert (reply.status, reply.body) == (200, b"ok")
 
     gateways.run(scenario)
+
+
+def test_request_that_crashes_servers_is_refused_on_every_node():
+    async def scenario(fleet):
+        async def crash(number):
+            fleet.scopes[f"s{number}"].cancel()
+            await trio.lowlevel.checkpoint()
+
+        def answer(number):
+            def fail(req):
+                if req.body != b"bad":
+                    return 200
+                fleet.nursery.start_soon(crash, number)
+                return trio.BrokenResourceError()
+
+            return fail
+
+        for number, shop in enumerate(fleet.shops):
+            shop.answer = answer(number)
+        for attempt in range(3):
+            for number in range(2):
+                await fleet.restart_shop(number)
+            await fleet.call("/orders/9", fleet.names[attempt % 2], b"bad")
+            await trio.sleep(3.0)
+        for number in range(2):
+            await fleet.restart_shop(number)
+        before = sum(shop.arrivals for shop in fleet.shops)
+        for node in fleet.names:
+            reply = await fleet.call("/orders/9", node, b"bad")
+            assert reply.status == 422
+            assert (await fleet.call("/orders/9", node)).status == 200
+        assert sum(s.arrivals for s in fleet.shops) == before + 2
+
+    gateways.run(scenario)
+
+
+def test_innocent_request_that_ran_during_a_crash_is_cleared():
+    async def scenario(fleet):
+        gateway = fleet.gateways["g0"]
+        gateway.strikes.note("c1", 2)
+        gateway.absolve("c1")
+        assert not gateway.strikes.count("c1")
+
+    gateways.run(scenario)
