--- a/src/coltsfootsail/_http.py
+++ b/src/coltsfootsail/_http.py
@@ -477,6 +477,7 @@
         return (
             self.phase is Phase.DONE
             and not self._sent_part
+            and self._conn.trailing_data == (b"", False)
             and self._conn.our_state is h11.DONE
             and self._conn.their_state is h11.DONE
         )
--- a/src/coltsfootsail/_upstream.py
+++ b/src/coltsfootsail/_upstream.py
@@ -75,9 +75,14 @@
 
 
 def _accepts(request_id):
+    """Make the check that an answer is this request's.
+
+    A server echoes the id of what it answers; bytes that it sends beyond
+    an answer may look like one, without an id or with another's.
+    """
+
     def accept(exchange):
-        echoed = exchange.header(messages.REQUEST_ID)
-        return not echoed or echoed == request_id
+        return exchange.header(messages.REQUEST_ID) == request_id
 
     return accept
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -1,6 +1,5 @@
 """The whole path through gateways, in memory and virtual time."""
 
-import h11
 import pytest
 import trio
 
@@ -433,17 +432,24 @@
     gateways.run(scenario)
 
 
-def test_answer_to_an_earlier_request_is_dropped():
+def _answer(body, request_id=b""):
+    echo = messages.REQUEST_ID.encode() + b": " + request_id + b"\r\n"
+    return (
+        b"HTTP/1.1 200 OK\r\ncoltsfootsail-server-stamp: s\r\n"
+        + (echo if request_id else b"")
+        + b"content-length: 2\r\n\r\n"
+        + body
+    )
+
+
+@pytest.mark.parametrize("other", [b"other", b""])
+def test_answer_that_is_not_this_requests_is_dropped(other):
     """A server may send an extra answer where the next one is due."""
 
     async def extra(stream):
-        conn = h11.Connection(h11.SERVER)
-        data = await stream.receive_some(65536)
-        conn.receive_data(data)
-        text = b"HTTP/1.1 200 OK\r\ncoltsfootsail-request-id: %s\r\n"
-        text += b"coltsfootsail-server-stamp: s\r\ncontent-length: 2\r\n\r\n%s"
-        await stream.send_all(text % (b"other", b"no"))
-        await stream.send_all(text % (b"r1", b"ok"))
+        await stream.receive_some(65536)
+        await stream.send_all(_answer(b"no", other))
+        await stream.send_all(_answer(b"ok", b"r1"))
         await trio.sleep(1.0)
 
     async def scenario(fleet):
@@ -503,3 +509,29 @@
         assert not gateway.strikes.count("c1")
 
     gateways.run(scenario)
+
+
+def test_extra_answer_in_the_same_read_ends_the_connection():
+    connections = []
+
+    async def extra(stream):
+        connections.append(stream)
+        while await stream.receive_some(65536):
+            ids = b"r%d" % len(connections)
+            await stream.send_all(_answer(b"ok", ids) + _answer(b"no"))
+
+    async def scenario(fleet):
+        await fleet.listen("odd:80", extra)
+        for number in (0, 1):
+            fleet.store.drop(f"servers/i-s{number}")
+        fleet.store.put(
+            "servers/i-odd",
+            {"service": "shop", "addr": "odd:80", "state": "ready"},
+        )
+        await trio.sleep(1.5)
+        for number in (1, 2):
+            reply = await fleet.call("/orders/9", request_id=f"r{number}")
+            assert (reply.status, reply.body) == (200, b"ok")
+        assert len(connections) == 2
+
+    gateways.run(scenario)
