--- a/src/coltsfootsail/_cli.py
+++ b/src/coltsfootsail/_cli.py
@@ -546,6 +546,69 @@
     command: cappa.Subcommands[BenchPolicy | BenchRelay | BenchCapacity]
 
 
+@cappa.command(
+    name="explain",
+    help="Follow a request through the logs of any number of nodes.",
+    description=(
+        "Example: coltsfootsail explain 9c41d07be2a35f68 n1.log n2.log; "
+        "coltsfootsail explain --why refused n1.log"
+    ),
+)
+@dataclasses.dataclass
+class ExplainCommand:
+    """Explain a request or a set of requests."""
+
+    words: typing.Annotated[
+        list[str],
+        cappa.Arg(help="A request id, then files; standard input by default."),
+    ] = dataclasses.field(default_factory=list)
+    why: typing.Annotated[
+        str, cappa.Arg(long="--why", help="refused, late or failed.")
+    ] = ""
+    json: Json = False
+
+    def __call__(self):
+        from coltsfootsail import _explain
+
+        paths = self.words if self.why else self.words[1:]
+        with contextlib.ExitStack() as stack:
+            files = [
+                stack.enter_context(open(path, encoding="utf-8"))
+                for path in paths
+            ]
+            lines = _explain.read(files or [sys.stdin])
+        if self.why:
+            return self._summarise(_explain, lines)
+        return self._follow(_explain, lines)
+
+    def _summarise(self, explain, lines):
+        if self.why not in explain.SETS:
+            raise exceptions.BadField(
+                f"--why: one of {', '.join(explain.SETS)}"
+            )
+        found = explain.summary(lines, self.why)
+        _print(found, self.json, _summary_lines(found))
+        return EXIT_OK
+
+    def _follow(self, explain, lines):
+        request_id = self.words[0] if self.words else ""
+        try:
+            found = list(explain.way(lines, request_id))
+        except KeyError:
+            raise exceptions.BadField(
+                f"no line names request {request_id!r}"
+            ) from None
+        _print({"id": request_id, "way": found}, self.json, found)
+        return EXIT_OK
+
+
+def _summary_lines(found):
+    for aspect, counts in found.items():
+        yield f"{aspect}:"
+        for value, count in counts:
+            yield f"  {count:6} {value}"
+
+
 @cappa.command(
     name="coltsfootsail",
     help="A serving layer for very many LoRA adapters.",
@@ -561,6 +624,7 @@
         | CompleteCommand
         | StatusCommand
         | ConfigCommand
+        | ExplainCommand
         | BenchCommand
     ]
 
