--- a/src/coltsfootsail/_gateway.py
+++ b/src/coltsfootsail/_gateway.py
@@ -15,7 +15,6 @@
 from coltsfootsail import _claims
 from coltsfootsail import _grants
 from coltsfootsail import _http
-from coltsfootsail import _keys
 from coltsfootsail import _lease
 from coltsfootsail import _logs
 from coltsfootsail import _mesh
@@ -121,7 +120,7 @@
             bounds.retry_ratio,
             bounds.retry_extra,
             bounds.retry_window_s,
-            lambda: len(self.view.members()) + NODES_SPARE,
+            lambda: self.view.member_count() + NODES_SPARE,
             self.now,
         )
         self.upstream = _upstream.Upstream(client)
@@ -319,7 +318,7 @@
         return found
 
     def _is_listed(self):
-        return self._name in self.view.members()
+        return self.view.is_member(self._name)
 
     async def _serve_peer(self, stream):
         messages_ = _wire.MessageStream(stream)
@@ -340,8 +339,7 @@
         for name, orderer in self.orderers.items():
             if self.view.leaving(name):
                 orderer.close("engine leaving")
-        own = _keys.member(self._name)
-        lost = own not in self.view.records
+        lost = not self.view.is_member(self._name)
         if lost and self.lease.valid() and not self.draining:
             self._nursery.start_soon(self._publish)
 
@@ -378,7 +376,13 @@
 
     async def _run_orderer(self, name, orderer):
         with self._scopes[name]:
-            await orderer.run()
+            try:
+                await orderer.run()
+            except Exception as exc:
+                # The next round starts it anew from the engine's report.
+                _logs.failure("orderer_failed", exc)
+                orderer.close("engine down")
+                self.orderers.pop(name, None)
 
     async def _run_owned(self):
         while True:
@@ -407,12 +411,18 @@
         self.metrics.count(name, event)
 
     async def _serve_callers(self, stream):
-        await _http.serve_connection(
-            stream,
-            self.http_limits,
-            self.serving.handle,
-            lambda exc: self.metrics.count("refusals", exc.code),
-        )
+        try:
+            await _http.serve_connection(
+                stream,
+                self.http_limits,
+                self.serving.handle,
+                lambda exc: self.metrics.count("refusals", exc.code),
+            )
+        except Exception as exc:
+            # A fault in the code costs one connection, not the process
+            # with the requests of all others.
+            self.metrics.count("refusals", "internal_error")
+            _logs.failure("connection_failed", exc)
 
     async def _serve_small(self, stream):
         await _http.serve_connection(
--- a/src/coltsfootsail/_logs.py
+++ b/src/coltsfootsail/_logs.py
@@ -130,3 +130,11 @@
     :param fields: the inputs that decided it and the outcome.
     """
     LOGGER.debug(event, extra=fields)
+
+
+def failure(event, exc):
+    """Log an error that the code did not foresee, with its traceback.
+
+    :param exc: the exception.
+    """
+    LOGGER.error(event, exc_info=exc, extra={"reason": repr(exc)})
--- a/src/coltsfootsail/_view.py
+++ b/src/coltsfootsail/_view.py
@@ -19,6 +19,12 @@
 WATCH_PAUSE_S = 0.6  # gathers changes; well under the 2 s drain bound
 EVERYTHING = ""
 
+_RECORD_KINDS = (
+    (_keys.MEMBERS, _records.Member),
+    (_keys.CLAIMS, _records.Claim),
+    (_keys.INTENTS, _records.Holder),
+)
+
 
 class View:
     """Configuration, servers, versions, members and claims.
@@ -44,7 +50,7 @@
         self.raw_deployment = b""
         self.versions = {}
         self.servers = {}
-        self.records = {}
+        self._records = {prefix: {} for prefix, _ in _RECORD_KINDS}
         self.revision = 0
         self.heard_s = None
         self.synced = trio.Event()
@@ -54,21 +60,28 @@
     def members(self):
         """List the registered nodes by name."""
         return {
-            key.removeprefix(_keys.MEMBERS): record
-            for key, (record, _) in self.records.items()
-            if isinstance(record, _records.Member)
+            record.node: record
+            for record, _ in self._records[_keys.MEMBERS].values()
         }
 
+    def member_count(self):
+        """Count the registered nodes."""
+        return len(self._records[_keys.MEMBERS])
+
+    def is_member(self, node):
+        """Say whether a node is registered."""
+        return _keys.member(node) in self._records[_keys.MEMBERS]
+
     def claim(self, server):
         """Get the claim on a server.
 
         :returns: tuple of ``Claim`` and its revision, or None.
         """
-        return self.records.get(_keys.claim(server))
+        return self._records[_keys.CLAIMS].get(_keys.claim(server))
 
     def last_holder(self, server):
         """Get the node that last claimed a server, empty if none did."""
-        found = self.records.get(_keys.intent(server))
+        found = self._records[_keys.INTENTS].get(_keys.intent(server))
         return found[0].node if found else ""
 
     def engine_servers(self):
@@ -156,18 +169,18 @@
             )
 
     def _take_record(self, entry, deleted):
-        if deleted:
-            self.records.pop(entry.key, None)
-            return
         for prefix, kind in _RECORD_KINDS:
             if not entry.key.startswith(prefix):
                 continue
+            if deleted:
+                self._records[prefix].pop(entry.key, None)
+                return
             try:
                 record = _records.loads(entry.value, kind)
             except exceptions.WireError as exc:
                 _logs.state("record_unreadable", key=entry.key, why=str(exc))
                 return
-            self.records[entry.key] = (record, entry.mod_revision)
+            self._records[prefix][entry.key] = (record, entry.mod_revision)
 
     def take(self, entry, deleted=False):
         """Take one entry of the store, or its removal."""
@@ -179,8 +192,9 @@
     def reset(self, snapshot):
         """Take all entries of the store; what is missing has gone."""
         present = {entry.key for entry in snapshot.entries}
-        for key in [key for key in self.records if key not in present]:
-            del self.records[key]
+        for records in self._records.values():
+            for key in [key for key in records if key not in present]:
+                del records[key]
         for name in list(self.servers):
             if registry.SERVER_PREFIX + name not in present:
                 del self.servers[name]
@@ -232,10 +246,3 @@
             self._heard({event.entry.key for event in events})
             if events:
                 await trio.sleep(WATCH_PAUSE_S)
-
-
-_RECORD_KINDS = (
-    (_keys.MEMBERS, _records.Member),
-    (_keys.CLAIMS, _records.Claim),
-    (_keys.INTENTS, _records.Holder),
-)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -535,3 +535,28 @@
         assert len(connections) == 2
 
     gateways.run(scenario)
+
+
+def test_fault_in_the_code_costs_one_connection_only():
+    async def scenario(fleet):
+        gateway = fleet.gateways["g0"]
+        choose, gateway.balance.choose = gateway.balance.choose, None
+        reply = await fleet.call("/orders/9")
+        assert not reply.whole
+        gateway.balance.choose = choose
+        assert (await fleet.call("/orders/9")).status == 200
+
+    gateways.run(scenario)
+
+
+def test_fault_in_an_orderer_starts_it_anew():
+    async def scenario(fleet):
+        engine = _home(fleet, "base/a7")
+        gateway = fleet.gateways[_owner(fleet, engine)]
+        gateway.orderers[engine.name].book.plan = None
+        await fleet.call("/notes/1", adapter="base/a7")
+        await trio.sleep(3.0)
+        reply = await fleet.call("/notes/1", adapter="base/a8")
+        assert reply.status == 200
+
+    gateways.run(scenario)
