--- /dev/null
+++ b/tests/test_gateway_process.py
@@ -0,0 +1,141 @@
+"""A gateway as a process of its own, before a store on loopback."""
+
+import json
+import signal
+import subprocess
+
+import pytest
+import trio
+
+from coltsfootsail import _embedded
+from coltsfootsail import _http
+from coltsfootsail import _net
+from coltsfootsail.standins import servers
+from coltsfootsail.standins import store
+from tests import gateways
+from tests import test_cli
+
+LIMIT_S = 60.0
+NAMES = ("caller", "peer", "ready", "directory", "store", "shop")
+
+
+def _settings(at, grace_s=4.0):
+    return "\n".join(
+        [
+            "[node]",
+            'name = "g0"',
+            'region = "here"',
+            'data_centre = "a"',
+            f'caller_address = "{at["caller"]}"',
+            f'peer_address = "{at["peer"]}"',
+            f'admin_address = "{at["ready"]}"',
+            "[platform]",
+            f'kv_addresses = ["{at["store"]}"]',
+            "[lease]",
+            "ttl_s = 8",
+            "renew_s = 1.5",
+            "margin_s = 2.0",
+            "[gateway]",
+            f'ready_address = "{at["ready"]}"',
+            f'directory_address = "{at["directory"]}"',
+            f"grace_s = {grace_s}",
+        ]
+    )
+
+
+@pytest.fixture
+def beside_gateway(tmp_path):
+    """Run ``async (process, at, client, path)`` beside a gateway."""
+
+    async def main(scenario):
+        at = _embedded.loopback_addresses(NAMES)
+        path = tmp_path / "g0.toml"
+        path.write_text(_settings(at))
+        network = _net.tcp_network()
+        stand_in = store.StoreStandIn()
+        stand_in.put("op/config", gateways.configuration(1))
+        entry = {"service": "shop", "addr": at["shop"], "state": "ready"}
+        stand_in.put("servers/i-s0", entry)
+        shop = servers.PlainServer("i-s0")
+        async with trio.open_nursery() as nursery:
+            door = stand_in.door("store")
+            await nursery.start(network.serve, at["store"], door)
+            await nursery.start(network.serve, at["shop"], shop.serve)
+            command = [*test_cli.PROGRAM, "node", "--settings", str(path)]
+            log = (tmp_path / "log").open("wb")
+            process = await trio.lowlevel.open_process(command, stdout=log)
+            log.close()
+            try:
+                with trio.fail_after(LIMIT_S):
+                    client = _http.HttpClient(network)
+                    await _until_ready(client, at)
+                    await scenario(process, at, client, path)
+            finally:
+                process.kill()
+                await process.wait()
+            nursery.cancel_scope.cancel()
+
+    def run(scenario):
+        trio.run(main, scenario)
+        text = (tmp_path / "log").read_text()
+        return [json.loads(line) for line in text.splitlines()]
+
+    return run
+
+
+async def _until_ready(client, at):
+    while await _status(client, at["ready"], "/v1/readyz") != 200:
+        await trio.sleep(0.1)
+
+
+async def _status(client, address, path):
+    try:
+        status, _, _ = await client.call(address, "GET", path, fresh=True)
+    except OSError:
+        return 0
+    return status
+
+
+async def _order(client, at):
+    headers = [("host", gateways.HOST), ("coltsfootsail-request-id", "r1")]
+    async with client.exchange(at["caller"], fresh=True) as exchange:
+        await exchange.send("POST", "/orders/9", headers, b"x")
+        status = await exchange.read_head()
+        return status, await exchange.read_body(1 << 20)
+
+
+def test_hangup_reloads_the_settings_and_cuts_off_nothing(beside_gateway):
+    async def scenario(process, at, client, path):
+        path.write_text(_settings(at, grace_s=5.0))
+        process.send_signal(signal.SIGHUP)
+        path_bad = path.read_text().replace("grace_s = 5.0", "grace_s = 'x'")
+        await trio.sleep(0.5)
+        path.write_text(path_bad)
+        process.send_signal(signal.SIGHUP)
+        await trio.sleep(0.5)
+        assert await _order(client, at) == (200, b"done:x")
+
+    events = [line["message"] for line in beside_gateway(scenario)]
+    assert events.count("settings_reloaded") == 1
+
+
+def test_stop_answers_at_once_that_it_is_not_ready(beside_gateway):
+    async def scenario(process, at, client, path):
+        process.send_signal(signal.SIGTERM)
+        await trio.sleep(0.3)
+        assert await _status(client, at["ready"], "/v1/readyz") == 503
+        assert (await _order(client, at))[0] == 200
+        assert await process.wait() == 0
+
+    events = [line["message"] for line in beside_gateway(scenario)]
+    assert events[-1] == "node_stopped"
+
+
+def test_bad_settings_name_the_field(tmp_path):
+    path = tmp_path / "g0.toml"
+    at = dict.fromkeys(NAMES, "127.0.0.1:80")
+    path.write_text(_settings({**at, "directory": "nowhere"}))
+    command = [*test_cli.PROGRAM, "node", "--settings", str(path)]
+    done = subprocess.run(command, capture_output=True, text=True)
+    assert done.returncode == 2
+    assert "gateway.directory_address" in done.stderr
