--- a/src/coltsfootsail/_gateway.py
+++ b/src/coltsfootsail/_gateway.py
@@ -82,7 +82,7 @@
         self.lease = _lease.NodeLease(
             self.kv, self.now, lease.ttl_s, lease.margin_s
         )
-        self.view = _view.View(self.kv, self.now, self._on_view)
+        self.view = _view.View(self.kv, self.now, self._on_view, bounds.news_s)
         events = _mesh.Events(
             message=self._on_message,
             up=lambda node: count("peer_links", "up"),
--- a/src/coltsfootsail/_settings.py
+++ b/src/coltsfootsail/_settings.py
@@ -95,6 +95,7 @@
     Without a ``ready_address`` the node is one of the other kind.
 
     :param turn_s: orders of two nodes to one engine lie so far apart.
+    :param news_s: a change in the store must be in force in this time.
     :param retry_ratio: repeats allowed for each request of a service.
     :param retry_extra: repeats allowed besides, over all nodes.
     """
@@ -103,6 +104,7 @@
     directory_address: str = ""
     grace_s: float = 8.0
     turn_s: float = 3.0
+    news_s: float = 2.0
     retry_ratio: float = 0.2
     retry_extra: float = 20.0
     retry_window_s: float = 10.0
--- a/src/coltsfootsail/_view.py
+++ b/src/coltsfootsail/_view.py
@@ -16,7 +16,7 @@
 from coltsfootsail.platform import registry
 
 WATCH_WAIT_S = 2.0  # a silent connection is noticed in this time
-WATCH_PAUSE_S = 0.6  # gathers changes; well under the 2 s drain bound
+WATCH_PAUSE_SHARE = 0.4  # of the time for news, to gather changes
 EVERYTHING = ""
 
 _RECORD_KINDS = (
@@ -33,12 +33,14 @@
     :param now: closure that reads the clock in seconds.
     :param on_change: called with the set of changed keys, or None when
         all may have changed.
+    :param news_s: a change must be in force in this time.
     """
 
-    def __init__(self, kv, now, on_change):
+    def __init__(self, kv, now, on_change, news_s=2.0):
         self._kv = kv
         self._now = now
         self._on_change = on_change
+        self._pause_s = WATCH_PAUSE_SHARE * news_s
         self._decoders = (
             (registry.CONFIG_KEY, self._take_deployment),
             (registry.VERSION_PREFIX, self._take_version),
@@ -245,4 +247,4 @@
             self.revision = max(self.revision, revision)
             self._heard({event.entry.key for event in events})
             if events:
-                await trio.sleep(WATCH_PAUSE_S)
+                await trio.sleep(self._pause_s)
