--- a/src/coltsfootsail/_claims.py
+++ b/src/coltsfootsail/_claims.py
@@ -76,9 +76,12 @@
     :param now: closure that reads the clock.
     :param ask_release: ``(node, server, fence)`` asks a former holder to
         say when it gave its last order.
+    :param on_taken: called when a claim was taken.
     """
 
-    def __init__(self, identity, kv, lease, view, rules, now, ask_release):
+    def __init__(
+        self, identity, kv, lease, view, rules, now, ask_release, on_taken
+    ):
         self._node, self._incarnation = identity
         self._kv = kv
         self._lease = lease
@@ -86,6 +89,7 @@
         self._rules = rules
         self._now = now
         self._ask_release = ask_release
+        self._on_taken = on_taken
         self._started_s = now()
         self._free_since = {}
         self._ordered = {}
@@ -226,6 +230,7 @@
             former=former,
             wait_s=round(self.held[server].orders_from_s - self._now(), 2),
         )
+        self._on_taken()
         if former not in ("", self._node):
             self._ask_release(former, server, result.revision)
 
--- a/src/coltsfootsail/_gateway.py
+++ b/src/coltsfootsail/_gateway.py
@@ -35,6 +35,7 @@
 
 HELLO_TIMEOUT_S = 1.0
 MESH_SILENCE_S = 2.5
+MESH_REDIAL_S = 0.4
 NODES_SPARE = 3  # machines that may be added unseen, for the retry budget
 HALF_LIFE_S = 20.0
 ADDRESSES_MAX = 64
@@ -93,7 +94,9 @@
         hello = _wire.Hello(
             self._name, settings.node.region, self._incarnation
         )
-        self.mesh = _mesh.Mesh(hello, network, events, MESH_SILENCE_S)
+        self.mesh = _mesh.Mesh(
+            hello, network, events, MESH_SILENCE_S, MESH_REDIAL_S
+        )
         self.claims = _claims.Claims(
             (self._name, self._incarnation),
             self.kv,
@@ -104,6 +107,7 @@
             lambda node, server, fence: self.mesh.send(
                 node, _wire.ReleaseAsk(server, fence)
             ),
+            self._sync_orderers,
         )
         self.popularity = _popularity.Popularity(HALF_LIFE_S, prior_s=2.0)
         self.orderers = {}
@@ -339,6 +343,8 @@
         for name, orderer in self.orderers.items():
             if self.view.leaving(name):
                 orderer.close("engine leaving")
+        if changed is None:
+            self.mesh.wake()
         lost = not self.view.is_member(self._name)
         if lost and self.lease.valid() and not self.draining:
             self._nursery.start_soon(self._publish)
--- a/src/coltsfootsail/_mesh.py
+++ b/src/coltsfootsail/_mesh.py
@@ -60,13 +60,23 @@
     :param network: a ``Network``.
     :param events: ``Events``.
     :param silence_s: a link silent for longer is closed.
+    :param redial_s: mean time between attempts to reach a peer.
     """
 
-    def __init__(self, hello, network, events, silence_s=SILENCE_S):
+    def __init__(
+        self,
+        hello,
+        network,
+        events,
+        silence_s=SILENCE_S,
+        redial_s=REDIAL_S,
+    ):
         self._hello = hello
         self._network = network
         self._events = events
         self._silence_s = silence_s
+        self._redial_s = redial_s
+        self._news = trio.Event()
         self._links = {}
         self._dialing = set()
         self.sent = 0
@@ -87,6 +97,10 @@
         ]
         return sorted(times, reverse=True)
 
+    def wake(self):
+        """Look at once whether there are peers to dial."""
+        self._news.set()
+
     def silent_s(self, node):
         """Tell how long ago a linked node was last heard of.
 
@@ -133,13 +147,15 @@
         """
         async with trio.open_nursery() as nursery:
             while True:
+                self._news = trio.Event()
                 for node, address in peers().items():
                     mine = self._hello.node < node or not listed()
                     busy = node in self._links or node in self._dialing
                     if mine and not busy:
                         self._dialing.add(node)
                         nursery.start_soon(self._dial, node, address)
-                await trio.sleep(_kv.jittered(REDIAL_S))
+                with trio.move_on_after(_kv.jittered(self._redial_s)):
+                    await self._news.wait()
 
     async def _dial(self, node, address):
         try:
--- a/src/coltsfootsail/_orderer.py
+++ b/src/coltsfootsail/_orderer.py
@@ -56,6 +56,7 @@
         self.queue = _admission.Admission(engine.slots, engine.memory_tokens)
         self._numbers = itertools.count(1)
         self._replies = {}
+        self._ordered = False
         self._down_until_s = 0.0
         self._wake = trio.Event()
         self._orders = trio.Event()
@@ -222,7 +223,8 @@
 
     async def _settle(self):
         """Learn the engine's state from its report."""
-        await trio.sleep(REPORT_LAG_S)
+        if self._ordered:
+            await trio.sleep(REPORT_LAG_S)
         try:
             report = await engines.report(
                 self._client, self.server, REPORT_TIMEOUT_S
@@ -250,6 +252,7 @@
             version=plan.version,
         )
         self._claims.note_order(name)
+        self._ordered = True
         try:
             answer = await engines.give(
                 self._client, self.server, order, ORDER_TIMEOUT_S
--- a/src/coltsfootsail/_placing.py
+++ b/src/coltsfootsail/_placing.py
@@ -39,10 +39,6 @@
         """Note that an engine refused a connection."""
         self._down[server.name] = self._now() + DOWN_S
 
-    def avoid(self, call, server, exc):
-        """Note for one request that an engine's owner did not grant."""
-        call.avoided.add(server.name)
-
     def wish(self, call):
         """Make the ``Wish`` of a request."""
         prompt = call.meta.prompt
--- a/src/coltsfootsail/_serving.py
+++ b/src/coltsfootsail/_serving.py
@@ -24,6 +24,9 @@
 FINAL_MARGIN_S = 0.05  # the final answer leaves so long before the limit
 RETRY_AFTER_S = 0.3
 ABSENT_PAUSE_S = 0.03
+START_WAIT_S = 0.8  # a node that starts reads the store in this time
+OWNER_WAIT_S = 0.6  # owners that start or change are waited for so long
+OWNER_PAUSE_S = 0.06
 SILENT_FIRST_S = 1.8  # to a repeatable request's first byte
 SILENT_STREAM_S = 1.5  # between events, where a stream can be resumed
 UNKNOWN = exceptions.Outcome.UNKNOWN
@@ -139,6 +142,7 @@
     async def _answer(self, req, resp):
         meta = messages.meta(req)
         try:
+            await self._wait_for_configuration()
             call = self._match(req, meta)
             _logs.detail(
                 "request",
@@ -185,6 +189,13 @@
             headers.append(messages.retry_after(delay_s))
         await resp.reply_json(_http.error_json(exc), status, headers)
 
+    async def _wait_for_configuration(self):
+        """Hold requests that come in while the node starts."""
+        if self._gateway.view.deployment.version:
+            return
+        with trio.move_on_after(START_WAIT_S):
+            await self._gateway.view.synced.wait()
+
     def _match(self, req, meta):
         gateway = self._gateway
         gateway.check_serving()
@@ -377,10 +388,7 @@
 
     async def _stream_attempt(self, call, sink, resp):
         gateway = self._gateway
-        choice = gateway.placing.choose(call)
-        if choice is None:
-            raise exceptions.NoEndpoint(retry_after_s=RETRY_AFTER_S)
-        server, owner, wish = choice
+        server, owner, wish = await self._choose(call)
         if owner is None:
             await self._send_stream(call, sink, resp, server, wish)
             return
@@ -396,12 +404,32 @@
                     ends(_grants.End.UNREACHABLE)
                     raise
         except (exceptions.TurnedAway, exceptions.OwnerSilent) as exc:
-            gateway.placing.avoid(call, server, exc)
+            if self._may_wait(call, exc):
+                await trio.sleep(OWNER_PAUSE_S)
+            else:
+                call.avoided.add(server.name)
             raise
         except exceptions.EndpointNotRun:
             await trio.sleep(ABSENT_PAUSE_S)
             raise
 
+    def _may_wait(self, call, exc):
+        """Say whether an owner that just starts is asked again."""
+        starting = getattr(exc, "reason", "") == "not the owner"
+        return starting and self._now() < call.received_s + OWNER_WAIT_S
+
+    async def _choose(self, call):
+        """Choose an engine, waiting a little where no owner is known."""
+        placing = self._gateway.placing
+        choice = placing.choose(call)
+        while choice is None:
+            if self._now() > call.received_s + OWNER_WAIT_S:
+                raise exceptions.NoEndpoint(retry_after_s=RETRY_AFTER_S)
+            await trio.sleep(OWNER_PAUSE_S)
+            call.avoided.clear()
+            choice = placing.choose(call)
+        return choice
+
     async def _send_stream(self, call, sink, resp, server, wish):
         gateway = self._gateway
         self._left_s(call)
--- a/src/coltsfootsail/_view.py
+++ b/src/coltsfootsail/_view.py
@@ -17,6 +17,8 @@
 
 WATCH_WAIT_S = 2.0  # a silent connection is noticed in this time
 WATCH_PAUSE_SHARE = 0.4  # of the time for news, to gather changes
+START_S = 3.0
+START_PAUSE_S = 0.2
 EVERYTHING = ""
 
 _RECORD_KINDS = (
@@ -40,6 +42,7 @@
         self._kv = kv
         self._now = now
         self._on_change = on_change
+        self._started_s = now()
         self._pause_s = WATCH_PAUSE_SHARE * news_s
         self._decoders = (
             (registry.CONFIG_KEY, self._take_deployment),
@@ -247,4 +250,10 @@
             self.revision = max(self.revision, revision)
             self._heard({event.entry.key for event in events})
             if events:
-                await trio.sleep(self._pause_s)
+                await trio.sleep(self._watch_pause_s())
+
+    def _watch_pause_s(self):
+        """Follow closely at first, when owners and peers show up."""
+        if self._now() < self._started_s + START_S:
+            return START_PAUSE_S
+        return self._pause_s
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -560,3 +560,22 @@
         assert reply.status == 200
 
     gateways.run(scenario)
+
+
+def test_requests_are_held_while_all_nodes_start():
+    async def scenario(fleet):
+        await fleet.call("/notes/1", adapter="base/a7")
+        for name in fleet.names:
+            await fleet.start_gateway(name)
+        replies = []
+
+        async def one(node):
+            reply = await fleet.call("/notes/1", node, adapter="base/a7")
+            replies.append(reply.status)
+
+        async with trio.open_nursery() as nursery:
+            for node in fleet.names:
+                nursery.start_soon(one, node)
+        assert replies == [200, 200, 200]
+
+    gateways.run(scenario, nodes=3)
