--- a/src/coltsfootsail/_capacity.py
+++ b/src/coltsfootsail/_capacity.py
@@ -12,6 +12,8 @@
 import sys
 
 from coltsfootsail import _bench_capacity
+from coltsfootsail import _bench_gateway
+from coltsfootsail import _claims
 from coltsfootsail import _mesh
 from coltsfootsail import _ownership
 
@@ -21,6 +23,7 @@
 KV_WRITES_MAX_S = 300
 KV_READS_MAX_S = 2000
 ACK_BYTES = 52
+HEARTBEAT_S = 1.2  # between the writes of a server's entry
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -347,7 +350,95 @@
     return _table(("data path of a node", "figure"), rows)
 
 
+def gateway_rows(result, target):
+    """List a gateway's control work at the target size.
+
+    :returns: tuples of work, times a second, µs each, bytes each.
+    """
+    cpu = result["gateway_cpu_us"]
+    size = result["gateway_message_bytes"]
+    heartbeat = result["cpu_us"]["heartbeat"]
+    beat_bytes = 2 * result["message_bytes"]["heartbeat"] + ACK_BYTES
+    starts_s = target.requests_s / target.nodes
+    entries_s = target.endpoints / HEARTBEAT_S
+    scans_s = 1 / _claims.STEP_S
+    return [
+        (
+            "heartbeats, sent and received",
+            target.beats_s,
+            heartbeat,
+            beat_bytes,
+        ),
+        (
+            "starts asked for and granted",
+            starts_s,
+            2 * cpu["grant"],
+            2 * size["grant"],
+        ),
+        (
+            "look for vacant engines",
+            scans_s,
+            cpu["scan_per_engine"] * target.endpoints,
+            0,
+        ),
+        (
+            "entries of engines that change",
+            entries_s,
+            cpu["server_event"],
+            size["server_event"],
+        ),
+    ]
+
+
+def _gateway_table(result, target):
+    rows = []
+    core = traffic = 0.0
+    for work, per_s, each_us, each_bytes in gateway_rows(result, target):
+        core += per_s * each_us / 1e6
+        traffic += per_s * each_bytes / 1e3
+        rows.append(
+            (
+                work,
+                f"{per_s:.1f}",
+                f"{each_us:.1f}",
+                f"{per_s * each_us / 1e4:.2f} %",
+                f"{per_s * each_bytes / 1e3:.1f}",
+            )
+        )
+    rows.append(("**sum**", "", "", f"{core:.2%}", f"{traffic:.1f}"))
+    rows.append(("budget", "", "", f"{CPU_BUDGET_SHARE:.1%}", "18"))
+    head = ("control work of a gateway", "a second", "µs each", "core", "KB/s")
+    return _table(head, rows)
+
+
+def _gateway_memory_table(result, target):
+    memory = result["gateway_memory_bytes"]
+    shared = result["memory_bytes"]
+    rows = [
+        ("interpreter and libraries", 1, memory["imports"]),
+        ("engine entries", target.endpoints, memory["server"]),
+        ("claims and holders", target.endpoints, memory["claim_and_holder"]),
+        ("members", target.nodes, shared["member"]),
+        (
+            "popularity of awake adapters",
+            target.adapters * target.churn_hour,
+            shared["popularity_row"],
+        ),
+        ("links", target.peers, shared["peer_link"]),
+    ]
+    lines = [
+        (name, f"{count:.0f}", f"{each:.0f}", f"{count * each / 1e6:.2f}")
+        for name, count, each in rows
+    ]
+    total = sum(count * each for _, count, each in rows) / 1e6
+    lines.append(("**sum**", "", "", f"**{total:.1f}**"))
+    lines.append(("budget", "", "", f"{MEMORY_BUDGET_MB:.0f}"))
+    return _table(("state of a gateway", "count", "bytes each", "MB"), lines)
+
+
 BLOCKS = {
+    "gateway": _gateway_table,
+    "gateway-memory": _gateway_memory_table,
     "slopes": _slopes,
     "memory": _memory_table,
     "cpu": _cpu_table,
@@ -383,6 +474,9 @@
     """Measure and rewrite the page at a path."""
     result = _bench_capacity.run()
     result["memory_bytes"]["imports"] = float(imports_mb) * 1e6
+    result.update(_bench_gateway.run())
+    gateway_mb = _bench_gateway.imports_mb()
+    result["gateway_memory_bytes"]["imports"] = gateway_mb * 1e6
     with open(path, encoding="utf-8") as file:
         text = file.read()
     with open(path, "w", encoding="utf-8") as file:
--- a/src/coltsfootsail/_placing.py
+++ b/src/coltsfootsail/_placing.py
@@ -34,10 +34,15 @@
         self._backlog = backlog
         self._now = now
         self._down = {}
+        self._generation = None
+        self._sets = {}
 
     def unreachable(self, server):
         """Note that an engine refused a connection."""
-        self._down[server.name] = self._now() + DOWN_S
+        now_s = self._now()
+        for name in [n for n, until in self._down.items() if until <= now_s]:
+            del self._down[name]
+        self._down[server.name] = now_s + DOWN_S
 
     def wish(self, call):
         """Make the ``Wish`` of a request."""
@@ -53,24 +58,32 @@
             until_s=call.until_s,
         )
 
-    def _usable(self, call):
-        """List the engines by address, those with the model if any."""
-        now_s = self._now()
-        found = {
-            server.address: server
-            for server in self._view.servers.values()
-            if server.service == call.service
-            and not server.draining
-            and self._down.get(server.name, 0.0) <= now_s
-            and server.name not in call.avoided
-        }
-        model = call.meta.prompt.model
-        loaded = {
-            address: server
-            for address, server in found.items()
-            if model in server.models
-        }
-        return loaded or found
+    def _engines(self, service, model):
+        """List a service's engines, those that hold the model if any do.
+
+        :returns: tuple of their addresses and dict of address to name.
+        """
+        if self._generation != self._view.generation:
+            self._generation = self._view.generation
+            self._sets.clear()
+        found = self._sets.get((service, model))
+        if found is None:
+            engines = [
+                server
+                for server in self._view.servers.values()
+                if server.service == service and not server.draining
+            ]
+            # Of two entries with one address the newer one is answered.
+            engines.sort(key=lambda engine: engine.created)
+            loaded = [e for e in engines if model in e.models]
+            names = {e.address: e.name for e in loaded or engines}
+            found = tuple(sorted(names)), names
+            self._sets[service, model] = found
+        return found
+
+    def _can_take(self, call, server):
+        down = self._down.get(server.name, 0.0) > self._now()
+        return not down and server.name not in call.avoided
 
     def owner(self, server):
         """Get the node to ask for a start, or None if none is heard."""
@@ -85,15 +98,18 @@
             return None
         return node
 
-    def _ranked(self, wish, usable):
-        addresses = tuple(sorted(usable))
+    def _ranked(self, call, wish):
+        """List the engines to compare, the adapter's first ones first."""
+        addresses, names = self._engines(call.service, call.meta.prompt.model)
         if "/" in wish.adapter:
-            names = _placement.homes(wish.adapter, addresses, RANKS + 2)
-            return [usable[name] for name in names]
-        return sorted(
-            usable.values(),
-            key=lambda server: (self._backlog(server.name), server.address),
-        )
+            count = RANKS + 2 + len(call.avoided) + len(self._down)
+            addresses = _placement.homes(wish.adapter, addresses, count)
+        else:
+            addresses = sorted(
+                addresses, key=lambda address: self._backlog(names[address])
+            )
+        servers = [self._view.servers[names[each]] for each in addresses]
+        return [each for each in servers if self._can_take(call, each)]
 
     def choose(self, call):
         """Choose an engine.
@@ -103,7 +119,7 @@
             nothing to choose.
         """
         wish = self.wish(call)
-        ranked = self._ranked(wish, self._usable(call))
+        ranked = self._ranked(call, wish)
         best = None
         for rank, server in enumerate(ranked):
             owner = self.owner(server)
--- a/src/coltsfootsail/_view.py
+++ b/src/coltsfootsail/_view.py
@@ -28,9 +28,16 @@
 )
 
 
+def _place(server):
+    """Get what decides whether requests may be sent to a server."""
+    return server.service, server.address, server.draining, server.models
+
+
 class View:
     """Configuration, servers, versions, members and claims.
 
+    ``generation`` rises whenever the servers to send requests to change.
+
     :param kv: a ``StoreClient``.
     :param now: closure that reads the clock in seconds.
     :param on_change: called with the set of changed keys, or None when
@@ -55,6 +62,7 @@
         self.raw_deployment = b""
         self.versions = {}
         self.servers = {}
+        self.generation = 0
         self._records = {prefix: {} for prefix, _ in _RECORD_KINDS}
         self.revision = 0
         self.heard_s = None
@@ -153,6 +161,7 @@
     def _take_server(self, entry, deleted):
         name = entry.key.removeprefix(registry.SERVER_PREFIX)
         if deleted:
+            self.generation += 1
             if self.servers.pop(name, None):
                 _logs.state("server_gone", server=name)
             return
@@ -160,10 +169,13 @@
             found = registry.server(entry)
         except exceptions.BadField as exc:
             self.servers.pop(name, None)
+            self.generation += 1
             _logs.state("server_unreadable", reason=exc.detail)
             return
         old = self.servers.get(name)
         self.servers[name] = found
+        if old is None or _place(old) != _place(found):
+            self.generation += 1
         if old is None or old.draining != found.draining:
             _logs.state(
                 "server",
@@ -203,6 +215,7 @@
         for name in list(self.servers):
             if registry.SERVER_PREFIX + name not in present:
                 del self.servers[name]
+                self.generation += 1
                 _logs.state("server_gone", server=name)
         for entry in snapshot.entries:
             self.take(entry)
