--- a/Makefile
+++ b/Makefile
@@ -32,10 +32,12 @@
 clean:
 	rm -rf $(VENV) build dist
 
+IMPORTS_MB = $(BIN)/python -c "import coltsfootsail.$(1) as n; \
+    print(int(open('/proc/self/statm').read().split()[1]) * 4096 / 1e6)"
+
 capacity: setup
 	$(BIN)/python -m coltsfootsail._capacity docs/CAPACITY.md \
-	    $$($(BIN)/python -c "import coltsfootsail._node as n; \
-	    print(int(open('/proc/self/statm').read().split()[1]) * 4096 / 1e6)")
+	    $$($(call IMPORTS_MB,_node)) $$($(call IMPORTS_MB,_gateway))
 
 dist: setup
 	$(BIN)/python tools/make_dist.py
--- a/src/coltsfootsail/_bench_gateway.py
+++ b/src/coltsfootsail/_bench_gateway.py
@@ -5,8 +5,6 @@
 """
 
 import json
-import subprocess
-import sys
 
 from coltsfootsail import _admission
 from coltsfootsail import _bench_capacity
@@ -168,22 +166,6 @@
     )
 
 
-def imports_mb():
-    """Measure a process that has imported the gateway and nothing else."""
-    code = (
-        "import coltsfootsail._gateway\n"
-        "pages = open('/proc/self/statm').read().split()[1]\n"
-        "print(int(pages) * 4096 / 1e6)"
-    )
-    done = subprocess.run(
-        [sys.executable, "-c", code],
-        capture_output=True,
-        text=True,
-        check=True,
-    )
-    return float(done.stdout)
-
-
 def run():
     """Measure everything.
 
--- a/src/coltsfootsail/_capacity.py
+++ b/src/coltsfootsail/_capacity.py
@@ -1,8 +1,8 @@
 """Works docs/CAPACITY.md out from measured slopes.
 
-Usage: ``python -m coltsfootsail._capacity docs/CAPACITY.md IMPORTS_MB``,
-where ``IMPORTS_MB`` is the memory of a process that has imported the node
-and nothing else, as ``make capacity`` measures it.  Only
+Usage: ``python -m coltsfootsail._capacity docs/CAPACITY.md NODE_MB
+GATEWAY_MB``, with the memory of a process that has imported the node, or
+the gateway, and nothing else, as ``make capacity`` measures it.  Only
 the text between ``<!-- begin: NAME -->`` and ``<!-- end: NAME -->``
 changes.
 """
@@ -470,13 +470,12 @@
     return text
 
 
-def main(path, imports_mb):
+def main(path, imports_mb, gateway_mb):
     """Measure and rewrite the page at a path."""
     result = _bench_capacity.run()
     result["memory_bytes"]["imports"] = float(imports_mb) * 1e6
     result.update(_bench_gateway.run())
-    gateway_mb = _bench_gateway.imports_mb()
-    result["gateway_memory_bytes"]["imports"] = gateway_mb * 1e6
+    result["gateway_memory_bytes"]["imports"] = float(gateway_mb) * 1e6
     with open(path, encoding="utf-8") as file:
         text = file.read()
     with open(path, "w", encoding="utf-8") as file:
@@ -484,4 +483,4 @@
 
 
 if __name__ == "__main__":
-    main(sys.argv[1], sys.argv[2])
+    main(*sys.argv[1:4])
