Let an operator's drain order meet a dead KV service in the fault runs

Cause: the harness sent the order once; with kv_down the typed refusal left its nursery and ended the run before any check (kv_down+ data_centre_drained, both deployments).

--- a/tests/faults/harness.py
+++ b/tests/faults/harness.py
@@ -35,6 +35,7 @@
 PROBE_VERSIONS = tuple(f"v{number:03d}" for number in range(40))
 IN_FORCE_S = 9.0
 DRAIN_S = 3.0
+OPERATOR_PAUSE_S = 1.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -70,6 +71,7 @@
     rng: random.Random
     sent: list = dataclasses.field(default_factory=list)
     accepted: list = dataclasses.field(default_factory=list)
+    ordered: list = dataclasses.field(default_factory=list)
     drained: list = dataclasses.field(default_factory=list)
     kept: dict = dataclasses.field(default_factory=dict)
     pins: list = dataclasses.field(default_factory=list)
@@ -273,28 +275,52 @@
         world.pins.append((trio.current_time(), version))
 
 
-async def apply_entry(world, section, key, entry):
-    """Set an entry of the configuration."""
+async def apply_entry(world, section, key, entry, wanted=lambda: True):
+    """Set an entry of the configuration, as often as it takes.
+
+    While the KV service is away an edit ends in a typed error, and the
+    operator sends it again.  An edit whose answer was lost is there then.
+
+    :param wanted: closure that says whether the operator still wants it.
+    :returns: whether it was accepted.
+    """
     kv = operator_kv(world)
-    stored = await _config.refresh(kv, _config.EMPTY)
-    old = getattr(stored.document, section).get(key)
-    operation = _config.make_operation(section, key, old, entry)
-    return await _config.apply(kv, _config.Edit((operation,)), stored)
+    while wanted():
+        try:
+            stored = await _config.refresh(kv, _config.EMPTY)
+            old = getattr(stored.document, section).get(key)
+            operation = _config.make_operation(section, key, old, entry)
+            await _config.apply(kv, _config.Edit((operation,)), stored)
+        except exceptions.KvError:
+            await trio.sleep(OPERATOR_PAUSE_S)
+        else:
+            return True
+    return False
 
 
 async def drain_order(world, kind, name):
-    """Order a drain and note when it was accepted."""
+    """Order a drain beside the run, since it may meet a dead service."""
+    world.ordered.append((kind, name))
+    world.system._nursery.start_soon(_order_drain, world, kind, name)
+    await trio.lowlevel.checkpoint()
+
+
+async def _order_drain(world, kind, name):
     entry = _document.Drain(kind, name)
-    await apply_entry(world, "drains", f"{kind}-{name}", entry)
-    world.drained.append(Drained(trio.current_time(), kind, name))
+    key = f"{kind}-{name}"
+    if await apply_entry(
+        world, "drains", key, entry, lambda: (kind, name) in world.ordered
+    ):
+        world.drained.append(Drained(trio.current_time(), kind, name))
 
 
 async def undrain(world):
-    """Take all drain orders back."""
+    """Take all drain orders back, those not yet accepted included."""
+    ordered, world.ordered = world.ordered, []
     for item in world.drained:
         item.until_s = trio.current_time()
-        key = f"{item.kind}-{item.name}"
-        await apply_entry(world, "drains", key, None)
+    for kind, name in ordered:
+        await apply_entry(world, "drains", f"{kind}-{name}", None)
 
 
 # -- checks -------------------------------------------------------------
