Learn from a seed when a node starts without the store

Cause: a node that restarted while the store was away refused everything until it came back (no_configuration), though its peers knew all that it lacked. The test of 'no configuration, no 404' cuts its node off from its peers too, since it would otherwise learn the configuration from them.

--- a/src/coltsfootsail/_gateway.py
+++ b/src/coltsfootsail/_gateway.py
@@ -25,6 +25,7 @@
 from coltsfootsail import _popularity
 from coltsfootsail import _records
 from coltsfootsail import _retries
+from coltsfootsail import _seeds
 from coltsfootsail import _serving
 from coltsfootsail import _upstream
 from coltsfootsail import _view
@@ -312,6 +313,11 @@
         if self.strikes.clear(content):
             self.mesh.broadcast(_wire.Strike(content, 0))
 
+    def _seed_addresses(self):
+        node = self.settings.node
+        own = node.peer_address
+        return [each for each in node.seed_addresses if each != own]
+
     def _peers(self):
         found = {
             name: member.peer_address
@@ -331,6 +337,8 @@
                 first = await messages_.receive()
             if isinstance(first, _wire.Hello):
                 await self.mesh.serve(messages_, first)
+            elif isinstance(first, _wire.ConfigAsk):
+                await _seeds.serve(messages_, self.view)
         except (OSError, trio.TooSlowError):
             return
         except exceptions.WireError as exc:
@@ -467,6 +475,9 @@
                 self.lease.run, renew_s, self._member, self._on_lease
             )
             nursery.start_soon(self.view.run)
+            nursery.start_soon(
+                _seeds.run, self._network, self._seed_addresses(), self.view
+            )
             nursery.start_soon(self.mesh.run, self._peers, self._is_listed)
             nursery.start_soon(self.claims.run)
             nursery.start_soon(self._run_owned)
--- a/src/coltsfootsail/_serving.py
+++ b/src/coltsfootsail/_serving.py
@@ -194,7 +194,7 @@
         if self._gateway.view.deployment.version:
             return
         with trio.move_on_after(START_WAIT_S):
-            await self._gateway.view.synced.wait()
+            await self._gateway.view.known.wait()
 
     def _match(self, req, meta):
         gateway = self._gateway
--- a/src/coltsfootsail/_view.py
+++ b/src/coltsfootsail/_view.py
@@ -67,6 +67,8 @@
         self.revision = 0
         self.heard_s = None
         self.synced = trio.Event()
+        self.known = trio.Event()
+        self._entries = {}
 
     # -- reading ----------------------------------------------------
 
@@ -201,14 +203,37 @@
 
     def take(self, entry, deleted=False):
         """Take one entry of the store, or its removal."""
+        if deleted:
+            self._entries.pop(entry.key, None)
+        else:
+            self._entries[entry.key] = entry
         for prefix, decode in self._decoders:
             if entry.key.startswith(prefix):
                 decode(entry, deleted)
                 return
 
+    def entries(self):
+        """List the entries as last seen, for a node that starts."""
+        return list(self._entries.values())
+
+    def learn(self, entries):
+        """Take a peer's entries, until the store itself was read.
+
+        :returns: whether they were taken.
+        """
+        if self.synced.is_set() or not entries:
+            return False
+        for entry in entries:
+            self.take(entry)
+        self.known.set()
+        self._on_change(None)
+        return True
+
     def reset(self, snapshot):
         """Take all entries of the store; what is missing has gone."""
         present = {entry.key for entry in snapshot.entries}
+        for key in [key for key in self._entries if key not in present]:
+            del self._entries[key]
         for records in self._records.values():
             for key in [key for key in records if key not in present]:
                 del records[key]
@@ -222,6 +247,7 @@
         self.revision = snapshot.revision
         self._heard(None)
         self.synced.set()
+        self.known.set()
 
     def _heard(self, changed):
         self.heard_s = self._now()
--- a/tests/gateways.py
+++ b/tests/gateways.py
@@ -87,6 +87,7 @@
             caller_address=f"{name}:80",
             peer_address=f"{name}:81",
             admin_address=f"{name}:82",
+            seed_addresses=("g0:81", "g1:81", "g2:81"),
         ),
         platform=_settings.PlatformSettings((f"store-{name}:1",)),
         lease=_settings.LeaseSettings(ttl_s=8, renew_s=1.5, margin_s=2.0),
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -128,6 +128,8 @@
     async def scenario(fleet):
         assert (await fleet.call("/nowhere/1")).status == 404
         fleet.store.faults["store-g9:1"] = stores.StoreFault.DOWN
+        for name in ("g0", "g1", "g2"):
+            fleet.net.cut("g9", name)
         await fleet.start_gateway("g9")
         assert (await fleet.call("/nowhere/1", "g9")).status == 503
 
@@ -579,3 +581,21 @@
         assert replies == [200, 200, 200]
 
     gateways.run(scenario, nodes=3)
+
+
+def test_node_that_starts_without_the_store_learns_from_a_seed():
+    async def scenario(fleet):
+        await fleet.call("/notes/1", adapter="base/a7")
+        fleet.store.faults["store-g1:1"] = stores.StoreFault.SILENT
+        await fleet.start_gateway("g1")
+        await trio.sleep(1.0)
+        assert fleet.gateways["g1"].readiness() == "ready"
+        assert (await fleet.call("/orders/9", "g1")).status == 200
+        reply = await fleet.call("/notes/1", "g1", adapter="base/a7")
+        assert reply.status == 200
+        fleet.store.faults.clear()
+        fleet.store.drop("servers/i-s0")
+        await trio.sleep(5.0)
+        assert "i-s0" not in fleet.gateways["g1"].view.servers
+
+    gateways.run(scenario)
