--- a/src/coltsfootsail/_gateway.py
+++ b/src/coltsfootsail/_gateway.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import math
 import random
 import secrets
 import zlib
@@ -43,7 +44,7 @@
 ADDRESS_TTL_S = 2
 LOAD_STEP_S = 0.05  # resolution of the backlog told to peers
 IDLE_CONNECTIONS = 12  # kept to one server
-ACCEPT_AFTER_TERM_S = 3.0  # requests are still taken so long after SIGTERM
+ACCEPT_SHARE = 0.25  # of the grace; what is taken then can still end in it
 EXIT_MARGIN_S = 1.2
 STRIKES_MAX = 3  # crashes after which a content is refused everywhere
 RESET_S = 0.3  # how often the set of owned engines is checked
@@ -61,7 +62,7 @@
         self.now = network.now
         self.metrics = _metrics.Metrics()
         self.draining = False
-        self._refusing = False
+        self._refuse_from_s = math.inf
         self._network = network
         self._nursery = None
         self._backlogs = {}
@@ -155,7 +156,7 @@
         """
         if not self.view.deployment.version:
             raise exceptions.NoConfiguration(retry_after_s=0.5)
-        if self._refusing:
+        if self.now() >= self._refuse_from_s:
             raise exceptions.Draining(retry_after_s=0.0)
 
     def closing_headers(self):
@@ -508,15 +509,15 @@
         """
         grace_s = self.settings.gateway.grace_s
         stop_s = self.now() + grace_s - EXIT_MARGIN_S
-        refuse_s = self.now() + ACCEPT_AFTER_TERM_S
+        self._refuse_from_s = self.now() + ACCEPT_SHARE * grace_s
         self.draining = True
         _logs.state("node_draining", node=self._name)
         with trio.move_on_after(1.0):
             await self._publish()
             await self.claims.release()
         while self.now() < stop_s:
-            self._refusing = self.now() >= refuse_s
-            if self._refusing and not self.serving.active:
+            idle = not self.serving.active
+            if idle and self.now() >= self._refuse_from_s:
                 break
             await trio.sleep(0.05)
         with trio.move_on_after(0.2):
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -599,3 +599,24 @@
         assert "i-s0" not in fleet.gateways["g1"].view.servers
 
     gateways.run(scenario)
+
+
+def test_request_that_could_not_end_before_the_stop_is_refused():
+    """Of 8 s of grace, requests are taken for 2 s."""
+
+    async def scenario(fleet):
+        for engine in fleet.engines:
+            engine.events, engine.event_s = 100, 0.05
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_call_a7, fleet)
+            await trio.sleep(0.5)
+            nursery.start_soon(fleet.gateways["g0"].drain)
+            await trio.sleep(1.9)
+            assert (await fleet.call("/orders/9")).status == 200
+            await trio.sleep(0.15)
+            reply = await fleet.call("/orders/9")
+            assert reply.status == 503
+            assert float(reply.headers["retry-after"]) == 0.0
+            assert reply.headers["connection"] == "close"
+
+    gateways.run(scenario)
