--- a/src/coltsfootsail/_claims.py
+++ b/src/coltsfootsail/_claims.py
@@ -30,11 +30,12 @@
 
     :param fence: revision of the claim.
     :param orders_from_s: no order may be given before this time.
+    :param former: the node that held it before, empty if none did.
     """
 
     fence: int
     orders_from_s: float
-    ordered_s: float | None = None
+    former: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -221,7 +222,7 @@
         if not result.succeeded:
             return
         self.held[server] = Held(
-            result.revision, self._orders_from_s(server, former)
+            result.revision, self._orders_from_s(server, former), former
         )
         _logs.state(
             "claim_taken",
@@ -231,14 +232,22 @@
             wait_s=round(self.held[server].orders_from_s - self._now(), 2),
         )
         self._on_taken()
-        if former not in ("", self._node):
-            self._ask_release(former, server, result.revision)
+
+    def _ask_former(self):
+        """Ask former holders for their word until it is there.
+
+        One that has started again since answers for its own run.
+        """
+        for server, held in self.held.items():
+            if self._now() < held.orders_from_s:
+                self._ask_release(held.former, server, held.fence)
 
     async def run(self):
         """Take and check claims for as long as the task runs."""
         await self._view.synced.wait()
         while True:
             self._check_held()
+            self._ask_former()
             if self.taking and self._lease.valid():
                 for server, revision in list(self._wanted()):
                     try:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -620,3 +620,24 @@
             assert reply.headers["connection"] == "close"
 
     gateways.run(scenario)
+
+
+def test_successor_asks_again_when_the_former_owner_is_back():
+    async def scenario(fleet):
+        engine = fleet.engines[0]
+        owner = _owner(fleet, engine)
+        fleet.scopes[owner].cancel()
+        fleet.gateways[owner].claims.held.clear()
+        for _ in fleet.engines:
+            fleet.store.drop(
+                fleet.store.keys("/coltsfootsail/state/claims")[0]
+            )
+        fleet.store.drop(f"/coltsfootsail/state/members/{owner}")
+        await trio.sleep(3.0)
+        await fleet.start_gateway(owner)
+        await trio.sleep(4.5)
+        other = _owner(fleet, engine)
+        assert other != owner
+        assert fleet.gateways[other].claims.may_order(engine.name)
+
+    gateways.run(scenario, nodes=3)
