--- a/src/coltsfootsail/_admission.py
+++ b/src/coltsfootsail/_admission.py
@@ -16,6 +16,7 @@
 FIRST_EVENT_S = 0.12  # from a start on an idle engine to its first event
 MEMORY_SHARE = 0.92  # of the memory that running requests may fill
 HOLD_OBJECTIVES = 2.2  # waits longer than this many objectives are ended
+HOLD_MIN_S = 1.0  # also for what came late from another engine
 QUEUE_MAX = 256
 RUN_S = 4.0  # prior of how long a request runs
 
@@ -53,7 +54,8 @@
     def hold_until_s(self):
         """When it is told to come back later."""
         length_s = (self.objective_s - self.arrived_s) * HOLD_OBJECTIVES
-        return min(self.until_s, self.arrived_s + length_s)
+        hold_s = max(HOLD_MIN_S, length_s)
+        return min(self.until_s, self.arrived_s + hold_s)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/coltsfootsail/_gateway.py
+++ b/src/coltsfootsail/_gateway.py
@@ -47,6 +47,7 @@
 ACCEPT_SHARE = 0.25  # of the grace; what is taken then can still end in it
 EXIT_MARGIN_S = 1.2
 STRIKES_MAX = 3  # crashes after which a content is refused everywhere
+METRICS_PATH = "/metrics"
 RESET_S = 0.3  # how often the set of owned engines is checked
 
 
@@ -455,6 +456,9 @@
                 raise exceptions.NoConfiguration(retry_after_s=0.5)
             answer = messages.resolve_answer(found, ADDRESS_TTL_S)
             await resp.reply_json(answer)
+        elif req.path == METRICS_PATH:
+            kind = [("content-type", "text/plain; version=0.0.4")]
+            await resp.reply(200, self.metrics.text(), kind)
         else:
             raise exceptions.NotFound()
 
--- a/src/coltsfootsail/_grants.py
+++ b/src/coltsfootsail/_grants.py
@@ -17,7 +17,7 @@
 from coltsfootsail import _wire
 from coltsfootsail import exceptions
 
-STALE_S = 1.4  # an owner silent for longer is not waited for
+STALE_S = 1.1  # an owner silent for longer is not waited for
 CHECK_S = 0.2
 SEEN_PARTS_MAX = 4000  # prompt parts that an engine is taken to keep
 
--- a/src/coltsfootsail/_placing.py
+++ b/src/coltsfootsail/_placing.py
@@ -13,7 +13,7 @@
 SPILL_S = 0.45  # backlog by which the next engine must be better
 HELD_SPILL_S = 0.15  # the same where it is said to hold the adapter
 DOWN_S = 1.0
-STALE_S = 1.2  # an owner silent for longer is not asked
+STALE_S = 1.0  # an owner silent for longer is not asked
 UNKNOWN_BACKLOG_S = 0.0
 
 
@@ -45,16 +45,21 @@
         self._down[server.name] = now_s + DOWN_S
 
     def wish(self, call):
-        """Make the ``Wish`` of a request."""
+        """Make the ``Wish`` of a request.
+
+        A stream that broke off is resumed before others begin: its caller
+        leaves after a pause of seconds.
+        """
         prompt = call.meta.prompt
+        since_s = self._now() if call.begun else call.received_s
         return _grants.Wish(
             adapter=prompt.adapter,
             version=self._view.versions.get(prompt.adapter, 0),
             parts=prompt.parts,
             prompt_tokens=prompt.prompt_tokens,
             output_tokens=prompt.output_tokens,
-            priority=call.route.priority,
-            objective_s=call.received_s + call.route.objective_s,
+            priority=0 if call.begun else call.route.priority,
+            objective_s=since_s + call.route.objective_s,
             until_s=call.until_s,
         )
 
--- a/src/coltsfootsail/_serving.py
+++ b/src/coltsfootsail/_serving.py
@@ -39,6 +39,7 @@
 
     :param until_s: when its final answer is due.
     :param sends: how often it was sent to a server.
+    :param begun: whether a part of its stream has reached the caller.
     """
 
     req: _http.HttpRequest
@@ -49,6 +50,7 @@
     until_s: float
     content: str
     sends: int = 0
+    begun: bool = False
     tried: set = dataclasses.field(default_factory=set)
     ran: set = dataclasses.field(default_factory=set)
     avoided: set = dataclasses.field(default_factory=set)
@@ -388,6 +390,7 @@
 
     async def _stream_attempt(self, call, sink, resp):
         gateway = self._gateway
+        call.begun = sink.started
         server, owner, wish = await self._choose(call)
         if owner is None:
             await self._send_stream(call, sink, resp, server, wish)
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -1,5 +1,7 @@
 """The gateway's decisions, without input or output."""
 
+import dataclasses
+
 import hypothesis
 from hypothesis import strategies
 import pytest
@@ -340,3 +342,11 @@
     )
     chosen = [route.choose(str(number)) for number in range(2000)]
     assert 0.07 < chosen.count("b") / len(chosen) < 0.13
+
+
+def test_request_past_its_objective_is_late_but_not_turned_away(queue):
+    late = ask(1, adapter="m/rare", arrived_s=0.0)
+    late = dataclasses.replace(late, arrived_s=1.4)
+    queue.add(late)
+    assert queue.step(1.5, lambda adapter, version: False) == []
+    assert granted(queue.step(1.6, always)) == [1]
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -4,6 +4,7 @@
 
 from coltsfootsail import _metrics
 from coltsfootsail import exceptions
+from tools import make_operations
 
 DOCS = pathlib.Path(__file__).parent.parent / "docs"
 
@@ -24,3 +25,11 @@
         found.append(kind.code)
         todo.extend(kind.__subclasses__())
     assert len(found) == len(set(found))
+
+
+def test_operations_lists_every_log_event():
+    text = (DOCS / "OPERATIONS.md").read_text()
+    rows = list(make_operations.event_rows())
+    assert len(rows) > 20
+    for row in rows:
+        assert row in text
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -641,3 +641,16 @@
         assert fleet.gateways[other].claims.may_order(engine.name)
 
     gateways.run(scenario, nodes=3)
+
+
+def test_stream_that_breaks_after_its_objective_is_resumed():
+    async def scenario(fleet):
+        home = _home(fleet, "base/a7")
+        for engine in fleet.engines:
+            engine.event_s = 0.3
+        home.cut_after = 3
+        reply = await fleet.call("/prints/1", adapter="base/a7")
+        assert reply.whole
+        assert reply.body == b"".join(EVENTS)
+
+    gateways.run(scenario)
--- a/tools/make_operations.py
+++ b/tools/make_operations.py
@@ -3,7 +3,9 @@
 Usage: ``python tools/make_operations.py docs/OPERATIONS.md``.
 """
 
+import ast
 import dataclasses
+import pathlib
 import re
 import sys
 
@@ -40,7 +42,46 @@
             yield f"| `{section.name}.{field.name}` | {default} |"
 
 
+LOG_LEVELS = {"state": "INFO", "detail": "DEBUG", "failure": "ERROR"}
+SOURCES = pathlib.Path(__file__).parent.parent / "src" / "coltsfootsail"
+
+
+def _log_calls(tree):
+    """Find the calls that write a log line with a fixed name."""
+    for node in ast.walk(tree):
+        if not isinstance(node, ast.Call):
+            continue
+        if not isinstance(node.func, ast.Attribute) or not node.args:
+            continue
+        owner = getattr(node.func.value, "id", "")
+        if owner != "_logs" or node.func.attr not in LOG_LEVELS:
+            continue
+        names = node.args[0]
+        choices = (
+            [names.body, names.orelse]
+            if isinstance(names, ast.IfExp)
+            else [names]
+        )
+        fields = [word.arg for word in node.keywords if word.arg]
+        for choice in choices:
+            yield choice.value, LOG_LEVELS[node.func.attr], fields
+
+
+def event_rows():
+    """List the log lines with their level and fields."""
+    found = {}
+    for path in sorted(SOURCES.glob("*.py")):
+        tree = ast.parse(path.read_text(encoding="utf-8"))
+        for event, level, fields in _log_calls(tree):
+            known = found.setdefault((event, level), [])
+            known += [field for field in fields if field not in known]
+    yield "| event | level | fields |\n|---|---|---|"
+    for (event, level), fields in sorted(found.items()):
+        yield f"| `{event}` | {level} | {', '.join(fields)} |"
+
+
 BLOCKS = {
+    "events": event_rows,
     "refusals": refusal_rows,
     "counters": counter_rows,
     "settings": setting_rows,
