--- a/src/coltsfootsail/_claims.py
+++ b/src/coltsfootsail/_claims.py
@@ -20,6 +20,8 @@
 
 STEP_S = 0.25
 TURN_S = 1.5  # an absent candidate's turn passes to the next after this
+SWEEP_S = 30.0
+FORGET_S = 60.0  # entries of live servers are back seconds after an outage
 SLACK_S = 0.3  # clocks of two hosts and the way of an order
 MEET_S = 1.2  # a new node first lets the others show up in the store
 
@@ -94,6 +96,8 @@
         self._started_s = now()
         self._free_since = {}
         self._ordered = {}
+        self._absent_since = {}
+        self._swept_s = now()
         self.held = {}
         self.taking = True
 
@@ -255,8 +259,48 @@
                     except exceptions.KvError as exc:
                         _logs.state("claim_failed", reason=exc.detail)
                         break
+            if self._now() - self._swept_s > SWEEP_S:
+                self._swept_s = self._now()
+                await self._sweep()
             await trio.sleep(STEP_S)
 
+    def _forgettable(self):
+        """List the servers whose last holder is of no use any more.
+
+        One node at a time, by rank, removes a record.
+        """
+        now_s = self._now()
+        gone = [
+            name
+            for name in self._view.once_claimed()
+            if name not in self._view.servers
+        ]
+        self._absent_since = {
+            name: self._absent_since.get(name, now_s) for name in gone
+        }
+        nodes = tuple(sorted({*self._view.members(), self._node}))
+        return [
+            name
+            for name, since_s in self._absent_since.items()
+            if now_s - since_s > FORGET_S
+            and candidate(name, nodes, {}, len(gone), 0) == self._node
+        ]
+
+    async def _sweep(self):
+        oldest_s = self._now() - FORGET_S
+        self._ordered = {
+            name: at_s
+            for name, at_s in self._ordered.items()
+            if at_s > oldest_s or name in self._view.servers
+        }
+        for name in self._forgettable():
+            drop = _kv.Delete(_keys.intent(name))
+            try:
+                await self._kv.txn([], [drop])
+            except exceptions.KvError as exc:
+                _logs.state("sweep_failed", reason=exc.detail)
+                return
+
     async def release(self):
         """Give all claims back before a planned stop."""
         self.taking = False
--- a/src/coltsfootsail/_gateway.py
+++ b/src/coltsfootsail/_gateway.py
@@ -39,6 +39,8 @@
 MESH_SILENCE_S = 2.5
 MESH_REDIAL_S = 0.4
 NODES_SPARE = 3  # machines that may be added unseen, for the retry budget
+NODES_UNKNOWN = 40  # taken to share the retry budget before any is known
+SWEEP_S = 60.0
 HALF_LIFE_S = 20.0
 ADDRESSES_MAX = 64
 ADDRESS_TTL_S = 2
@@ -67,6 +69,7 @@
         self._network = network
         self._nursery = None
         self._backlogs = {}
+        self._most_nodes = 1
         self._scopes = {}
         self._name = settings.node.name
         self._incarnation = secrets.token_hex(6)
@@ -127,13 +130,24 @@
             bounds.retry_ratio,
             bounds.retry_extra,
             bounds.retry_window_s,
-            lambda: self.view.member_count() + NODES_SPARE,
+            self._node_count,
             self.now,
         )
         self.upstream = _upstream.Upstream(client)
         self.strikes = _poison.Strikes(lambda content: 0, STRIKES_MAX)
         self.serving = _serving.Serving(self)
 
+    def _node_count(self):
+        """Count the nodes that share budgets, the most ever seen at once.
+
+        Registrations vanish with their leases while the nodes live on.
+        """
+        seen = max(self.view.member_count(), len(self.mesh.up()) + 1)
+        self._most_nodes = max(self._most_nodes, seen)
+        if not self.view.known.is_set():
+            return NODES_UNKNOWN
+        return self._most_nodes + NODES_SPARE
+
     # -- what callers meet ------------------------------------------
 
     def readiness(self):
@@ -405,6 +419,14 @@
             self._sync_orderers()
             await trio.sleep(RESET_S)
 
+    async def _run_sweep(self):
+        """Drop what is of no use any more, so that nothing only grows."""
+        while True:
+            await trio.sleep(SWEEP_S)
+            self.popularity.sweep(self.now())
+            for name in [n for n in self._backlogs if self.view.leaving(n)]:
+                del self._backlogs[name]
+
     # -- life -------------------------------------------------------
 
     def _member(self):
@@ -486,6 +508,7 @@
             nursery.start_soon(self.mesh.run, self._peers, self._is_listed)
             nursery.start_soon(self.claims.run)
             nursery.start_soon(self._run_owned)
+            nursery.start_soon(self._run_sweep)
             _logs.state(
                 "node_started", node=node.name, incarnation=self._incarnation
             )
--- a/src/coltsfootsail/_view.py
+++ b/src/coltsfootsail/_view.py
@@ -99,6 +99,13 @@
         found = self._records[_keys.INTENTS].get(_keys.intent(server))
         return found[0].node if found else ""
 
+    def once_claimed(self):
+        """List the servers, present or not, that were ever claimed."""
+        return [
+            key.removeprefix(_keys.INTENTS)
+            for key in self._records[_keys.INTENTS]
+        ]
+
     def engine_servers(self):
         """List the servers that take orders, those that leave included."""
         return {
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -654,3 +654,30 @@
         assert reply.body == b"".join(EVENTS)
 
     gateways.run(scenario)
+
+
+def test_retry_budget_counts_nodes_whose_registration_vanished():
+    async def scenario(fleet):
+        gateway = fleet.gateways["g0"]
+        before = gateway._node_count()
+        for key in fleet.store.keys("/coltsfootsail/state/members"):
+            fleet.store.drop(key)
+        fleet.net.cut("g0", "g1")
+        fleet.net.cut("g0", "g2")
+        await trio.sleep(4.0)
+        assert gateway._node_count() >= before >= 6
+
+    gateways.run(scenario, nodes=3)
+
+
+def test_records_of_servers_that_are_gone_are_removed_after_a_while():
+    async def scenario(fleet):
+        key = "/coltsfootsail/state/intents/i-e0"
+        fleet.store.drop("servers/i-e0")
+        await trio.sleep(40.0)
+        assert key in fleet.store.keys("/coltsfootsail/state/intents")
+        await trio.sleep(80.0)
+        assert key not in fleet.store.keys("/coltsfootsail/state/intents")
+        assert len(fleet.store.keys("/coltsfootsail/state/intents")) == 1
+
+    gateways.run(scenario)
