--- a/src/coltsfootsail/_node.py
+++ b/src/coltsfootsail/_node.py
@@ -439,17 +439,11 @@
     # -- life -------------------------------------------------------
 
     def _member(self):
-        node = self.settings.node
-        return _records.Member(
-            node=node.name,
-            incarnation=self.incarnation,
-            region=node.region,
-            data_centre=node.data_centre,
-            caller_address=node.caller_address,
-            peer_address=node.peer_address,
-            admin_address=node.admin_address,
-            lease=self.lease.number,
-            draining=self.draining,
+        return _records.member(
+            self.settings.node,
+            self.incarnation,
+            self.lease.number,
+            self.draining,
         )
 
     def _on_lease(self, event):
--- a/src/coltsfootsail/_records.py
+++ b/src/coltsfootsail/_records.py
@@ -23,6 +23,25 @@
     draining: bool = False
 
 
+def member(node, incarnation, lease, draining):
+    """Make a node's record.
+
+    :param node: its ``NodeSettings``.
+    :param lease: number of the lease that the record hangs on.
+    """
+    return Member(
+        node=node.name,
+        incarnation=incarnation,
+        region=node.region,
+        data_centre=node.data_centre,
+        caller_address=node.caller_address,
+        peer_address=node.peer_address,
+        admin_address=node.admin_address,
+        lease=lease,
+        draining=draining,
+    )
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Claim:
     """A role held by a node; the key's mod revision is its fence."""
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -434,6 +434,18 @@
     gateways.run(scenario)
 
 
+async def _only_odd_server(fleet, handler):
+    """Put one server in the place of all others of the shop."""
+    await fleet.listen("odd:80", handler)
+    for number in (0, 1):
+        fleet.store.drop(f"servers/i-s{number}")
+    fleet.store.put(
+        "servers/i-odd",
+        {"service": "shop", "addr": "odd:80", "state": "ready"},
+    )
+    await trio.sleep(1.5)
+
+
 def _answer(body, request_id=b""):
     echo = messages.REQUEST_ID.encode() + b": " + request_id + b"\r\n"
     return (
@@ -455,14 +467,7 @@
         await trio.sleep(1.0)
 
     async def scenario(fleet):
-        await fleet.listen("odd:80", extra)
-        for number in (0, 1):
-            fleet.store.drop(f"servers/i-s{number}")
-        fleet.store.put(
-            "servers/i-odd",
-            {"service": "shop", "addr": "odd:80", "state": "ready"},
-        )
-        await trio.sleep(1.5)
+        await _only_odd_server(fleet, extra)
         reply = await fleet.call("/orders/9")
         assert (reply.status, reply.body) == (200, b"ok")
 
@@ -523,14 +528,7 @@
             await stream.send_all(_answer(b"ok", ids) + _answer(b"no"))
 
     async def scenario(fleet):
-        await fleet.listen("odd:80", extra)
-        for number in (0, 1):
-            fleet.store.drop(f"servers/i-s{number}")
-        fleet.store.put(
-            "servers/i-odd",
-            {"service": "shop", "addr": "odd:80", "state": "ready"},
-        )
-        await trio.sleep(1.5)
+        await _only_odd_server(fleet, extra)
         for number in (1, 2):
             reply = await fleet.call("/orders/9", request_id=f"r{number}")
             assert (reply.status, reply.body) == (200, b"ok")
