Wait for an engine to take a broken stream, and go back to the one that broke it last

Found by reading: the patience with owners was counted from the request's arrival, so a stream that broke later had none; an engine that had just broken the stream off was chosen again and again until its sends were used up.

--- a/src/coltsfootsail/_placing.py
+++ b/src/coltsfootsail/_placing.py
@@ -132,8 +132,6 @@
             if owner is None and not holds:
                 continue
             cost = self._cost(rank, server, holds)
-            if server.name in call.ran:
-                cost += 5.0
             if best is None or cost < best[0]:
                 best = (cost, server, owner)
             if rank + 1 >= RANKS and best is not None:
--- a/src/coltsfootsail/_serving.py
+++ b/src/coltsfootsail/_serving.py
@@ -29,7 +29,6 @@
 OWNER_PAUSE_S = 0.06
 SILENT_FIRST_S = 1.8  # to a repeatable request's first byte
 SILENT_STREAM_S = 1.5  # between events, where a stream can be resumed
-UNKNOWN = exceptions.Outcome.UNKNOWN
 NOT_RUN = exceptions.Outcome.NOT_RUN
 
 
@@ -40,6 +39,9 @@
     :param until_s: when its final answer is due.
     :param sends: how often it was sent to a server.
     :param begun: whether a part of its stream has reached the caller.
+    :param patient_until_s: until then owners that start are waited for.
+    :param avoided: engines whose owners did not grant a start.
+    :param broken: engines that broke the request off.
     """
 
     req: _http.HttpRequest
@@ -48,12 +50,14 @@
     service: str
     received_s: float
     until_s: float
+    patient_until_s: float
     content: str
     sends: int = 0
     begun: bool = False
     tried: set = dataclasses.field(default_factory=set)
     ran: set = dataclasses.field(default_factory=set)
     avoided: set = dataclasses.field(default_factory=set)
+    broken: set = dataclasses.field(default_factory=set)
 
 
 @contextlib.contextmanager
@@ -68,13 +72,11 @@
 class _StreamSink:
     """The caller's side of a stream, over one or more servers."""
 
-    def __init__(self, resp, resumable, extra):
+    def __init__(self, resp, extra):
         self._resp = resp
-        self._resumable = resumable
         self._extra = extra
         self.splitter = _upstream.EventSplitter()
         self.started = False
-        self.first_s = None
 
     async def start(self, exchange):
         """Send the head, unless an earlier server's was sent."""
@@ -220,6 +222,7 @@
             service=service,
             received_s=now_s,
             until_s=now_s + min(wait_s, route.timeout_s),
+            patient_until_s=now_s + OWNER_WAIT_S,
             content=content,
         )
 
@@ -340,9 +343,7 @@
     # -- streams ----------------------------------------------------
 
     async def _stream(self, call, resp):
-        sink = _StreamSink(
-            resp, call.route.resumable, self._gateway.closing_headers
-        )
+        sink = _StreamSink(resp, self._gateway.closing_headers)
         with trio.move_on_after(call.until_s - self._now()):
             await self._stream_attempts(call, sink, resp)
             return
@@ -387,6 +388,8 @@
             raise _truth(exc, call)
         if sink.started and not call.route.resumable:
             raise exc
+        if sink.started and exc.outcome is not NOT_RUN:
+            call.patient_until_s = self._now() + OWNER_WAIT_S
 
     async def _stream_attempt(self, call, sink, resp):
         gateway = self._gateway
@@ -419,18 +422,25 @@
     def _may_wait(self, call, exc):
         """Say whether an owner that just starts is asked again."""
         starting = getattr(exc, "reason", "") == "not the owner"
-        return starting and self._now() < call.received_s + OWNER_WAIT_S
+        return starting and self._now() < call.patient_until_s
 
     async def _choose(self, call):
-        """Choose an engine, waiting a little where no owner is known."""
+        """Choose an engine, waiting a little where no owner is known.
+
+        Engines that broke the request off come last.
+        """
         placing = self._gateway.placing
         choice = placing.choose(call)
-        while choice is None:
-            if self._now() > call.received_s + OWNER_WAIT_S:
-                raise exceptions.NoEndpoint(retry_after_s=RETRY_AFTER_S)
+        while choice is None and self._now() < call.patient_until_s:
             await trio.sleep(OWNER_PAUSE_S)
+            call.avoided = set(call.broken)
+            choice = placing.choose(call)
+        if choice is None and call.broken:
+            call.broken.clear()
             call.avoided.clear()
             choice = placing.choose(call)
+        if choice is None:
+            raise exceptions.NoEndpoint(retry_after_s=RETRY_AFTER_S)
         return choice
 
     async def _send_stream(self, call, sink, resp, server, wish):
@@ -471,6 +481,8 @@
             raise
         except exceptions.ColtsfootsailError as exc:
             self._note_break(call, server, exc)
+            call.broken.add(server.name)
+            call.avoided = set(call.broken)
             raise
 
     async def _relay(self, exchange, sink, resp, guard):
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -679,3 +679,20 @@
         assert len(fleet.store.keys("/coltsfootsail/state/intents")) == 1
 
     gateways.run(scenario)
+
+
+def test_broken_stream_waits_for_an_engine_that_comes_back():
+    async def scenario(fleet):
+        home = _home(fleet, "base/a7")
+        other = next(e for e in fleet.engines if e is not home)
+        for engine in fleet.engines:
+            engine.event_s = 0.3
+        home.cut_after = 2
+        for gateway in fleet.gateways.values():
+            orderer = gateway.orderers.get(other.name)
+            if orderer is not None:
+                orderer._down_until_s = trio.current_time() + 1.9
+        reply = await fleet.call("/prints/1", adapter="base/a7")
+        assert reply.whole
+
+    gateways.run(scenario)
