Never let the silence guard end a write to the caller

A slow caller would have been taken for a silent server, too. The guard now counts only while the server is read.

--- a/src/coltsfootsail/_serving.py
+++ b/src/coltsfootsail/_serving.py
@@ -6,6 +6,7 @@
 
 import contextlib
 import dataclasses
+import math
 
 import trio
 
@@ -486,14 +487,15 @@
             raise
 
     async def _relay(self, exchange, sink, resp, guard):
-        guard.heard()
+        await guard.stop()
         if not 200 <= exchange.status < 300:
             await self._relay_failure(exchange, sink, resp)
             return
         await sink.start(exchange)
         while exchange.phase is not _http.Phase.DONE:
+            guard.wait()
             data = await exchange.read_some()
-            guard.heard()
+            await guard.stop()
             await sink.write(data)
         await sink.end()
 
@@ -513,7 +515,11 @@
 
 
 class _Silence:
-    """Ends an exchange that has been silent, where it may be repeated."""
+    """Ends an exchange that has been silent, where it may be repeated.
+
+    It must never end a write to the caller, which would lose a part of
+    the answer or cut it in the middle.
+    """
 
     def __init__(self, active):
         self._active = active
@@ -526,11 +532,16 @@
             self._scope.deadline = trio.current_time() + SILENT_FIRST_S
         return self
 
-    def heard(self):
-        """Note that bytes arrived."""
+    def wait(self):
+        """Count the silence from now."""
         if self._active:
             self._scope.deadline = trio.current_time() + SILENT_STREAM_S
 
+    async def stop(self):
+        """Count no silence, unless the server was given up already."""
+        self._scope.deadline = math.inf
+        await trio.lowlevel.checkpoint_if_cancelled()
+
     def __exit__(self, *exc_info):
         swallowed = self._scope.__exit__(*exc_info)
         self.expired = self._scope.cancelled_caught
