Wait two seconds for entries of servers that expired in an outage of the store

Servers that vanish within 2 s of the store's return, after 3.5 s without it, are kept until they are still missing then; a node that is cut off again keeps them as it keeps all else. Without an outage nothing changes.

--- a/src/coltsfootsail/_view.py
+++ b/src/coltsfootsail/_view.py
@@ -17,6 +17,9 @@
 
 WATCH_WAIT_S = 2.0  # a silent connection is noticed in this time
 WATCH_PAUSE_SHARE = 0.4  # of the time for news, to gather changes
+OUTAGE_S = 3.5  # without an answer; entries expire after 3.6 s of silence
+RETURN_S = 2.0  # servers write their entries again within this time
+RETURN_PAUSE_S = 0.2
 START_S = 3.0
 START_PAUSE_S = 0.2
 EVERYTHING = ""
@@ -50,6 +53,8 @@
         self._now = now
         self._on_change = on_change
         self._started_s = now()
+        self._returned_s = None
+        self._doubtful = set()
         self._pause_s = WATCH_PAUSE_SHARE * news_s
         self._decoders = (
             (registry.CONFIG_KEY, self._take_deployment),
@@ -170,9 +175,7 @@
     def _take_server(self, entry, deleted):
         name = entry.key.removeprefix(registry.SERVER_PREFIX)
         if deleted:
-            self.generation += 1
-            if self.servers.pop(name, None):
-                _logs.state("server_gone", server=name)
+            self._lose_server(name)
             return
         try:
             found = registry.server(entry)
@@ -183,6 +186,7 @@
             return
         old = self.servers.get(name)
         self.servers[name] = found
+        self._doubtful.discard(name)
         if old is None or _place(old) != _place(found):
             self.generation += 1
         if old is None or old.draining != found.draining:
@@ -194,6 +198,34 @@
                 address=found.address,
             )
 
+    def _lose_server(self, name):
+        """Forget a server, unless its entry expired in an outage."""
+        if name not in self.servers:
+            return
+        if self._returning():
+            self._doubtful.add(name)
+            return
+        del self.servers[name]
+        self._doubtful.discard(name)
+        self.generation += 1
+        _logs.state("server_gone", server=name)
+
+    def _returning(self):
+        """Say whether the store came back so recently that entries lack."""
+        if self._returned_s is None:
+            return False
+        return self._now() < self._returned_s + RETURN_S
+
+    def _note_contact(self):
+        """Note that the store answered, before its answer is taken."""
+        now_s = self._now()
+        if self.heard_s is not None and now_s - self.heard_s > OUTAGE_S:
+            self._returned_s = now_s
+            _logs.state("store_back", after_s=round(now_s - self.heard_s, 1))
+        if self._doubtful and not self._returning():
+            for name in list(self._doubtful):
+                self._lose_server(name)
+
     def _take_record(self, entry, deleted):
         for prefix, kind in _RECORD_KINDS:
             if not entry.key.startswith(prefix):
@@ -246,9 +278,7 @@
                 del records[key]
         for name in list(self.servers):
             if registry.SERVER_PREFIX + name not in present:
-                del self.servers[name]
-                self.generation += 1
-                _logs.state("server_gone", server=name)
+                self._lose_server(name)
         for entry in snapshot.entries:
             self.take(entry)
         self.revision = snapshot.revision
@@ -268,7 +298,9 @@
         backoff = _kv.Backoff(first_s=0.2, limit_s=1.0)
         while True:
             try:
-                self.reset(await self._kv.range(EVERYTHING))
+                snapshot = await self._kv.range(EVERYTHING)
+                self._note_contact()
+                self.reset(snapshot)
                 backoff.reset()
                 await self._watch(backoff)
             except exceptions.KvHistoryGone:
@@ -280,8 +312,9 @@
     async def _watch(self, backoff):
         while True:
             try:
+                wait_s = RETURN_PAUSE_S if self._doubtful else WATCH_WAIT_S
                 events, revision = await self._kv.changes(
-                    EVERYTHING, self.revision, WATCH_WAIT_S
+                    EVERYTHING, self.revision, wait_s
                 )
             except exceptions.KvHistoryGone:
                 raise
@@ -291,6 +324,7 @@
                 await trio.sleep(0.05 + backoff.next_s())
                 continue
             backoff.reset()
+            self._note_contact()
             for event in events:
                 self.take(event.entry, event.deleted)
             self.revision = max(self.revision, revision)
@@ -299,7 +333,9 @@
                 await trio.sleep(self._watch_pause_s())
 
     def _watch_pause_s(self):
-        """Follow closely at first, when owners and peers show up."""
+        """Follow closely while owners, peers or servers show up."""
+        if self._doubtful:
+            return RETURN_PAUSE_S
         if self._now() < self._started_s + START_S:
             return START_PAUSE_S
         return self._pause_s
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -696,3 +696,36 @@
         assert reply.whole
 
     gateways.run(scenario)
+
+
+def test_entries_that_expired_in_an_outage_are_waited_for():
+    """Servers write theirs again within about two seconds of its end."""
+
+    async def scenario(fleet):
+        doors = [f"store-{name}:1" for name in fleet.names]
+        fleet.store.faults = dict.fromkeys(doors, stores.StoreFault.SILENT)
+        await trio.sleep(5.0)
+        for number in (0, 1):
+            fleet.store.drop(f"servers/i-s{number}")
+        fleet.store.faults.clear()
+        back_s = trio.current_time()
+        view = fleet.gateways["g0"].view
+        while view.heard_s < back_s:
+            await trio.sleep(0.05)
+        await trio.sleep(0.5)
+        assert (await fleet.call("/orders/9")).status == 200
+        fleet.register_shop(0)
+        await trio.sleep(3.0)
+        assert "i-s0" in fleet.gateways["g0"].view.servers
+        assert "i-s1" not in fleet.gateways["g0"].view.servers
+
+    gateways.run(scenario)
+
+
+def test_entry_that_goes_without_an_outage_is_gone_at_once():
+    async def scenario(fleet):
+        fleet.store.drop("servers/i-s1")
+        await trio.sleep(1.0)
+        assert "i-s1" not in fleet.gateways["g0"].view.servers
+
+    gateways.run(scenario)
