--- a/src/coltsfootsail/_admission.py
+++ b/src/coltsfootsail/_admission.py
@@ -4,8 +4,8 @@
 the tokens of its running requests, so prompts that start too close
 together stretch the pauses of every stream; requests are therefore let in
 at the pace at which the engine reads.  It answers these loads: a burst of
-one kind of request (the more urgent first, the rest told at once when to
-come back), rare adapters all at once (those that wait for a load do not
+one kind of request (the more urgent first, the rest refused at once with a
+retry time), rare adapters all at once (those that wait for a load do not
 hold up the others), and callers that come back (they queue like all).
 """
 
@@ -31,7 +31,7 @@
     :param read_tokens: prompt tokens that must be read.
     :param memory_tokens: what it may fill of the engine's memory.
     :param objective_s: when its first event should be there.
-    :param until_s: when it is of no use any more.
+    :param until_s: when the request expires.
     """
 
     number: int
@@ -52,7 +52,7 @@
 
     @property
     def hold_until_s(self):
-        """When it is told to come back later."""
+        """When it is refused with a retry time."""
         length_s = (self.objective_s - self.arrived_s) * HOLD_OBJECTIVES
         hold_s = max(HOLD_MIN_S, length_s)
         return min(self.until_s, self.arrived_s + hold_s)
--- a/src/coltsfootsail/_claims.py
+++ b/src/coltsfootsail/_claims.py
@@ -2,9 +2,9 @@
 
 One node at a time holds an engine's claim, on its lease; the claim's
 revision is the fencing number of its orders.  Beside the claim, without a
-lease, stands who held it last.  A successor gives no order before the last
-holder has said when it gave its last one, or before that holder's proof
-of its lease must have run out.
+lease, is a record of who held it last.  A successor gives no order before
+the last holder has replied when it gave its last one, or before that
+holder's validity window has expired.
 """
 
 import dataclasses
@@ -136,7 +136,7 @@
         return self.idle_s(server)
 
     def released(self, server, fence, idle_s):
-        """Take the former holder's word on its last order."""
+        """Take the former holder's reply on its last order."""
         held = self.held.get(server)
         if held is None or held.fence != fence:
             return
@@ -238,7 +238,7 @@
         self._on_taken()
 
     def _ask_former(self):
-        """Ask former holders for their word until it is there.
+        """Ask former holders until they reply.
 
         One that has started again since answers for its own run.
         """
@@ -265,7 +265,7 @@
             await trio.sleep(STEP_S)
 
     def _forgettable(self):
-        """List the servers whose last holder is of no use any more.
+        """List the servers whose record of the last holder is stale.
 
         One node at a time, by rank, removes a record.
         """
--- a/src/coltsfootsail/_gateway.py
+++ b/src/coltsfootsail/_gateway.py
@@ -44,7 +44,7 @@
 HALF_LIFE_S = 20.0
 ADDRESSES_MAX = 64
 ADDRESS_TTL_S = 2
-LOAD_STEP_S = 0.05  # resolution of the backlog told to peers
+LOAD_STEP_S = 0.05  # resolution of the backlog sent to peers
 IDLE_CONNECTIONS = 12  # kept to one server
 ACCEPT_SHARE = 0.25  # of the grace; what is taken then can still end in it
 EXIT_MARGIN_S = 1.2
@@ -420,7 +420,7 @@
             await trio.sleep(RESET_S)
 
     async def _run_sweep(self):
-        """Drop what is of no use any more, so that nothing only grows."""
+        """Drop stale rows, so that no table grows without bound."""
         while True:
             await trio.sleep(SWEEP_S)
             self.popularity.sweep(self.now())
--- a/src/coltsfootsail/_grants.py
+++ b/src/coltsfootsail/_grants.py
@@ -36,7 +36,7 @@
 
     :param parts: pairs of prompt part and its tokens.
     :param objective_s: absolute time of the first event's objective.
-    :param until_s: absolute time at which the request is of no use.
+    :param until_s: absolute time at which the request expires.
     """
 
     adapter: str
--- a/src/coltsfootsail/_orderer.py
+++ b/src/coltsfootsail/_orderer.py
@@ -3,7 +3,7 @@
 ``Orderer`` runs while this node holds the engine's claim.  Grants are
 decided at once on each change; orders are sent one after the other, each
 with the number of orders that the engine must have accepted so far, so
-that a lost or late one can be told from the engine's report.
+that a lost or late one shows in the engine's report.
 """
 
 import itertools
--- a/src/coltsfootsail/_placing.py
+++ b/src/coltsfootsail/_placing.py
@@ -23,7 +23,7 @@
     :param node: this node's name.
     :param view: a ``View``.
     :param mesh: a ``Mesh``.
-    :param backlog: ``(server name) -> float``, seconds, as last told.
+    :param backlog: ``(server name) -> float``, seconds, as last received.
     :param now: closure that reads the clock.
     """
 
--- a/src/coltsfootsail/_serving.py
+++ b/src/coltsfootsail/_serving.py
@@ -348,7 +348,7 @@
         with trio.move_on_after(call.until_s - self._now()):
             await self._stream_attempts(call, sink, resp)
             return
-        # Time is up: what has begun is cut, the rest is told.
+        # At the timeout a begun stream is closed, any other gets an error.
         if sink.started:
             raise exceptions.EndpointSilent("time is up")
         raise _truth(
--- a/src/coltsfootsail/_view.py
+++ b/src/coltsfootsail/_view.py
@@ -1,4 +1,4 @@
-"""What a gateway believes, followed from the platform's store.
+"""A gateway's view of the deployment, followed from the platform's store.
 
 Configuration and adapter versions only ever go up, whatever a late read,
 a gap in the watch or a peer says.  While the store is away the last view
--- a/src/coltsfootsail/platform/registry.py
+++ b/src/coltsfootsail/platform/registry.py
@@ -1,7 +1,7 @@
 """What the operator and the servers write to the store, decoded.
 
-Entries are untrusted: one that can't be read is reported and names
-nothing; it harms no other.
+Entries are untrusted: one that can't be read raises an error and affects
+no other.
 """
 
 import json
