Remove dead code, and take a peer's strikes by one method

Found by reading the change: two constants and a method that nothing used, a wrapper that turned a timeout into what _truth makes of it anyway, and the same branch on a strike's count in both kinds of node.

--- a/src/coltsfootsail/_admission.py
+++ b/src/coltsfootsail/_admission.py
@@ -18,7 +18,6 @@
 HOLD_OBJECTIVES = 2.2  # waits longer than this many objectives are ended
 HOLD_MIN_S = 1.0  # also for what came late from another engine
 QUEUE_MAX = 256
-RUN_S = 4.0  # prior of how long a request runs
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/coltsfootsail/_book.py
+++ b/src/coltsfootsail/_book.py
@@ -71,13 +71,6 @@
             return False
         return place.version >= version and place.ready_s <= now_s
 
-    def ready_in_s(self, adapter, version, now_s):
-        """Estimate when an adapter can be used."""
-        place = self.held.get(adapter)
-        if place is None or place.version < version:
-            return WARM_S if adapter in self._recent else COLD_S
-        return max(0.0, place.ready_s - now_s)
-
     def in_transit(self, now_s):
         """Count the loads that are under way."""
         return sum(place.ready_s > now_s for place in self.held.values())
--- a/src/coltsfootsail/_gateway.py
+++ b/src/coltsfootsail/_gateway.py
@@ -298,10 +298,7 @@
             self.view.raise_version(key, version)
 
     def _on_strike(self, node, msg):
-        if msg.count:
-            self.strikes.note(msg.fingerprint, msg.count)
-        else:
-            self.strikes.clear(msg.fingerprint)
+        self.strikes.learn(msg.fingerprint, msg.count)
 
     def suspect(self, server, content):
         """Look whether a server crashed while it ran a content."""
--- a/src/coltsfootsail/_node.py
+++ b/src/coltsfootsail/_node.py
@@ -379,10 +379,7 @@
             self.residency.apply(msg)
 
     def _on_strike(self, node, msg):
-        if msg.count:
-            self.strikes.note(msg.fingerprint, msg.count)
-        else:
-            self.strikes.clear(msg.fingerprint)
+        self.strikes.learn(msg.fingerprint, msg.count)
 
     def _on_permit(self, node, msg):
         self.permits.receive(node, msg)
--- a/src/coltsfootsail/_placing.py
+++ b/src/coltsfootsail/_placing.py
@@ -14,7 +14,6 @@
 HELD_SPILL_S = 0.15  # the same where it is said to hold the adapter
 DOWN_S = 1.0
 STALE_S = 1.0  # an owner silent for longer is not asked
-UNKNOWN_BACKLOG_S = 0.0
 
 
 class Placing:
--- a/src/coltsfootsail/_poison.py
+++ b/src/coltsfootsail/_poison.py
@@ -58,6 +58,13 @@
         self.note(content, count)
         return count
 
+    def learn(self, content, count):
+        """Take what another node says; a count of 0 clears the content."""
+        if count:
+            self.note(content, count)
+        else:
+            self.clear(content)
+
     def note(self, content, count):
         """Take over a count from another node."""
         self._cleared.pop(content, None)
--- a/src/coltsfootsail/_serving.py
+++ b/src/coltsfootsail/_serving.py
@@ -284,7 +284,7 @@
             except exceptions.RetryBudgetSpent:
                 break
             except exceptions.DeadlineExceeded as exc:
-                failure = exc if not call.ran else _timeout(exc)
+                failure = exc
                 break
             except exceptions.ColtsfootsailError as exc:
                 failure = exc
@@ -564,10 +564,6 @@
 )
 
 
-def _timeout(exc):
-    return exceptions.EndpointSilent(exc.detail)
-
-
 def _truth(exc, call):
     """Never say "not run" of a request that may have run."""
     if exc.outcome is NOT_RUN and call.ran:
