Keep to an equal share of the connections a server accepts

Cause: each node kept up to 12 idle connections to a server and opened as many more as it had requests, whatever the server's maxConns. On 61 nodes that is 732 idle ones before a server that accepts 430; what is beyond is reset, and a mutating request on a reset connection may have run. Change: a node keeps to nine tenths of the limit over the counted nodes, open and idle together; a plain request without a connection free anywhere is refused as not run.

--- a/src/coltsfootsail/_balance.py
+++ b/src/coltsfootsail/_balance.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import math
 
 FAILURE_WEIGHT = 0.12  # of the newest result in a server's failure share
 FAILURE_COST = 3.0  # a failing server is worth this many more open requests
@@ -28,12 +29,15 @@
     :param data_centre: where this node is.
     :param now: closure that reads the clock.
     :param rng: source of randomness, to break ties.
+    :param room: ``(address) -> int``, requests that this node may have
+        open at a server.
     """
 
-    def __init__(self, data_centre, now, rng):
+    def __init__(self, data_centre, now, rng, room=lambda address: math.inf):
         self._data_centre = data_centre
         self._now = now
         self._rng = rng
+        self._room = room
         self._rows = {}
 
     def _row(self, server):
@@ -49,13 +53,17 @@
         row = self._rows.get(server.name)
         return row is not None and self._now() < row.down_until_s
 
+    def _has_room(self, server):
+        return self._row(server).open < self._room(server.address)
+
     def choose(self, servers, tried=()):
         """Choose a server.
 
         :param servers: the ``Server`` list to choose from.
         :param tried: names to use only if nothing else is left.
-        :returns: a ``Server``, or None if the list is empty.
+        :returns: a ``Server``, or None if none has a connection free.
         """
+        servers = [each for each in servers if self._has_room(each)]
         if not servers:
             return None
         least = min(self._row(server).failures for server in servers)
--- a/src/coltsfootsail/_gateway.py
+++ b/src/coltsfootsail/_gateway.py
@@ -28,6 +28,7 @@
 from coltsfootsail import _retries
 from coltsfootsail import _seeds
 from coltsfootsail import _serving
+from coltsfootsail import _shares
 from coltsfootsail import _upstream
 from coltsfootsail import _view
 from coltsfootsail import _wire
@@ -78,7 +79,6 @@
     def _build(self, settings, network):
         count = self.metrics.count
         bounds = settings.gateway
-        client = _http.HttpClient(network, idle_max=IDLE_CONNECTIONS)
         self._orders_client = _http.HttpClient(network, idle_max=2)
         self.kv = platform.StoreClient(
             _http.HttpClient(network, idle_max=4),
@@ -90,6 +90,7 @@
             self.kv, self.now, lease.ttl_s, lease.margin_s
         )
         self.view = _view.View(self.kv, self.now, self._on_view, bounds.news_s)
+        shares = _shares.ConnectionShares(self.view, self._node_count)
         events = _mesh.Events(
             message=self._on_message,
             up=lambda node: count("peer_links", "up"),
@@ -124,7 +125,7 @@
         )
         rng = random.Random(zlib.crc32(self._name.encode()))
         self.balance = _balance.Balance(
-            settings.node.data_centre, self.now, rng
+            settings.node.data_centre, self.now, rng, shares.limit
         )
         self.budget = _retries.WindowBudget(
             bounds.retry_ratio,
@@ -133,7 +134,11 @@
             self._node_count,
             self.now,
         )
-        self.upstream = _upstream.Upstream(client)
+        self.upstream = _upstream.Upstream(
+            _http.HttpClient(
+                network, idle_max=IDLE_CONNECTIONS, total=shares.limit
+            )
+        )
         self.strikes = _poison.Strikes(lambda content: 0, STRIKES_MAX)
         self.serving = _serving.Serving(self)
 
--- a/src/coltsfootsail/_http.py
+++ b/src/coltsfootsail/_http.py
@@ -4,6 +4,7 @@
 what may be said of a request whose connection failed.
 """
 
+import collections
 import contextlib
 import dataclasses
 import enum
@@ -520,13 +521,17 @@
     :param wrap: ``async (stream, address) -> stream`` to add TLS, or
         None.
     :param idle_max: idle connections kept to one address.
+    :param total: ``(address) -> int``, connections to one address, in use
+        and idle, beyond which none is kept; None for no such bound.
     """
 
-    def __init__(self, network, wrap=None, idle_max=POOL_IDLE_MAX):
+    def __init__(self, network, wrap=None, idle_max=POOL_IDLE_MAX, total=None):
         self._network = network
         self._wrap = wrap
         self._idle_max = idle_max
+        self._total = total
         self._idle = {}
+        self._used = collections.Counter()
 
     async def _connect(self, address, fresh):
         idle = self._idle.get(address, [])
@@ -544,12 +549,19 @@
 
     def _keep(self, address, exchange):
         idle = self._idle.setdefault(address, [])
-        if len(idle) >= self._idle_max:
+        if len(idle) >= self._idle_max or self._is_full(address):
             return False
         until_s = self._network.now() + exchange.keep_s
         idle.append(_Idle(*exchange.connection(), until_s))
         return True
 
+    def _is_full(self, address):
+        """Say whether idle connections must give way to those in use."""
+        if self._total is None:
+            return False
+        count = self._used[address] + len(self._idle.get(address, ()))
+        return count > self._total(address)
+
     async def forget(self, address):
         """Close the idle connections to an address."""
         for found in self._idle.pop(address, []):
@@ -563,14 +575,23 @@
         :param fresh: do not use a kept connection.
         :raises OSError: if no connection can be made.
         """
-        stream, conn = await self._connect(address, fresh)
-        exchange = Exchange(stream, conn)
+        self._used[address] += 1
         try:
-            yield exchange
+            stream, conn = await self._connect(address, fresh)
+            exchange = Exchange(stream, conn)
+            try:
+                yield exchange
+            finally:
+                kept = exchange.reusable() and self._keep(address, exchange)
+                if not kept:
+                    await trio.aclose_forcefully(stream)
         finally:
-            kept = exchange.reusable() and self._keep(address, exchange)
-            if not kept:
-                await trio.aclose_forcefully(stream)
+            self._release(address)
+
+    def _release(self, address):
+        self._used[address] -= 1
+        if not self._used[address]:
+            del self._used[address]
 
     async def call(
         self,
--- a/src/coltsfootsail/_serving.py
+++ b/src/coltsfootsail/_serving.py
@@ -306,7 +306,8 @@
         servers = gateway.servers(call.service)
         server = gateway.balance.choose(servers, call.tried)
         if server is None:
-            raise exceptions.NoEndpoint(retry_after_s=RETRY_AFTER_S)
+            why = "no connection free" if servers else "no server"
+            raise exceptions.NoEndpoint(why, retry_after_s=RETRY_AFTER_S)
         left_s = self._left_s(call)
         if call.route.repeatable and call.sends + 1 < call.route.attempts:
             left_s = left_s * 0.5
--- a/src/coltsfootsail/standins/servers.py
+++ b/src/coltsfootsail/standins/servers.py
@@ -37,11 +37,22 @@
         self.work_s = 0.05
         self.answer = lambda req: 200
         self.refuse = False
+        self.connections_max = 1000
+        self.connections = 0
+        self.resets = 0
         self._now = now
 
     async def serve(self, stream):
-        """Serve one connection."""
-        await _http.serve_connection(stream, LIMITS, self._handle)
+        """Serve one connection, or reset it where there are too many."""
+        if self.connections >= self.connections_max:
+            self.resets += 1
+            await trio.aclose_forcefully(stream)
+            return
+        self.connections += 1
+        try:
+            await _http.serve_connection(stream, LIMITS, self._handle)
+        finally:
+            self.connections -= 1
 
     def _misdirected(self, req):
         wanted = req.header(messages.EXPECT_INSTANCE)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -761,3 +761,36 @@
             gateway.serving._check_send(call, server)
 
     gateways.run(scenario)
+
+
+def test_servers_are_never_sent_more_connections_than_they_accept():
+    async def scenario(fleet):
+        services = [
+            {"name": "engines", "maxConns": 370, "engine": gateways.ENGINE},
+            {"name": "shop", "maxConns": 22},
+        ]
+        raw = {**gateways.configuration(2), "services": services}
+        fleet.store.put("op/config", raw)
+        await trio.sleep(2.5)
+        for shop in fleet.shops:
+            shop.connections_max = 22
+            shop.work_s = 0.4
+        replies = []
+
+        async def call(number):
+            node = fleet.names[number % 2]
+            name = f"r{number}"
+            replies.append(
+                await fleet.call("/orders/1", node, request_id=name)
+            )
+
+        async with trio.open_nursery() as nursery:
+            for number in range(60):
+                nursery.start_soon(call, number)
+        assert not any(shop.resets for shop in fleet.shops)
+        assert {reply.status for reply in replies} == {200, 503}
+        runs = sum(len(shop.runs) for shop in fleet.shops)
+        done = sum(reply.status == 200 for reply in replies)
+        assert runs == done >= 12
+
+    gateways.run(scenario)
