A node that has the store but not its lease says not ready

Cause: readiness asked for configuration and servers only, so a node that wakes from a suspension said ready before it had proved its lease. While the store is away readiness stands, as before: tested for a store that is down, silent, or loses its answers, and for a node that wakes (seen failing without the change).

--- a/src/coltsfootsail/_gateway.py
+++ b/src/coltsfootsail/_gateway.py
@@ -160,10 +160,15 @@
     def readiness(self):
         """Tell whether callers should use this node.
 
+        While the store is away a node serves without its lease; one that
+        has the store but not its lease, as after a suspension, does not.
+
         :returns: ``ready`` or the reason why not.
         """
         if self.draining:
             return "draining"
+        if self.lease.kv_ok and not self.lease.valid():
+            return "no_lease"
         if not self.view.deployment.version:
             return "no_configuration"
         if not self.view.servers:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -826,3 +826,38 @@
             assert row in text
 
     gateways.run(scenario, nodes=1)
+
+
+def test_node_that_wakes_is_not_ready_before_its_lease_is_proved():
+    async def scenario(fleet):
+        gateway = fleet.gateways["g0"]
+        asleep_s = [0.0]
+        now = gateway.lease._now
+        gateway.lease._now = lambda: now() + asleep_s[0]
+        asleep_s[0] = 30.0
+        assert gateway.readiness() == "no_lease"
+        assert not any(map(gateway.claims.may_order, gateway.claims.held))
+        await trio.sleep(2.5)
+        assert gateway.readiness() == "ready"
+
+    gateways.run(scenario)
+
+
+@pytest.mark.parametrize(
+    "fault",
+    [
+        stores.StoreFault.DOWN,
+        stores.StoreFault.SILENT,
+        stores.StoreFault.LOST_REPLY,
+    ],
+)
+def test_node_without_the_store_stays_ready_when_its_lease_has_lapsed(fault):
+    async def scenario(fleet):
+        gateway = fleet.gateways["g0"]
+        fleet.store.faults["store-g0:1"] = fault
+        for _ in range(100):
+            await trio.sleep(0.1)
+            assert gateway.readiness() == "ready"
+        assert not gateway.lease.valid()
+
+    gateways.run(scenario)
