Demo of the users' platform: three gateways before its stand-ins

make run DEPLOYMENT=platform runs the gateways, the store and the servers that the contract tests use, sends a sample and checks every answer. The users' configuration for tests is now the stand-ins' own.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 STAMP := $(VENV)/installed
+DEPLOYMENT := museum
 
 .PHONY: setup run test lint format faults capacity docs dist dist-test clean
 
@@ -13,7 +14,7 @@
 	touch $(STAMP)
 
 run: setup
-	$(BIN)/coltsfootsail demo
+	$(BIN)/coltsfootsail demo --deployment $(DEPLOYMENT)
 
 lint: setup
 	$(BIN)/ruff format --check src tests tools
--- a/src/coltsfootsail/_cli.py
+++ b/src/coltsfootsail/_cli.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import dataclasses
+import functools
 import json
 import sys
 import time
@@ -73,7 +74,8 @@
     """Run the demo."""
 
     deployment: typing.Annotated[
-        str, cappa.Arg(long="--deployment", help="museum or registry.")
+        str,
+        cappa.Arg(long="--deployment", help="museum, registry or platform."),
     ] = "museum"
     once: typing.Annotated[
         bool, cappa.Arg(long="--once", help="Send a sample and stop.")
@@ -81,15 +83,27 @@
     json: _options.Json = False
 
     def __call__(self):
-        from coltsfootsail import _demo
-
+        run_once, run_forever = self._runs()
         if not self.once:
             with contextlib.suppress(KeyboardInterrupt):
-                trio.run(_demo.run_forever, self.deployment, self._announce)
+                trio.run(run_forever, self._announce)
             return _options.EXIT_OK
-        report = trio.run(_demo.run_once, self.deployment)
+        report = trio.run(run_once)
         print(json.dumps(report, ensure_ascii=False, sort_keys=True))
-        return _options.EXIT_OK if report["ok"] else _options.EXIT_FAILED
+        ok = report["ok"]
+        return _options.EXIT_OK if ok else _options.EXIT_FAILED
+
+    def _runs(self):
+        """Choose what to run once, and what until interrupted."""
+        from coltsfootsail import _demo
+        from coltsfootsail import _demo_gateways
+
+        if self.deployment == _demo_gateways.NAME:
+            return _demo_gateways.run_once, _demo_gateways.run_forever
+        return (
+            functools.partial(_demo.run_once, self.deployment),
+            functools.partial(_demo.run_forever, self.deployment),
+        )
 
     def _announce(self, value):
         lines = [
--- a/tests/gateways.py
+++ b/tests/gateways.py
@@ -14,68 +14,12 @@
 from coltsfootsail.standins import network as memory
 from coltsfootsail.standins import servers
 from coltsfootsail.standins import store
+from coltsfootsail.standins import users
 
-HOST = "shop.example"
-LIMITS = {
-    "maxHeaderBytes": 16384,
-    "maxBodyBytes": 4194304,
-    "headerTimeoutMs": 3000,
-    "idleTimeoutMs": 15000,
-}
-ENGINE = {
-    "slots": 64,
-    "kvTokens": 120000,
-    "stride": 3,
-    "models": [
-        {
-            "name": "base",
-            "weightsMb": 65000.0,
-            "loadS": 3.9,
-            "adapters": 3000,
-            "adapterMb": 12.0,
-        }
-    ],
-    "weightsMb": 66600.0,
-    "adapterSlots": 3,
-    "loadsPerS": 2.1,
-}
-
-
-def route(prefix, kind, service, **fields):
-    """Make a route of the operator's configuration."""
-    return {
-        "name": "r" + prefix.strip("/"),
-        "host": HOST,
-        "prefix": prefix,
-        "type": kind,
-        "timeoutMs": 3000,
-        "sloMs": 1000,
-        "priority": 1,
-        "service": service,
-        "attempts": 2,
-        "sticky": kind == "streaming",
-        "resumable": False,
-        **fields,
-    }
-
-
-def configuration(version, extra=()):
-    """Make the operator's configuration."""
-    return {
-        "version": version,
-        "routes": [
-            route("/notes/", "streaming", "engines", timeoutMs=15000),
-            route("/prints/", "streaming", "engines", resumable=True),
-            route("/orders/", "mutating", "shop"),
-            route("/stock/", "idempotent", "shop"),
-            *extra,
-        ],
-        "services": [
-            {"name": "engines", "maxConns": 370, "engine": ENGINE},
-            {"name": "shop", "maxConns": 110},
-        ],
-        "limits": LIMITS,
-    }
+HOST = users.HOST
+ENGINE = users.ENGINE
+route = users.route
+configuration = users.configuration
 
 
 def settings(name, data_centre="a"):
@@ -143,17 +87,8 @@
 
     def register_shop(self, number, state="ready"):
         """Write a shop server's entry."""
-        self.store.put(
-            f"servers/i-s{number}",
-            {
-                "service": "shop",
-                "addr": f"s{number}:80",
-                "zone": "a",
-                "slots": 6,
-                "state": state,
-                "seq": 0,
-            },
-        )
+        entry = users.plain_entry(f"s{number}:80", state)
+        self.store.put(f"servers/i-s{number}", entry)
 
     async def restart_shop(self, number):
         """Let a shop server listen, if it does not."""
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -70,7 +70,7 @@
         assert name in text
 
 
-@pytest.mark.parametrize("name", ["museum", "registry"])
+@pytest.mark.parametrize("name", ["museum", "registry", "platform"])
 def test_demo_answers_the_mix_and_exits_0(name):
     code, text, errors = _run("demo", "--deployment", name, "--once")
     assert code == 0, errors
