Ask a silent owner for a sign of life instead of counting heartbeats

Cause, from the logs: with 60 links heartbeats come 0.75 to 2.25 s apart, but an owner silent for 1.0 s was taken for gone. 2,679 of 9,545 requests were sent without a start to whoever held the adapter, 31 at once to an engine of 12 slots; it preempted, its streams paused for more than 1.5 s, the silence guard gave them up and sent them elsewhere, which made more. Change: a peer that is needed and has been silent for 0.5 s is pinged, and counts as silent when the reply is owed for 0.5 s; a link asks before it is closed for silence. The test fails without it.

--- a/src/coltsfootsail/_grants.py
+++ b/src/coltsfootsail/_grants.py
@@ -17,7 +17,7 @@
 from coltsfootsail import _wire
 from coltsfootsail import exceptions
 
-STALE_S = 1.1  # an owner silent for longer is not waited for
+STALE_S = 0.6  # an owner that owes a sign of life longer is given up
 CHECK_S = 0.2
 SEEN_PARTS_MAX = 4000  # prompt parts that an engine is taken to keep
 
@@ -320,6 +320,6 @@
             with trio.move_on_after(CHECK_S):
                 await waiter.event.wait()
                 return
-            silent_s = self._mesh.silent_s(owner)
-            if silent_s is None or silent_s > STALE_S:
+            owed_s = self._mesh.unanswered_s(owner)
+            if owed_s is None or owed_s > STALE_S:
                 raise exceptions.OwnerSilent(retry_after_s=0.2)
--- a/src/coltsfootsail/_mesh.py
+++ b/src/coltsfootsail/_mesh.py
@@ -1,8 +1,10 @@
 """Links between the nodes of a region, with heartbeats.
 
-Of two nodes the one with the smaller name dials.  A link that is silent
-for longer than ``SILENCE_S`` is closed and replaced.  A broken link
-changes routing at once; it never changes who owns what.
+Of two nodes the one with the smaller name dials.  Heartbeats become rarer
+with the number of links, so silence alone says nothing: a peer that is
+needed and has been silent for a while is asked for a sign of life.  A link
+that stays silent is closed and replaced.  A broken link changes routing at
+once; it never changes who owns what.
 """
 
 import contextlib
@@ -19,6 +21,7 @@
 HEARTBEAT_PER_LINK_S = 0.025
 SILENCE_S = 6.5
 REDIAL_S = 1.0
+PING_AFTER_S = 0.5  # of silence, where the peer is about to be asked
 QUEUE_MAX = 2000
 BATCH_MAX = 50  # messages in one write, about 8 KB
 
@@ -50,6 +53,7 @@
     scope: trio.CancelScope
     heartbeat: _wire.Heartbeat | None = None
     heard_s: float = 0.0
+    pinged_s: float | None = None
     told: dict = dataclasses.field(default_factory=dict)
     pending: list = dataclasses.field(default_factory=list)
 
@@ -102,15 +106,24 @@
         """Look at once whether there are peers to dial."""
         self._news.set()
 
-    def silent_s(self, node):
-        """Tell how long ago a linked node was last heard of.
+    def unanswered_s(self, node):
+        """Tell for how long a node has owed a sign of life.
 
-        :returns: seconds, or None without a live link.
+        One that has been silent for a while is asked for one now.
+
+        :returns: seconds, 0 if it owes none, or None without a live link.
         """
         link = self._links.get(node)
         if link is None:
             return None
-        return self._network.now() - link.heard_s
+        now_s = self._network.now()
+        if link.pinged_s is None and now_s - link.heard_s > PING_AFTER_S:
+            self._ping(link)
+        return 0.0 if link.pinged_s is None else now_s - link.pinged_s
+
+    def _ping(self, link):
+        link.pinged_s = self._network.now()
+        self.send(link.node, _wire.Ping())
 
     def send(self, node, msg):
         """Queue a message for a node.
@@ -228,17 +241,33 @@
         link.scope.cancel()
 
     async def _receive_all(self, link):
-        with contextlib.suppress(
-            OSError, trio.TooSlowError, exceptions.WireError
-        ):
+        with contextlib.suppress(OSError, exceptions.WireError):
             while True:
-                with trio.fail_after(self._silence_s):
-                    msg = await link.stream.receive()
+                msg = await self._receive(link)
                 if msg is None:
                     return
                 link.heard_s = self._network.now()
-                if isinstance(msg, _wire.Heartbeat):
-                    link.heartbeat = msg
-                    self._events.beaten(link.node, msg)
-                else:
-                    self._events.message(link.node, msg)
+                link.pinged_s = None
+                self._take(link, msg)
+
+    async def _receive(self, link):
+        """Wait for a message; ask for one before silence is too long.
+
+        :returns: a message, or None at the end or after the silence.
+        """
+        half_s = self._silence_s / 2
+        with trio.move_on_after(half_s):
+            return await link.stream.receive()
+        self._ping(link)
+        with trio.move_on_after(half_s):
+            return await link.stream.receive()
+        return None
+
+    def _take(self, link, msg):
+        if isinstance(msg, _wire.Ping):
+            self.send(link.node, _wire.Pong())
+        elif isinstance(msg, _wire.Heartbeat):
+            link.heartbeat = msg
+            self._events.beaten(link.node, msg)
+        elif not isinstance(msg, _wire.Pong):
+            self._events.message(link.node, msg)
--- a/src/coltsfootsail/_placing.py
+++ b/src/coltsfootsail/_placing.py
@@ -13,7 +13,7 @@
 SPILL_S = 0.45  # backlog by which the next engine must be better
 HELD_SPILL_S = 0.15  # the same where it is said to hold the adapter
 DOWN_S = 1.0
-STALE_S = 1.0  # an owner silent for longer is not asked
+STALE_S = 0.5  # an owner that owes a sign of life longer is not asked
 
 
 class Placing:
@@ -97,8 +97,8 @@
         node = found[0].node
         if node == self._node:
             return node
-        silent_s = self._mesh.silent_s(node)
-        if silent_s is None or silent_s > STALE_S:
+        owed_s = self._mesh.unanswered_s(node)
+        if owed_s is None or owed_s > STALE_S:
             return None
         return node
 
--- a/src/coltsfootsail/_wire.py
+++ b/src/coltsfootsail/_wire.py
@@ -217,6 +217,16 @@
     idle_s: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ping:
+    """Asks a peer that has been silent for a while for a sign of life."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Pong:
+    """The reply to a ``Ping``."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class News:
     """Configuration and adapter versions for a node that lacks them."""
@@ -248,6 +258,8 @@
     ReleaseAsk,
     Released,
     News,
+    Ping,
+    Pong,
 )
 _TAGS = {kind: tag for tag, kind in enumerate(MESSAGES)}
 _NAMES = {
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -4,6 +4,7 @@
 import trio
 
 from coltsfootsail import _http
+from coltsfootsail import _mesh
 from coltsfootsail import _placement
 from coltsfootsail import _view
 from coltsfootsail import exceptions
@@ -861,3 +862,34 @@
         assert not gateway.lease.valid()
 
     gateways.run(scenario)
+
+
+@pytest.mark.parametrize("beat_s", [0.5, _mesh.HEARTBEAT_MAX_S])
+def test_owners_grant_every_start_however_rare_heartbeats_are(
+    beat_s, monkeypatch
+):
+    """Nodes with many links beat rarely; owners must not seem silent."""
+    monkeypatch.setattr(_mesh, "HEARTBEAT_MIN_S", beat_s)
+
+    async def scenario(fleet):
+        engine = _home(fleet, "base/a7")
+        owner = _owner(fleet, engine)
+        other = next(name for name in fleet.names if name != owner)
+        links = fleet.gateways[other].metrics
+        await fleet.call("/notes/1", other, adapter="base/a7")
+        up = links.value("peer_links", "up")
+        for number in range(40):
+            await trio.sleep(1.3)
+            reply = await fleet.call(
+                "/notes/1", other, adapter="base/a7", request_id=f"q{number}"
+            )
+            assert reply.status == 200
+        orderers = [
+            orderer
+            for gateway in fleet.gateways.values()
+            for orderer in gateway.owned.orderers.values()
+        ]
+        assert sum(next(each._numbers) - 1 for each in orderers) == 41
+        assert links.value("peer_links", "up") == up
+
+    gateways.run(scenario)
