--- a/src/coltsfootsail/_streams.py
+++ b/src/coltsfootsail/_streams.py
@@ -22,6 +22,7 @@
 OWNER_PAUSE_S = 0.06
 SILENT_FIRST_S = 1.8  # to a repeatable request's first byte
 SILENT_STREAM_S = 1.5  # between events, where a stream can be resumed
+SILENT_LAST = 3.0  # as patient as this with the last server that may run it
 _ELSEWHERE = frozenset(
     {
         "not the owner",
@@ -247,7 +248,7 @@
         call.ran.add(server.name)
         try:
             with contextlib.ExitStack() as stack:
-                guard = stack.enter_context(_Silence(call.route.resumable))
+                guard = stack.enter_context(_Silence(_patience(call)))
                 await gateway.upstream.run(
                     server,
                     sent,
@@ -302,23 +303,27 @@
 
     It must never end a write to the caller, which would lose a part of
     the answer or cut it in the middle.
+
+    :param patience: factor on the time allowed; infinite for no end.
     """
 
-    def __init__(self, active):
-        self._active = active
+    def __init__(self, patience):
+        self._patience = patience
         self._scope = trio.CancelScope()
         self.expired = False
 
     def __enter__(self):
         self._scope.__enter__()
-        if self._active:
-            self._scope.deadline = trio.current_time() + SILENT_FIRST_S
+        self._allow(SILENT_FIRST_S)
         return self
 
+    def _allow(self, silence_s):
+        deadline_s = trio.current_time() + self._patience * silence_s
+        self._scope.deadline = deadline_s
+
     def wait(self):
         """Count the silence from now."""
-        if self._active:
-            self._scope.deadline = trio.current_time() + SILENT_STREAM_S
+        self._allow(SILENT_STREAM_S)
 
     async def stop(self):
         """Count no silence, unless the server was given up already."""
@@ -334,3 +339,16 @@
 def _reason(exc):
     """Name why an owner gave no start."""
     return getattr(exc, "reason", exc.code)
+
+
+def _patience(call):
+    """Say how patient to be with a silent server that was just sent to.
+
+    Giving up the last server that may run a request ends it, so that a
+    slow one is better waited for.
+    """
+    if not call.route.resumable:
+        return math.inf
+    last = len(call.ran) >= call.route.attempts
+    last = last or call.sends >= _calls.SENDS_MAX
+    return SILENT_LAST if last else 1.0
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -893,3 +893,29 @@
         assert links.value("peer_links", "up") == up
 
     gateways.run(scenario)
+
+
+def test_slow_engine_is_not_given_up_when_no_attempt_is_left():
+    async def scenario(fleet):
+        extra = [
+            gateways.route(
+                "/deeds/",
+                "streaming",
+                "engines",
+                resumable=True,
+                timeoutMs=20000,
+            )
+        ]
+        fleet.store.put("op/config", gateways.configuration(2, extra))
+        await trio.sleep(2.5)
+        first = _home(fleet, "base/a7")
+        first.cut_after = 1
+        second = next(e for e in fleet.engines if e is not first)
+        second.event_s = 2.5
+        reply = await fleet.call(
+            "/deeds/1", adapter="base/a7", deadline_ms=20000
+        )
+        assert reply.whole and reply.body == b"".join(EVENTS)
+        assert len(second.runs) == 1
+
+    gateways.run(scenario)
