--- a/src/coltsfootsail/_admission.py
+++ b/src/coltsfootsail/_admission.py
@@ -18,6 +18,8 @@
 HOLD_OBJECTIVES = 2.2  # waits longer than this many objectives are ended
 HOLD_MIN_S = 1.0  # also for what came late from another engine
 QUEUE_MAX = 256
+RUN_S = 1.5  # prior of how long a request runs
+RUN_WEIGHT = 0.1  # of the newest in the mean time of a run
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -85,18 +87,28 @@
         self._memory = memory_tokens * MEMORY_SHARE
         self._used = 0
         self._next_s = 0.0
+        self._run_s = RUN_S
+        self._started_s = {}
         self.waiting = []
         self.running = {}
 
     # -- queries ----------------------------------------------------
 
     def backlog_s(self, now_s, priority=9):
-        """Estimate how long a request would wait for its start."""
-        ahead = sum(
-            ask.read_tokens for ask in self.waiting if ask.priority <= priority
-        )
-        pace_s = ahead * PACE / READ_TOKENS_PER_S
-        return max(0.0, self._next_s - now_s) + pace_s
+        """Estimate how long a request would wait for its start.
+
+        It waits for prompts to be read, and for a slot.
+        """
+        ahead = [ask for ask in self.waiting if ask.priority <= priority]
+        tokens = sum(ask.read_tokens for ask in ahead)
+        pace_s = tokens * PACE / READ_TOKENS_PER_S
+        pace_s += max(0.0, self._next_s - now_s)
+        return max(pace_s, self._slot_wait_s(len(ahead)))
+
+    def _slot_wait_s(self, ahead):
+        """Estimate the wait for a slot behind some others."""
+        excess = len(self.running) + ahead + 1 - self._slots
+        return max(0, excess) * self._run_s / self._slots
 
     def wanted(self, now_s):
         """List the adapters that requests wait for.
@@ -123,14 +135,19 @@
         self.waiting.append(ask)
         return None
 
-    def withdraw(self, number):
+    def withdraw(self, number, now_s=None):
         """Forget a request that waits or runs.
 
+        :param now_s: when a run ended, if it did so by itself.
         :returns: its ``Ask``, or None.
         """
         ask = self.running.pop(number, None)
         if ask is not None:
             self._used -= ask.memory_tokens
+            started_s = self._started_s.pop(number)
+            if now_s is not None:
+                error_s = now_s - started_s - self._run_s
+                self._run_s += RUN_WEIGHT * error_s
             return ask
         for ask in self.waiting:
             if ask.number == number:
@@ -172,6 +189,7 @@
     def _start(self, ask, now_s):
         self.waiting.remove(ask)
         self.running[ask.number] = ask
+        self._started_s[ask.number] = now_s
         self._used += ask.memory_tokens
         read_s = ask.read_tokens / READ_TOKENS_PER_S
         self._next_s = max(now_s, self._next_s) + PACE * read_s
--- a/src/coltsfootsail/_demo_gateways.py
+++ b/src/coltsfootsail/_demo_gateways.py
@@ -50,7 +50,11 @@
             yield f"{node}/{part}"
 
 
-def _node_settings(name, at):
+def node_settings(name, at, nodes=NODES):
+    """Make a node's settings from the addresses of all.
+
+    :param at: dict of name and part to address.
+    """
     return _settings.Settings(
         node=_settings.NodeSettings(
             name=name,
@@ -59,7 +63,7 @@
             caller_address=at[f"{name}/caller"],
             peer_address=at[f"{name}/peer"],
             admin_address=at[f"{name}/ready"],
-            seed_addresses=tuple(at[f"{node}/peer"] for node in NODES),
+            seed_addresses=tuple(at[f"{node}/peer"] for node in nodes),
         ),
         platform=_settings.PlatformSettings((at["store"],)),
         lease=_settings.LeaseSettings(ttl_s=8, renew_s=1.5, margin_s=2.0),
@@ -97,7 +101,7 @@
             entry = users.plain_entry(at[name])
             stand_in.put(f"servers/i-{name}", entry)
         for name in NODES:
-            gateway = _gateway.Gateway(_node_settings(name, at), network)
+            gateway = _gateway.Gateway(node_settings(name, at), network)
             nursery.start_soon(gateway.run)
         await _wait_ready(found)
         yield found
--- a/src/coltsfootsail/_gateway.py
+++ b/src/coltsfootsail/_gateway.py
@@ -261,6 +261,7 @@
             await trio.sleep(SWEEP_S)
             self._popularity.sweep(self.now())
             self.owned.sweep()
+            self.placing.sweep()
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED):
         """Run the gateway until it is cancelled or has drained."""
--- a/src/coltsfootsail/_orderer.py
+++ b/src/coltsfootsail/_orderer.py
@@ -140,7 +140,7 @@
         """Note that a request has ended or is wanted no more."""
         self._replies.pop(number, None)
         was_running = number in self.queue.running
-        ask = self.queue.withdraw(number)
+        ask = self.queue.withdraw(number, self._now())
         if ask is None:
             return
         if was_running:
--- a/src/coltsfootsail/_placing.py
+++ b/src/coltsfootsail/_placing.py
@@ -8,10 +8,13 @@
 
 from coltsfootsail import _grants
 from coltsfootsail import _placement
+from coltsfootsail import _popularity
 
-RANKS = 3  # engines in an adapter's order that are compared
-SPILL_S = 0.45  # backlog by which the next engine must be better
-HELD_SPILL_S = 0.15  # the same where it is said to hold the adapter
+RANKS = 10  # engines in an adapter's order that are compared
+LOAD_COST_S = 0.45  # backlog worth as much as one more load and place
+HOT_RATE_S = 1.0  # asked for more often, an adapter's loads cost less each
+RANK_COST_S = 0.02  # for each place in the order, to keep adapters together
+HALF_LIFE_S = 20.0  # over which this node counts what it is asked for
 DOWN_S = 1.0
 STALE_S = 0.5  # an owner that owes a sign of life longer is not asked
 
@@ -35,6 +38,7 @@
         self._down = {}
         self._generation = None
         self._sets = {}
+        self._asked = _popularity.Popularity(HALF_LIFE_S, prior_s=HALF_LIFE_S)
 
     def unreachable(self, server):
         """Note that an engine refused a connection."""
@@ -43,6 +47,29 @@
             del self._down[name]
         self._down[server.name] = now_s + DOWN_S
 
+    def note(self, adapter):
+        """Count a request of a caller.
+
+        The first one of an adapter counts nothing: with many nodes a
+        single request would look like a high rate over all of them.
+        """
+        weight = 1.0 if adapter in self._asked else 0.0
+        self._asked.add(adapter, self._now(), weight)
+
+    def sweep(self):
+        """Forget adapters that are asked for no more."""
+        self._asked.sweep(self._now())
+
+    def _load_cost_s(self, adapter):
+        """Tell how much backlog one more load of an adapter is worth.
+
+        A load for a single request costs a place for as long as that
+        runs; one of an adapter that is asked for often serves many.
+        """
+        nodes = len(self._mesh.up()) + 1
+        rate_s = self._asked.rate(adapter, self._now()) * nodes
+        return LOAD_COST_S * HOT_RATE_S / max(HOT_RATE_S, rate_s)
+
     def wish(self, call):
         """Make the ``Wish`` of a request.
 
@@ -124,13 +151,16 @@
         """
         wish = self.wish(call)
         ranked = self._ranked(call, wish)
+        load_s = self._load_cost_s(wish.adapter)
         best = None
         for rank, server in enumerate(ranked):
             owner = self.owner(server)
             holds = self._holds(server, wish)
             if owner is None and not holds:
                 continue
-            cost = self._cost(rank, server, holds)
+            load_cost_s = 0.0 if holds or not rank else load_s
+            cost = self._backlog(server.name) + load_cost_s
+            cost += RANK_COST_S * rank
             if best is None or cost < best[0]:
                 best = (cost, server, owner)
             if rank + 1 >= RANKS and best is not None:
@@ -143,9 +173,3 @@
         if "/" not in wish.adapter:
             return True
         return server.adapters.get(wish.adapter, -1) >= wish.version
-
-    def _cost(self, rank, server, holds):
-        backlog_s = self._backlog(server.name)
-        if rank == 0:
-            return backlog_s
-        return backlog_s + (HELD_SPILL_S if holds else SPILL_S) * rank
--- a/src/coltsfootsail/_popularity.py
+++ b/src/coltsfootsail/_popularity.py
@@ -31,6 +31,9 @@
     def __len__(self):
         return len(self._rows)
 
+    def __contains__(self, adapter):
+        return adapter in self._rows
+
     def add(self, adapter, now_s, weight=1.0):
         """Count a request."""
         count, last_s, first_s = self._rows.get(adapter, (0.0, now_s, now_s))
--- a/src/coltsfootsail/standins/servers.py
+++ b/src/coltsfootsail/standins/servers.py
@@ -1,5 +1,6 @@
 """The users' model servers and plain servers, as their pages describe them."""
 
+import contextlib
 import dataclasses
 import json
 
@@ -173,17 +174,30 @@
             return 409
         self.sequence += 1
         if value["op"] == "unload":
-            self.adapters.pop(adapter, None)
-            return 200
+            return self._unload(adapter)
         newest = value.get("version") or self.versions.get(adapter, 1)
-        warm = adapter in self.seen
-        self.seen.add(adapter)
-        delay_s = self.load_s / 10 if warm else self.load_s
-        self.pending[adapter] = (newest, self._now() + delay_s)
+        ready_s = self._now() + self._delay_s(adapter)
+        self.pending[adapter] = (newest, ready_s)
         used = {*self.pending, *self.adapters}
         self.crashed = self.crashed or len(used) > self.places
         return 202
 
+    def _unload(self, adapter):
+        self.adapters.pop(adapter, None)
+        return 200
+
+    def _delay_s(self, adapter):
+        """Tell how long a load takes: a tenth where it was held before."""
+        warm = adapter in self.seen
+        self.seen.add(adapter)
+        return self.load_s / 10 if warm else self.load_s
+
+    async def _events(self, run, after):
+        """Yield the numbers of a run's events when they are there."""
+        for number in range(after + 1, self.events):
+            await trio.sleep(self.event_s)
+            yield number
+
     async def _run(self, req, resp):
         self.arrivals += 1
         echo = (messages.REQUEST_ID, req.header(messages.REQUEST_ID))
@@ -200,11 +214,11 @@
         after = int(req.header(messages.LAST_EVENT) or -1)
         fields = [echo, STAMP, ("content-type", "text/event-stream")]
         await resp.start(200, fields)
-        for number in range(after + 1, self.events):
-            await trio.sleep(self.event_s)
-            if self.cut_after is not None and number > self.cut_after:
-                await resp.stream.send_all(b"8\r\nid: 9\nda")
-                raise trio.BrokenResourceError
-            text = f"id: {number}\ndata: {adapter}@{version} {number}\n\n"
-            await resp.write(text.encode())
+        async with contextlib.aclosing(self._events(run, after)) as numbers:
+            async for number in numbers:
+                if self.cut_after is not None and number > self.cut_after:
+                    await resp.stream.send_all(b"8\r\nid: 9\nda")
+                    raise trio.BrokenResourceError
+                text = f"id: {number}\ndata: {adapter}@{version} {number}\n\n"
+                await resp.write(text.encode())
         await resp.end()
