--- a/src/coltsfootsail/_bench_admission.py
+++ b/src/coltsfootsail/_bench_admission.py
@@ -2,13 +2,11 @@
 
 Everything of the gateways runs as it is, on a network in memory; only
 the servers and the store are stand-ins.  It answers how many callers are
-served in time under a load pattern, in seconds and the same each time.
+served in time under a load pattern, within seconds.
 """
 
 import collections
-import contextlib
 import dataclasses
-import json
 import random
 
 import h11
@@ -306,13 +304,25 @@
             day.length_s * len(runs),
         ),
         "adapters_asked": len({o.arrival.adapter for o in day.outcomes}),
+        "seconds": _seconds(day),
     }
 
 
+def _seconds(day):
+    """Count the requests of each second by how they ended."""
+    rows = [collections.Counter() for _ in range(int(day.length_s) + 1)]
+    for outcome in day.outcomes:
+        rows[int(outcome.arrival.at_s)][outcome.end] += 1
+    return [{name: row[name] for name in _ENDS if row[name]} for row in rows]
+
+
 def run(size_name, pattern_name, seed, length_s=LENGTH_S):
     """Play one day in virtual time.
 
-    :returns: the result as plain data; the same for the same arguments.
+    The arrivals are the same for the same seed; which of two tasks runs
+    first is not, so results differ in the third figure.
+
+    :returns: the result as plain data.
     :raises BadField: if a name is not known.
     """
     size = _arrivals.find(_arrivals.SIZES, size_name, "size")
@@ -320,8 +330,7 @@
     day = Day(size, pattern, seed, length_s)
     random.seed(f"jitter/{seed}")
     clock = trio.testing.MockClock(autojump_threshold=0)
-    with contextlib.suppress(KeyboardInterrupt):
-        trio.run(day.run, clock=clock)
+    trio.run(day.run, clock=clock)
     return {
         "size": size_name,
         "pattern": pattern_name,
@@ -330,9 +339,28 @@
     }
 
 
-def to_json(result):
-    """Render a result; the same result gives the same text."""
-    return json.dumps(result, sort_keys=True, indent=1)
+def plot(result, path):
+    """Draw the day by second; needs the optional extra ``plot``.
+
+    :param path: PNG file to write.
+    """
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    rows = result["seconds"]
+    figure, axes = pyplot.subplots(figsize=(11, 4), layout="constrained")
+    series = [[row.get(name, 0) for row in rows] for name in _ENDS]
+    axes.stackplot(range(len(rows)), series, labels=_ENDS, step="post")
+    axes.set_xlabel("s")
+    axes.set_ylabel("requests in a second")
+    axes.legend(loc="upper right", fontsize="small")
+    axes.set_title(
+        f"{result['size']}, {result['pattern']}, seed {result['seed']}"
+    )
+    figure.savefig(path)
+    pyplot.close(figure)
 
 
 def lines(result):
--- a/src/coltsfootsail/_bench_gateway.py
+++ b/src/coltsfootsail/_bench_gateway.py
@@ -92,7 +92,7 @@
     )
     return (
         ask,
-        _wire.GrantReply(7, True, 0.0, ""),
+        _wire.GrantReply(7, True, 0.0, "", 0.1),
         _wire.GrantEnd(7, str(_grants.End.DONE)),
     )
 
--- a/src/coltsfootsail/_cli_bench.py
+++ b/src/coltsfootsail/_cli_bench.py
@@ -86,9 +86,58 @@
         return _options.EXIT_OK
 
 
-@cappa.command(name="bench", help="Measure the policy, size and relay.")
+@cappa.command(
+    name="admission",
+    help="Play a load pattern against real gateways in virtual time.",
+    description=(
+        "Example: coltsfootsail bench admission --size shop --pattern wave "
+        "--seed 1. The engines are modelled, everything else is as it runs."
+    ),
+)
+@dataclasses.dataclass
+class BenchAdmission:
+    """Play a load pattern."""
+
+    size: typing.Annotated[
+        str,
+        cappa.Arg(long="--size", help="shop, shop-grown or few-slots."),
+    ] = "shop"
+    pattern: typing.Annotated[
+        str,
+        cappa.Arg(
+            long="--pattern",
+            help="A pattern's name, such as quiet, wave, burst or rare.",
+        ),
+    ] = "quiet"
+    seed: typing.Annotated[
+        int, cappa.Arg(long="--seed", help="Seed of the arrivals.")
+    ] = 1
+    length_s: typing.Annotated[
+        float, cappa.Arg(long="--length-s", help="Length of the day.")
+    ] = 40.0
+    plot: typing.Annotated[
+        str, cappa.Arg(long="--plot", help="PNG file to draw.")
+    ] = ""
+    json: _options.Json = False
+
+    def __call__(self):
+        from coltsfootsail import _bench_admission
+
+        result = _bench_admission.run(
+            self.size, self.pattern, self.seed, self.length_s
+        )
+        if self.plot:
+            _bench_admission.plot(result, self.plot)
+        lines = _bench_admission.lines(result)
+        _options.show(result, self.json, lines)
+        return _options.EXIT_OK
+
+
+@cappa.command(name="bench", help="Measure decisions, size and relay.")
 @dataclasses.dataclass
 class BenchCommand:
     """Measurements."""
 
-    command: cappa.Subcommands[BenchPolicy | BenchRelay | BenchCapacity]
+    command: cappa.Subcommands[
+        BenchPolicy | BenchAdmission | BenchRelay | BenchCapacity
+    ]
--- a/src/coltsfootsail/_gateway.py
+++ b/src/coltsfootsail/_gateway.py
@@ -122,7 +122,13 @@
         """Make what serves callers."""
         bounds = settings.gateway
         shares = _shares.ConnectionShares(self.view, self._node_count)
-        self.asker = _grants.Asker(self._name, self.desk, self.mesh, self.now)
+        self.asker = _grants.Asker(
+            self._name,
+            self.desk,
+            self.mesh,
+            self.now,
+            self.owned.learn_backlog,
+        )
         self.placing = _placing.Placing(
             self._name, self.view, self.mesh, self.owned.backlog_s, self.now
         )
--- a/src/coltsfootsail/_grants.py
+++ b/src/coltsfootsail/_grants.py
@@ -182,7 +182,7 @@
                 self._remote.pop((node, msg.number), None)
             retry_s = 0.0 if granted else decision.retry_after_s
             reason = "" if granted else decision.reason
-            send(_wire.GrantReply(msg.number, granted, retry_s, reason))
+            send(self._reply(msg, granted, retry_s, reason))
 
         try:
             self._remote[node, msg.number] = None
@@ -191,11 +191,14 @@
                 self._remote[node, msg.number] = end
         except exceptions.TurnedAway as exc:
             self._remote.pop((node, msg.number), None)
-            send(
-                _wire.GrantReply(
-                    msg.number, False, exc.retry_after_s, exc.reason
-                )
-            )
+            send(self._reply(msg, False, exc.retry_after_s, exc.reason))
+
+    def _reply(self, msg, granted, retry_s, reason):
+        orderer = self._orderers.get(msg.server)
+        backlog_s = 0.0 if orderer is None else float(orderer.backlog_s())
+        return _wire.GrantReply(
+            msg.number, granted, retry_s, reason, backlog_s
+        )
 
     def end(self, node, msg):
         """Take a ``GrantEnd`` of another node."""
@@ -214,7 +217,8 @@
 class _Waiter:
     """A wish of this node that waits for its reply."""
 
-    def __init__(self):
+    def __init__(self, server):
+        self.server = server
         self.event = trio.Event()
         self.reply = None
 
@@ -230,13 +234,15 @@
     :param desk: this node's own ``Desk``.
     :param mesh: a ``Mesh``.
     :param now: closure that reads the clock.
+    :param learn: ``(server, backlog_s)``, told with each reply of an owner.
     """
 
-    def __init__(self, node, desk, mesh, now):
+    def __init__(self, node, desk, mesh, now, learn):
         self._node = node
         self._desk = desk
         self._mesh = mesh
         self._now = now
+        self._learn = learn
         self._numbers = itertools.count(1)
         self._waiters = {}
 
@@ -244,6 +250,7 @@
         """Take a ``GrantReply``."""
         waiter = self._waiters.get(msg.number)
         if waiter is not None:
+            self._learn(waiter.server, msg.backlog_s)
             waiter.set(msg)
 
     @contextlib.asynccontextmanager
@@ -267,7 +274,7 @@
             finish(ends[-1])
 
     async def _ask_here(self, server, wish):
-        waiter = _Waiter()
+        waiter = _Waiter(server)
         end = self._desk.queue(server, wish, waiter.set)
         try:
             await waiter.event.wait()
@@ -299,10 +306,11 @@
         def end(how):
             self._mesh.send(owner, _wire.GrantEnd(number, str(how)))
 
-        waiter = self._waiters[number] = _Waiter()
+        waiter = self._waiters[number] = _Waiter(server)
         try:
             if not self._mesh.send(owner, ask):
                 raise exceptions.OwnerSilent(retry_after_s=0.2)
+            self._mesh.rouse(owner)
             await self._wait(waiter, owner)
         except BaseException:
             end(End.DONE)
@@ -320,6 +328,7 @@
             with trio.move_on_after(CHECK_S):
                 await waiter.event.wait()
                 return
+            self._mesh.rouse(owner)
             owed_s = self._mesh.unanswered_s(owner)
             if owed_s is None or owed_s > STALE_S:
                 raise exceptions.OwnerSilent(retry_after_s=0.2)
--- a/src/coltsfootsail/_mesh.py
+++ b/src/coltsfootsail/_mesh.py
@@ -109,17 +109,22 @@
     def unanswered_s(self, node):
         """Tell for how long a node has owed a sign of life.
 
-        One that has been silent for a while is asked for one now.
-
         :returns: seconds, 0 if it owes none, or None without a live link.
         """
         link = self._links.get(node)
         if link is None:
             return None
-        now_s = self._network.now()
-        if link.pinged_s is None and now_s - link.heard_s > PING_AFTER_S:
+        if link.pinged_s is None:
+            return 0.0
+        return self._network.now() - link.pinged_s
+
+    def rouse(self, node):
+        """Ask a node for a sign of life if it has been silent a while."""
+        link = self._links.get(node)
+        if link is None or link.pinged_s is not None:
+            return
+        if self._network.now() - link.heard_s > PING_AFTER_S:
             self._ping(link)
-        return 0.0 if link.pinged_s is None else now_s - link.pinged_s
 
     def _ping(self, link):
         link.pinged_s = self._network.now()
--- a/src/coltsfootsail/_owned.py
+++ b/src/coltsfootsail/_owned.py
@@ -50,6 +50,10 @@
         """Take the levels that another owner tells."""
         self._told.update(loads)
 
+    def learn_backlog(self, server, backlog_s):
+        """Take an engine's backlog from its owner's reply."""
+        self._told[server] = int(backlog_s / LOAD_STEP_S)
+
     def sweep(self):
         """Forget the levels of engines that are gone."""
         for name in [n for n in self._told if self._view.leaving(n)]:
--- a/src/coltsfootsail/_wire.py
+++ b/src/coltsfootsail/_wire.py
@@ -184,12 +184,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class GrantReply:
-    """Grants a start or turns the request away."""
+    """Grants a start or turns the request away.
+
+    :param backlog_s: the engine's backlog now, fresher than heartbeats.
+    """
 
     number: int
     granted: bool
     retry_after_s: float
     reason: str
+    backlog_s: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -350,3 +350,28 @@
     queue.add(late)
     assert queue.step(1.5, lambda adapter, version: False) == []
     assert granted(queue.step(1.6, always)) == [1]
+
+
+def test_backlog_counts_the_wait_for_a_slot():
+    """An engine of few slots is full long before its reading is."""
+    queue = _admission.Admission(slots=4, memory_tokens=100_000)
+    for number in range(8):
+        queue.add(ask(number, read_tokens=1))
+    for step in range(4):
+        queue.step(0.1 * step, always)
+    assert len(queue.running) == 4
+    # Four wait for a quarter of the engine's slots each.
+    assert queue.backlog_s(0.4) == pytest.approx(5 / 4 * _admission.RUN_S)
+
+
+def test_backlog_learns_how_long_runs_take():
+    queue = _admission.Admission(slots=1, memory_tokens=100_000)
+    now_s = 0.0
+    for number in range(60):
+        queue.add(ask(number, read_tokens=1, arrived_s=now_s))
+        queue.step(now_s, always)
+        now_s += 0.4
+        queue.withdraw(number, now_s)
+    queue.add(ask(99, read_tokens=1, arrived_s=now_s))
+    queue.step(now_s, always)
+    assert queue.backlog_s(now_s) == pytest.approx(0.4, rel=0.05)
