--- a/src/coltsfootsail/_bench_admission.py
+++ b/src/coltsfootsail/_bench_admission.py
@@ -27,6 +27,7 @@
 START_S = 8.0  # for claims and base models before the first request
 REGISTER_S = 1.2  # between the heartbeats of a server
 RETRIES = 1
+OFTEN = 4  # requests for an adapter from which its neglect is counted
 
 
 @dataclasses.dataclass(slots=True)
@@ -263,6 +264,7 @@
         **{name: ends[name] for name in _ENDS},
         "in_time_share": _share(ends["in_time"], owed),
         "served_share": _share(ends["in_time"] + ends["late"], owed),
+        "largest_served_share": _largest_share(outcomes),
         "credit": _share(earned, owed * kind.worth),
         "first_p50_s": round(times[len(times) // 2], 3) if times else None,
         "first_p99_s": (
@@ -272,6 +274,25 @@
 
 
 _ENDS = ("in_time", "late", "refused", "failed", "left")
+_SERVED = frozenset({"in_time", "late"})
+
+
+def _largest_share(outcomes):
+    """Tell how many of the largest tenth were served."""
+    owed = [outcome for outcome in outcomes if outcome.end != "left"]
+    owed.sort(key=lambda o: o.arrival.prompt_tokens + o.arrival.output_tokens)
+    largest = owed[-max(1, len(owed) // 10) :]
+    return _share(sum(o.end in _SERVED for o in largest), len(largest))
+
+
+def _never_served(outcomes):
+    """Count the adapters asked for often and never served."""
+    asked, served = collections.Counter(), collections.Counter()
+    for outcome in outcomes:
+        asked[outcome.arrival.adapter] += 1
+        served[outcome.arrival.adapter] += outcome.end in _SERVED
+    often = [name for name, count in asked.items() if count >= OFTEN]
+    return sum(not served[name] for name in often)
 
 
 def summarise(day):
@@ -304,6 +325,7 @@
             day.length_s * len(runs),
         ),
         "adapters_asked": len({o.arrival.adapter for o in day.outcomes}),
+        "adapters_never_served": _never_served(day.outcomes),
         "seconds": _seconds(day),
     }
 
--- a/tests/test_replay.py
+++ b/tests/test_replay.py
@@ -80,6 +80,14 @@
     assert not any(row["failed"] for row in rows.values())
 
 
+def test_overload_starves_no_adapter_and_no_large_request(replay):
+    """The rules allow a large request half the chance of its kind."""
+    result = replay("wave")
+    assert result["adapters_never_served"] == 0
+    for row in result["kinds"].values():
+        assert row["largest_served_share"] >= row["served_share"] / 2
+
+
 def test_rare_adapters_all_at_once_hold_up_no_others(replay):
     result = replay("rare")
     assert min(_shares(result, "served_share")) >= IN_TIME
