--- /dev/null
+++ b/src/coltsfootsail/_http_server.py
@@ -0,0 +1,236 @@
+"""The server's side of HTTP/1.1 over trio streams, by h11."""
+
+import contextlib
+import json
+
+import h11
+import trio
+
+from coltsfootsail import _http_messages
+from coltsfootsail import exceptions
+
+VERSIONS = (b"1.0", b"1.1")
+
+
+class Responder:
+    """Sends the answer to one request on a server connection."""
+
+    def __init__(self, conn, stream, limits):
+        self._conn = conn
+        self.stream = stream
+        self._limits = limits
+        self.status = None
+        self.ended = False
+
+    async def _send(self, *events):
+        data = b"".join(self._conn.send(event) or b"" for event in events)
+        with trio.fail_after(self._limits.write_timeout_s):
+            await self.stream.send_all(data)
+
+    async def start(self, status, headers=()):
+        """Send the head of an answer of unknown length."""
+        self.status = status
+        await self._send(
+            h11.Response(status_code=status, headers=list(headers))
+        )
+
+    async def write(self, data):
+        """Send a part of the body."""
+        await self._send(h11.Data(data=data))
+
+    async def write_unbounded(self, data):
+        """Send a part of the body; the caller bounds the time."""
+        await self.stream.send_all(self._conn.send(h11.Data(data=data)))
+
+    async def end(self):
+        """Mark the answer as whole."""
+        self.ended = True
+        await self._send(h11.EndOfMessage())
+
+    async def reply(self, status, body, headers=()):
+        """Send a whole answer in one write.
+
+        :param status: HTTP status code.
+        :param body: bytes.
+        :param headers: pairs; the length is added.
+        """
+        self.status = status
+        self.ended = True
+        fields = [*headers, ("content-length", str(len(body)))]
+        await self._send(
+            h11.Response(status_code=status, headers=fields),
+            h11.Data(data=body),
+            h11.EndOfMessage(),
+        )
+
+    async def reply_json(self, value, status=200, headers=()):
+        """Send a value as JSON."""
+        body = json.dumps(value, ensure_ascii=False).encode()
+        fields = [("content-type", "application/json"), *headers]
+        await self.reply(status, body, fields)
+
+    async def wait_hangup(self):
+        """Return when the caller has closed its side of the stream."""
+        while True:
+            try:
+                data = await self.stream.receive_some(
+                    _http_messages.RECEIVE_BYTES
+                )
+            except _http_messages.STREAM_ERRORS:
+                return
+            if not data:
+                return
+            self._conn.receive_data(data)
+            if len(self._conn.trailing_data[0]) > self._limits.header_bytes:
+                await trio.sleep_forever()
+
+
+def error_json(exc):
+    """Describe an error to a caller.
+
+    :param exc: a ``ColtsfootsailError``.
+    :returns: dict with code, status, outcome and message.
+    """
+    return {
+        "error": {
+            "code": exc.code,
+            "status": exc.status,
+            "outcome": str(exc.outcome),
+            "message": exc.detail,
+        }
+    }
+
+
+def error_headers(exc):
+    """Tell the caller when to come back, where that is known.
+
+    :param exc: a ``ColtsfootsailError``.
+    :returns: list of header pairs.
+    """
+    if exc.retry_after_s is None:
+        return []
+    return [("retry-after", str(max(1, round(exc.retry_after_s))))]
+
+
+async def _read_body(conn, stream, limits):
+    chunks = []
+    size = 0
+    while True:
+        event = await _http_messages.next_event(conn, stream)
+        if isinstance(event, h11.EndOfMessage):
+            return b"".join(chunks)
+        if not isinstance(event, h11.Data):
+            raise exceptions.BadHttp("connection ended inside the body")
+        size += len(event.data)
+        if size > limits.body_bytes:
+            raise exceptions.BodyTooLarge(f"limit {limits.body_bytes} bytes")
+        chunks.append(bytes(event.data))
+
+
+def _check_head(event, headers, limits):
+    """Refuse what h11 lets pass: other versions and large headers.
+
+    h11 bounds a header only while it is incomplete.
+    """
+    if event.http_version not in VERSIONS:
+        raise exceptions.BadHttp("not HTTP/1.0 or HTTP/1.1")
+    size = len(event.target)
+    size += sum(len(name) + len(value) + 4 for name, value in headers)
+    if size > limits.header_bytes:
+        raise exceptions.HeaderTooLarge()
+    for name, value in headers:
+        if name == "content-length" and int(value) > limits.body_bytes:
+            raise exceptions.BodyTooLarge(f"limit {limits.body_bytes} bytes")
+
+
+async def _read_request(conn, stream, limits):
+    """Read one request, or return None when the caller has closed."""
+    with trio.move_on_after(limits.idle_timeout_s):
+        while conn.trailing_data == (b"", False):
+            if conn.their_state is not h11.IDLE:
+                break
+            data = await stream.receive_some(_http_messages.RECEIVE_BYTES)
+            conn.receive_data(data)
+    if conn.trailing_data == (b"", False):
+        return None
+    try:
+        with trio.fail_after(limits.read_timeout_s):
+            event = await _http_messages.next_event(conn, stream)
+            if not isinstance(event, h11.Request):
+                return None
+            headers = _http_messages.text_headers(event.headers)
+            _check_head(event, headers, limits)
+            body = await _read_body(conn, stream, limits)
+    except trio.TooSlowError as exc:
+        raise exceptions.RequestTimeout() from exc
+    except h11.RemoteProtocolError as exc:
+        if exc.error_status_hint == 431:
+            raise exceptions.HeaderTooLarge() from exc
+        raise exceptions.BadHttp(str(exc)) from exc
+    return _http_messages.HttpRequest(
+        method=event.method.decode("ascii"),
+        target=event.target.decode("latin-1"),
+        headers=headers,
+        body=body,
+    )
+
+
+async def _answer_error(conn, resp, exc):
+    if resp.status is not None:
+        return
+    if conn.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+        return
+    headers = [*error_headers(exc), ("connection", "close")]
+    await resp.reply_json(error_json(exc), exc.status, headers)
+
+
+async def serve_connection(stream, limits, handler, on_error=None):
+    """Serve requests on one connection until it ends.
+
+    :param stream: a ``trio.abc.Stream``.
+    :param limits: ``HttpLimits``, or a closure that returns those in
+        force, asked before each request.
+    :param handler: ``async (HttpRequest, Responder)``; a typed error that
+        it raises before the answer starts is sent as JSON.
+    :param on_error: called with each typed error met before the handler.
+    """
+    current = limits if callable(limits) else lambda: limits
+
+    async def guarded(req, resp):
+        try:
+            await handler(req, resp)
+        except exceptions.ColtsfootsailError as exc:
+            if resp.status is not None:
+                return
+            await resp.reply_json(
+                error_json(exc), exc.status, error_headers(exc)
+            )
+
+    conn = h11.Connection(
+        h11.SERVER, max_incomplete_event_size=current().header_bytes
+    )
+    with contextlib.suppress(*_http_messages.STREAM_ERRORS, trio.TooSlowError):
+        going = True
+        while going:
+            going = await _serve_one(
+                conn, stream, current(), guarded, on_error
+            )
+
+
+async def _serve_one(conn, stream, limits, handler, on_error):
+    resp = Responder(conn, stream, limits)
+    try:
+        req = await _read_request(conn, stream, limits)
+    except exceptions.ColtsfootsailError as exc:
+        if on_error is not None:
+            on_error(exc)
+        await _answer_error(conn, resp, exc)
+        return False
+    if req is None:
+        return False
+    await handler(req, resp)
+    done = resp.ended and conn.our_state is h11.DONE
+    if not done or conn.their_state is not h11.DONE:
+        return False
+    conn.start_next_cycle()
+    return True
