The callers' address page tells addresses only; the log names a request's owner

Metrics and status were served to callers too. A request sent without a start could be told from the log only by the lack of a grant at its owner; the line now names the owner, empty if none was asked.

--- a/src/coltsfootsail/_gateway.py
+++ b/src/coltsfootsail/_gateway.py
@@ -274,8 +274,8 @@
         node, gateway = self.settings.node, self.settings.gateway
         listeners = (
             (node.peer_address, self.peers.serve),
-            (gateway.ready_address, self._pages.serve),
-            (gateway.directory_address, self._pages.serve),
+            (gateway.ready_address, self._pages.serve_operators),
+            (gateway.directory_address, self._pages.serve_callers),
             (node.caller_address, self._serve_callers),
         )
         async with trio.open_nursery() as nursery:
--- a/src/coltsfootsail/_pages.py
+++ b/src/coltsfootsail/_pages.py
@@ -47,15 +47,22 @@
 
     # -- pages ------------------------------------------------------
 
-    async def serve(self, stream):
-        """Serve one connection."""
-        await _http.serve_connection(stream, _http.HttpLimits(), self._answer)
+    async def serve_operators(self, stream):
+        """Serve a connection of the platform or of operators."""
+        await self._serve(stream, _OPERATORS)
 
-    async def _answer(self, req, resp):
-        answer = _PATHS.get(req.path)
-        if answer is None:
-            raise exceptions.NotFound()
-        await answer(self, req, resp)
+    async def serve_callers(self, stream):
+        """Serve a connection of callers, who only ask for addresses."""
+        await self._serve(stream, _CALLERS)
+
+    async def _serve(self, stream, paths):
+        async def answer(req, resp):
+            page = paths.get(req.path)
+            if page is None:
+                raise exceptions.NotFound()
+            await page(self, req, resp)
+
+        await _http.serve_connection(stream, _http.HttpLimits(), answer)
 
     async def _ready(self, req, resp):
         state = self._gateway.readiness()
@@ -156,9 +163,9 @@
     }
 
 
-_PATHS = {
+_CALLERS = {messages.RESOLVE_PATH: Pages._resolve}
+_OPERATORS = {
     messages.READY_PATH: Pages._ready,
-    messages.RESOLVE_PATH: Pages._resolve,
     METRICS_PATH: Pages._metrics,
     STATUS_PATH: Pages._status,
 }
--- a/src/coltsfootsail/_streams.py
+++ b/src/coltsfootsail/_streams.py
@@ -177,7 +177,7 @@
         call.begun = sink.started
         server, owner, wish = await self._choose(call)
         if owner is None:
-            await self._send(call, sink, resp, server, wish)
+            await self._send(call, sink, resp, server, wish, owner)
             return
         asked_s = self._now()
         try:
@@ -186,7 +186,7 @@
                 waited_s = self._now() - asked_s
                 self._metrics.observe("grant_seconds", waited_s, call.where)
                 try:
-                    await self._send(call, sink, resp, server, wish)
+                    await self._send(call, sink, resp, server, wish, owner)
                 except exceptions.EndpointNotRun:
                     ends(_grants.End.ABSENT)
                     raise
@@ -228,7 +228,7 @@
             raise exceptions.NoEndpoint(retry_after_s=_calls.RETRY_AFTER_S)
         return choice
 
-    async def _send(self, call, sink, resp, server, wish):
+    async def _send(self, call, sink, resp, server, wish, owner):
         gateway = self._gateway
         self._sender.left_s(call)
         self._sender.check(call, server)
@@ -240,6 +240,7 @@
             "sent",
             id=call.meta.request_id,
             server=server.name,
+            owner=owner or "",
             adapter=wish.adapter,
             version=wish.version,
             after_s=round(self._now() - call.received_s, 3),
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -919,3 +919,15 @@
         assert len(second.runs) == 1
 
     gateways.run(scenario)
+
+
+def test_callers_address_page_tells_nothing_else():
+    async def scenario(fleet):
+        client = fleet.gateways["g0"].upstream._client
+        for path in ("/metrics", "/status"):
+            inside, _, _ = await client.call("g0:82", "GET", path)
+            outside, _, _ = await client.call("g0:83", "GET", path)
+            assert (inside, outside) == (200, 404)
+        assert await fleet.resolve() == ["g0:80"]
+
+    gateways.run(scenario, nodes=1)
