--- a/src/coltsfootsail/_cli.py
+++ b/src/coltsfootsail/_cli.py
@@ -4,6 +4,7 @@
 import dataclasses
 import functools
 import json
+import os
 import sys
 import time
 import typing
@@ -269,7 +270,13 @@
     while not callable(command):
         command = command.command
     try:
-        return command()
+        code = command()
+        sys.stdout.flush()
+        return code
+    except BrokenPipeError:
+        # The reader has seen enough; nothing is left to be flushed to it.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        return _options.EXIT_FAILED
     except exceptions.ColtsfootsailError as exc:
         _daemon.report(exc)
         return _exit_code(exc)
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -285,3 +285,18 @@
             await process.wait()
         finally:
             process.kill()
+
+
+def test_reader_that_leaves_gets_no_traceback():
+    reader, writer = os.pipe()
+    os.close(reader)
+    command = [*PROGRAM, "settings", "explain"]
+    done = subprocess.run(
+        command,
+        stdout=writer,
+        stderr=subprocess.PIPE,
+        timeout=LIMIT_S,
+        check=False,
+    )
+    os.close(writer)
+    assert (done.returncode, done.stderr) == (1, b"")
