Describe the registered nodes for both status pages by one function

The status of a gateway repeated the table of members of the other kind of node. No behaviour changed; the tests of both pages keep their assertions.

--- a/src/coltsfootsail/_admin.py
+++ b/src/coltsfootsail/_admin.py
@@ -191,14 +191,7 @@
         "kv_ok": node.lease.kv_ok,
         "requests": node.frontend.active,
         "links": sorted(node.mesh.up()),
-        "members": {
-            name: {
-                "admin_address": member.admin_address,
-                "data_centre": member.data_centre,
-                "draining": member.draining,
-            }
-            for name, member in sorted(members.items())
-        },
+        "members": _records.describe(members),
         "endpoints": {
             name: _endpoint_status(owner)
             for name, owner in sorted(node.owners.items())
--- a/src/coltsfootsail/_pages.py
+++ b/src/coltsfootsail/_pages.py
@@ -1,6 +1,7 @@
 """A gateway's small pages: readiness, addresses, metrics and status."""
 
 from coltsfootsail import _http
+from coltsfootsail import _records
 from coltsfootsail import exceptions
 from coltsfootsail.platform import messages
 
@@ -130,14 +131,7 @@
             "kv_ok": gateway.lease.kv_ok,
             "requests": gateway.serving.active,
             "links": sorted(gateway.mesh.up()),
-            "members": {
-                name: {
-                    "admin_address": member.admin_address,
-                    "data_centre": member.data_centre,
-                    "draining": member.draining,
-                }
-                for name, member in sorted(members.items())
-            },
+            "members": _records.describe(members),
             "endpoints": {
                 name: _engine_status(orderer)
                 for name, orderer in sorted(gateway.owned.orderers.items())
--- a/src/coltsfootsail/_records.py
+++ b/src/coltsfootsail/_records.py
@@ -23,6 +23,22 @@
     draining: bool = False
 
 
+def describe(members):
+    """Describe nodes for a status page.
+
+    :param members: dict of node name to ``Member``.
+    :returns: plain data by node name, in order.
+    """
+    return {
+        name: {
+            "admin_address": found.admin_address,
+            "data_centre": found.data_centre,
+            "draining": found.draining,
+        }
+        for name, found in sorted(members.items())
+    }
+
+
 def member(node, incarnation, lease, draining):
     """Make a node's record.
 
