Follow a store that comes back from an older copy

Cause: a store that returns from a copy gives revisions out again. Orders were fenced by the revision alone, a claim counted as lost only above its own revision, a watch went on from a revision that the store gave to another change, and a renewal could reach another node's lease. Records of holders may be lost, so that a successor ordered beside a holder that was cut from the store.

Change: _eras orders positions by era and revision; platform/store reads the era from each answer, discards answers of past eras and raises KvEraChanged where an effect is unknown. On a new era a node orders nothing until no lease of the era before can be valid, reads everything anew, takes lease and claims anew and records the era once that time has passed. Draining and gone servers do not come back from the copy, servers that the copy lacks are kept for the time of registration. The stand-in of the store gets copies, the restore and the header. A claim in the node's own name whose answer was lost is taken again, where the engine stayed without an owner before.

--- a/src/coltsfootsail/_claims.py
+++ b/src/coltsfootsail/_claims.py
@@ -5,12 +5,18 @@
 the orders.  A second record without a lease names the last holder.  A
 successor gives no order before the last holder has reported when it gave
 its last one, or before the last holder's lease can no longer be valid.
+
+When the store comes back from an older copy, it may have lost claims and
+the records of their holders.  All claims are then taken again, and no node
+gives an order until no lease of the era before can be valid.  A record of
+the era tells nodes that start later that this time has passed.
 """
 
 import dataclasses
 
 import trio
 
+from coltsfootsail import _eras
 from coltsfootsail import _keys
 from coltsfootsail import _kv
 from coltsfootsail import _logs
@@ -30,15 +36,22 @@
 class HeldClaim:
     """A claim of this node.
 
-    :param fence: revision of the claim.
+    :param era: era of the store in which it was taken.
+    :param revision: revision of the claim in that era.
     :param orders_from_s: no order may be given before this time.
     :param former: name of the node that held it before, or empty.
     """
 
-    fence: int
+    era: int
+    revision: int
     orders_from_s: float
     former: str = ""
 
+    @property
+    def fence(self):
+        """Fencing number of the orders under this claim."""
+        return _eras.fencing_number(self.era, self.revision)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TakeoverRules:
@@ -100,15 +113,40 @@
         self._last_order_s = {}
         self._absent_since_s = {}
         self._last_sweep_s = now()
+        self._era_orders_from_s = now()
         self.held = {}
         self.may_take_claims = True
 
     def may_order(self, server):
         """Tell whether an order may be given now."""
         held = self.held.get(server)
-        if held is None or not self._lease.valid():
+        if held is None or held.era != self._kv.era:
+            return False
+        if not self._lease.valid():
             return False
-        return self._now() >= held.orders_from_s
+        return self._now() >= max(held.orders_from_s, self._era_orders_from_s)
+
+    def begin_era(self):
+        """Give no orders until holders of the era before can't any more.
+
+        Claims are kept until they are taken again, or taken by another
+        node, so that loaded adapters go on being used.
+        """
+        self._era_orders_from_s = self._now() + self._max_holder_wait_s()
+        _logs.state(
+            "orders_suspended",
+            wait_s=self._max_holder_wait_s(),
+            claims=sorted(self.held),
+        )
+
+    def _max_holder_wait_s(self):
+        """Get the time after which a holder's lease can't be valid."""
+        return self._rules.lease_valid_s + self._rules.turn_s + CLOCK_SLACK_S
+
+    def _is_current(self, server):
+        """Tell whether this node holds a claim of the store's era."""
+        held = self.held.get(server)
+        return held is not None and held.era == self._kv.era
 
     def fence(self, server):
         """Get the fencing number of the orders for a server."""
@@ -149,10 +187,7 @@
         now_s = self._now()
         if former in ("", self._node):
             return now_s
-        max_wait_s = (
-            self._rules.lease_valid_s + self._rules.turn_s + CLOCK_SLACK_S
-        )
-        return now_s + max_wait_s
+        return now_s + self._max_holder_wait_s()
 
     def _drop_claim(self, server, why):
         if self.held.pop(server, None) is not None:
@@ -164,10 +199,15 @@
             stored = self._view.claim(server)
             if server not in self._view.servers:
                 self._drop_claim(server, "server gone")
+            elif self._view.era < held.era:
+                continue  # the view shows an earlier state of the store
+            elif self._view.era > held.era:
+                if stored is not None and stored[0].node != self._node:
+                    self._drop_claim(server, "another claim")
             elif stored is None:
-                if self._view.revision > held.fence:
+                if self._view.revision > held.revision:
                     self._drop_claim(server, "claim gone")
-            elif stored[1] > held.fence:
+            elif stored[1] > held.revision:
                 self._drop_claim(server, "another claim")
 
     def _candidate_turn(self, server):
@@ -178,18 +218,15 @@
         """List the servers to claim now.
 
         These are unclaimed engines for which this node is chosen, and
-        engines whose claim is from an earlier incarnation of this node.
+        engines whose stored claim names this node although it holds none:
+        it has restarted, the answer to its claim was lost, or the store
+        came back from a copy.
 
         :returns: pairs of server and the revision of the claim to replace,
             0 if there is none.
         """
         engines = self._view.engine_servers()
-        nodes = [
-            name
-            for name, member in self._view.members().items()
-            if not member.draining
-        ]
-        nodes = tuple(sorted({*nodes, self._node}))
+        nodes = self._candidates()
         claim_counts = {}
         for name in engines:
             stored = self._view.claim(name)
@@ -203,7 +240,7 @@
         ]:
             del self._unclaimed_since_s[name]
         for name, server in sorted(engines.items()):
-            if name in self.held:
+            if self._is_current(name):
                 continue
             stored = self._view.claim(name)
             if stored is None:
@@ -219,10 +256,18 @@
                 continue
             self._unclaimed_since_s.pop(name, None)
             claim, revision = stored
-            earlier_incarnation = claim.incarnation != self._incarnation
-            if claim.node == self._node and earlier_incarnation:
+            if claim.node == self._node:
                 yield name, revision
 
+    def _candidates(self):
+        """List the names of the nodes that may take claims."""
+        nodes = [
+            name
+            for name, member in self._view.members().items()
+            if not member.draining
+        ]
+        return tuple(sorted({*nodes, self._node}))
+
     async def _take_claim(self, server, revision):
         former = self._view.last_holder(server)
         claim = _records.Claim(self._node, self._incarnation)
@@ -242,44 +287,78 @@
         if not result.succeeded:
             return
         self.held[server] = HeldClaim(
-            result.revision, self._first_order_time_s(server, former), former
+            self._kv.era,
+            result.revision,
+            self._first_order_time_s(server, former),
+            former,
         )
         _logs.state(
             "claim_taken",
             server=server,
-            fence=result.revision,
+            fence=self.held[server].fence,
             former=former,
-            wait_s=round(self.held[server].orders_from_s - self._now(), 2),
+            wait_s=round(self._orders_wait_s(server), 2),
         )
         self._on_taken()
 
+    def _orders_wait_s(self, server):
+        orders_from_s = max(
+            self.held[server].orders_from_s, self._era_orders_from_s
+        )
+        return max(0.0, orders_from_s - self._now())
+
     def _ask_former_holders(self):
         """Ask former holders for their last order until they reply.
 
         A node that has restarted since replies for its new incarnation.
         """
         for server, held in self.held.items():
-            if self._now() < held.orders_from_s:
+            if self._is_current(server) and self._now() < held.orders_from_s:
                 self._request_release(held.former, server, held.fence)
 
     async def run(self):
         """Take and check claims until cancelled."""
         await self._view.synced.wait()
+        if self._view.settled_era()[0].era < self._view.era:
+            self.begin_era()
         while True:
             self._drop_lost_claims()
             self._ask_former_holders()
-            if self.may_take_claims and self._lease.valid():
-                for server, revision in list(self._claims_to_take()):
-                    try:
-                        await self._take_claim(server, revision)
-                    except exceptions.KvError as exc:
-                        _logs.state("claim_failed", reason=exc.detail)
-                        break
+            view_is_current = self._view.era == self._kv.era
+            if view_is_current and self._lease.valid():
+                await self._take_claims()
+                await self._settle_era()
             if self._now() - self._last_sweep_s > SWEEP_INTERVAL_S:
                 self._last_sweep_s = self._now()
                 await self._sweep()
             await trio.sleep(CHECK_INTERVAL_S)
 
+    async def _take_claims(self):
+        if not self.may_take_claims:
+            return
+        for server, revision in list(self._claims_to_take()):
+            try:
+                await self._take_claim(server, revision)
+            except exceptions.KvError as exc:
+                _logs.state("claim_failed", reason=exc.detail)
+                return
+
+    async def _settle_era(self):
+        """Record that no holder of an earlier era can give orders."""
+        settled, revision = self._view.settled_era()
+        era = self._view.era
+        if settled.era >= era or self._now() < self._era_orders_from_s:
+            return
+        nodes = self._candidates()
+        if choose_claimant(_keys.ERA, nodes, {}, 1, 0) != self._node:
+            return
+        compare = _kv.Compare(_keys.ERA, "mod", revision)
+        record = _records.dumps(_records.SettledEra(era))
+        try:
+            await self._kv.txn([compare], [_kv.Put(_keys.ERA, record)])
+        except exceptions.KvError as exc:
+            _logs.state("era_not_recorded", reason=exc.detail)
+
     def _stale_holder_records(self):
         """List the servers whose last-holder record this node should delete.
 
@@ -323,7 +402,9 @@
         self.may_take_claims = False
         held, self.held = self.held, {}
         for server, claim in held.items():
-            compare = _kv.Compare(_keys.claim(server), "mod", claim.fence)
+            if claim.era != self._kv.era:
+                continue
+            compare = _kv.Compare(_keys.claim(server), "mod", claim.revision)
             deletion = _kv.Delete(_keys.claim(server))
             try:
                 await self._kv.txn([compare], [deletion])
--- a/src/coltsfootsail/_gateway.py
+++ b/src/coltsfootsail/_gateway.py
@@ -81,6 +81,7 @@
             _http.HttpClient(network, idle_max=4),
             settings.platform.kv_addresses[0],
             lambda operation: self.metrics.count("kv_calls", operation),
+            self._on_new_era,
         )
         self.lease = _lease.NodeLease(
             self.kv, self.now, lease.ttl_s, lease.margin_s
@@ -254,6 +255,12 @@
         if unregistered and self.lease.valid() and not self.draining:
             self._nursery.start_soon(self._publish)
 
+    def _on_new_era(self, old, new):
+        """Note that the store came back from an older copy."""
+        self.metrics.count("store_eras", "new")
+        self.claims.begin_era()
+        self.lease.renew_soon()
+
     async def _publish(self):
         try:
             await self.lease.publish(self._member_record())
--- a/src/coltsfootsail/_http_client.py
+++ b/src/coltsfootsail/_http_client.py
@@ -351,11 +351,23 @@
         :raises OSError: for any failure, including an answer that is not
             JSON.
         """
+        status, _, answer = await self.call_json_with_headers(
+            address, method, target, value, **kwargs
+        )
+        return status, answer
+
+    async def call_json_with_headers(
+        self, address, method, target, value=None, **kwargs
+    ):
+        """Send a JSON body and decode the JSON answer, as ``call_json``.
+
+        :returns: tuple of status, headers and value.
+        """
         body = b"" if value is None else json.dumps(value).encode()
-        status, _, answer = await self.call(
+        status, headers, answer = await self.call(
             address, method, target, body=body, **kwargs
         )
         try:
-            return status, json.loads(answer) if answer else None
+            return status, headers, json.loads(answer) if answer else None
         except ValueError as exc:
             raise ConnectionError(f"{target}: answer is not JSON") from exc
--- a/src/coltsfootsail/_kv.py
+++ b/src/coltsfootsail/_kv.py
@@ -12,6 +12,7 @@
 
 import trio
 
+from coltsfootsail import _eras
 from coltsfootsail import _http
 from coltsfootsail import exceptions
 
@@ -42,10 +43,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Snapshot:
-    """All entries under a prefix at one revision of the store."""
+    """All entries under a prefix at one revision of the store.
+
+    :param era: how often the store had come back from an older copy.
+    """
 
     entries: tuple
     revision: int
+    era: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -152,6 +157,8 @@
     :param count: called with the name of each call made.
     """
 
+    era = _eras.FIRST_ERA  # this service never comes back from a copy
+
     def __init__(self, client, addresses, count=lambda call_name: None):
         self._client = client
         self._addresses = list(addresses)
--- a/src/coltsfootsail/_lease.py
+++ b/src/coltsfootsail/_lease.py
@@ -29,6 +29,8 @@
         self._ttl_s = ttl_s
         self._margin_s = margin_s
         self._renewal_sent_s = None
+        self._era = None
+        self._renew_soon = trio.Event()
         self.number = 0
         self.kv_ok = False
 
@@ -40,6 +42,8 @@
         """Tell for how many seconds the lease is surely still held."""
         if not self.number or self._renewal_sent_s is None:
             return 0.0
+        if self._era != self._kv.era:
+            return 0.0
         age_s = self._now() - self._renewal_sent_s
         return max(0.0, self._ttl_s - self._margin_s - age_s)
 
@@ -50,14 +54,21 @@
         """
         sent_s = self._now()
         self.number = await self._kv.lease_grant(self._ttl_s)
+        self._era = self._kv.era
         self._renewal_sent_s = sent_s
 
     async def renew(self):
         """Renew the lease.
 
+        A lease of an earlier era of the store is not renewed: its number
+        may have been given to another node.
+
         :returns: whether the lease still existed.
         :raises KvError: if the service fails or does not answer.
         """
+        if self._era != self._kv.era:
+            self.number = 0
+            return False
         sent_s = self._now()
         if await self._kv.lease_keepalive(self.number) <= 0:
             self.number = 0
@@ -89,7 +100,13 @@
                 continue
             self._set_kv_ok(True, on_change)
             backoff.reset()
-            await trio.sleep(_kv.jittered(renew_s))
+            self._renew_soon = trio.Event()
+            with trio.move_on_after(_kv.jittered(renew_s)):
+                await self._renew_soon.wait()
+
+    def renew_soon(self):
+        """Renew or replace the lease without waiting for its turn."""
+        self._renew_soon.set()
 
     def _set_kv_ok(self, kv_ok, on_change):
         if kv_ok is not self.kv_ok:
--- a/src/coltsfootsail/_metrics.py
+++ b/src/coltsfootsail/_metrics.py
@@ -26,6 +26,7 @@
     "strikes": "Strikes against request contents",
     "kv_calls": "Calls to the KV service, by kind",
     "kv_state": "Changes of the KV service's reachability",
+    "store_eras": "Returns of the store from an older copy",
     "lease": "Changes of the node's lease",
     "claims": "Claims taken, lost and handed over",
     "peer_links": "Links to peers that came up or went down",
--- a/src/coltsfootsail/_records.py
+++ b/src/coltsfootsail/_records.py
@@ -84,6 +84,13 @@
     adapters: tuple[str, ...] = ()
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SettledEra:
+    """The last era of the store in which no earlier holder can order."""
+
+    era: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Intent:
     """All nodes that may still use an endpoint, its owner last.
--- a/src/coltsfootsail/_timeline.py
+++ b/src/coltsfootsail/_timeline.py
@@ -20,6 +20,8 @@
     "config_in_force",
     "claim_taken",
     "claim_lost",
+    "orders_suspended",
+    "store_era",
     "engine_down",
     "server_gone",
     "store_back",
--- a/src/coltsfootsail/_view.py
+++ b/src/coltsfootsail/_view.py
@@ -9,6 +9,7 @@
 
 import trio
 
+from coltsfootsail import _eras
 from coltsfootsail import _fleet
 from coltsfootsail import _keys
 from coltsfootsail import _kv
@@ -24,6 +25,10 @@
 OUTAGE_MIN_S = 3.5
 REREGISTRATION_S = 2.0  # servers write their entries again within this time
 REREGISTRATION_POLL_S = 0.2
+# A copy of the store may show a server that has left since.  Its entry
+# expires within this time unless the server is alive.
+COPIED_ENTRY_S = 4.0
+FORGET_GONE_S = 60.0  # no copy is older
 STARTUP_S = 3.0  # after its start, a node follows changes more closely
 STARTUP_POLL_S = 0.2
 ALL_KEYS = ""  # the prefix of every key
@@ -32,7 +37,9 @@
     (_keys.MEMBERS, _records.Member),
     (_keys.CLAIMS, _records.Claim),
     (_keys.INTENTS, _records.Holder),
+    (_keys.ERA, _records.SettledEra),
 )
+_NO_SETTLED_ERA = (_records.SettledEra(_eras.FIRST_ERA), 0)
 
 
 def _routing_fields(server):
@@ -76,6 +83,9 @@
         self.generation = 0
         self._records = {prefix: {} for prefix, _ in _RECORD_CLASSES}
         self.revision = 0
+        self.era = _eras.FIRST_ERA
+        self._gone_since_s = {}
+        self._doubtful_entries = {}
         self.last_contact_s = None
         self.synced = trio.Event()
         self.populated = trio.Event()
@@ -112,6 +122,14 @@
         record = self._records[_keys.INTENTS].get(_keys.intent(server))
         return record[0].node if record else ""
 
+    def settled_era(self):
+        """Get the era in which no holder of an earlier one can order.
+
+        :returns: tuple of ``SettledEra`` and its revision, 0 if there is
+            no such record.
+        """
+        return self._records[_keys.ERA].get(_keys.ERA, _NO_SETTLED_ERA)
+
     def previously_claimed(self):
         """List the names of all servers with a record of a claim.
 
@@ -213,6 +231,7 @@
 
     def _apply_server_entry(self, entry, deleted):
         name = entry.key.removeprefix(registry.SERVER_PREFIX)
+        self._doubtful_entries.pop(name, None)
         if deleted:
             self._remove_server(name)
             return
@@ -249,6 +268,7 @@
             return
         del self.servers[name]
         self._unconfirmed.discard(name)
+        self._gone_since_s[name] = self._now()
         self.generation += 1
         _logs.state("server_gone", server=name)
 
@@ -272,6 +292,12 @@
         if self._unconfirmed and not self._store_just_returned():
             for name in list(self._unconfirmed):
                 self._remove_server(name)
+        if (
+            self._doubtful_entries
+            and now_s > self._store_returned_s + COPIED_ENTRY_S
+        ):
+            for entry in list(self._doubtful_entries.values()):
+                self.apply_entry(entry)
 
     def _apply_record_entry(self, entry, deleted):
         for prefix, record_class in _RECORD_CLASSES:
@@ -315,8 +341,50 @@
         self._on_change(None)
         return True
 
+    def _begin_era(self, snapshot):
+        """Prepare for the entries of a copy that lacks the last seconds.
+
+        Servers register again within seconds, so those that the copy lacks
+        are kept meanwhile.
+        """
+        now_s = self._now()
+        _logs.state(
+            "store_era",
+            era=snapshot.era,
+            revision=snapshot.revision,
+            old_era=self.era,
+            old_revision=self.revision,
+        )
+        self._store_returned_s = now_s
+        self._gone_since_s = {
+            name: gone_s
+            for name, gone_s in self._gone_since_s.items()
+            if now_s - gone_s < FORGET_GONE_S
+        }
+
+    def _is_outdated(self, entry):
+        """Tell whether a copy shows a server as it was before it left.
+
+        A server that has begun to drain never takes requests again.
+        """
+        name = entry.key.removeprefix(registry.SERVER_PREFIX)
+        if name == entry.key:
+            return False
+        known = self.servers.get(name)
+        if known is None and name in self._gone_since_s:
+            self._doubtful_entries[name] = entry
+            return True
+        return known is not None and known.draining
+
     def apply_snapshot(self, snapshot):
-        """Apply all entries of the store, and remove those it lacks."""
+        """Apply all entries of the store, and remove those it lacks.
+
+        Of a store that came back from an older copy, entries of servers
+        that have left since are not applied.
+        """
+        is_copy = self.synced.is_set() and snapshot.era > self.era
+        if is_copy:
+            self._begin_era(snapshot)
         present = {entry.key for entry in snapshot.entries}
         for key in [key for key in self._entries if key not in present]:
             del self._entries[key]
@@ -327,7 +395,9 @@
             if registry.SERVER_PREFIX + name not in present:
                 self._remove_server(name)
         for entry in snapshot.entries:
-            self.apply_entry(entry)
+            if not (is_copy and self._is_outdated(entry)):
+                self.apply_entry(entry)
+        self.era = snapshot.era
         self.revision = snapshot.revision
         self._notify_change(None)
         self.synced.set()
@@ -350,12 +420,15 @@
                 await self._watch(backoff)
             except exceptions.KvHistoryGone:
                 _logs.state("watch_behind", revision=self.revision)
+            except exceptions.KvEraChanged as exc:
+                _logs.state("store_read_again", reason=exc.detail)
             except exceptions.KvError as exc:
                 _logs.state("store_read_failed", reason=exc.detail)
                 await trio.sleep(0.1 + backoff.next_s())
 
     async def _watch(self, backoff):
-        while True:
+        """Apply changes until all entries must be read again."""
+        while self._kv.era == self.era:
             try:
                 wait_s = (
                     REREGISTRATION_POLL_S
@@ -365,7 +438,7 @@
                 events, revision = await self._kv.changes(
                     ALL_KEYS, self.revision, wait_s
                 )
-            except exceptions.KvHistoryGone:
+            except (exceptions.KvHistoryGone, exceptions.KvEraChanged):
                 raise
             except exceptions.KvError as exc:
                 # The revision is unchanged, so that the next call continues
--- a/src/coltsfootsail/exceptions.py
+++ b/src/coltsfootsail/exceptions.py
@@ -416,6 +416,12 @@
     code = "kv_history_gone"
 
 
+class KvEraChanged(KvError):
+    """The store came back from an older copy while a call was answered."""
+
+    code = "kv_era_changed"
+
+
 class WireError(ColtsfootsailError):
     """A peer sent something that is not a known message."""
 
--- a/src/coltsfootsail/platform/store.py
+++ b/src/coltsfootsail/platform/store.py
@@ -3,12 +3,23 @@
 import base64
 import urllib.parse
 
+from coltsfootsail import _eras
 from coltsfootsail import _kv
 from coltsfootsail import exceptions
 
 CALL_TIMEOUT_S = 1.0
 WATCH_SLACK_S = 0.7  # added to the time that the store may hold a watch
 NO_REVISION = 0  # of a transaction that wrote nothing
+ERA = "store-era"  # header of all answers
+_READS = frozenset({"range", "get"})  # their answers hold in any era
+
+
+def _stated_era(headers):
+    """Get the era that an answer states, None if it states none."""
+    for name, value in headers:
+        if name == ERA and value.strip().isdecimal():
+            return int(value)
+    return None
 
 
 def _decode_entry(raw):
@@ -38,25 +49,52 @@
 class StoreClient:
     """Calls the platform's store, with the methods of ``_kv.KvClient``.
 
+    A watch, a write and a renewal raise ``KvEraChanged`` if the store came
+    back from an older copy since they were sent: what they refer to, such
+    as a revision or a lease, may be another one now.
+
     :param client: an ``HttpClient``.
     :param address: ``"ip:port"`` of the store.
     :param count: called with the name of the operation of each call.
+    :param on_new_era: ``(old era, new era)``, called when the store came
+        back from an older copy.
     """
 
-    def __init__(self, client, address, count=lambda operation: None):
+    def __init__(
+        self,
+        client,
+        address,
+        count=lambda operation: None,
+        on_new_era=lambda old, new: None,
+    ):
         self._client = client
         self._address = address
         self._count = count
+        self._eras = _eras.EraTracker(on_new_era)
+
+    @property
+    def era(self):
+        """The highest era that the store stated."""
+        return self._eras.era
 
     async def _call(self, operation, method, target, value=None, **kwargs):
         self._count(operation)
         kwargs.setdefault("timeout_s", CALL_TIMEOUT_S)
+        sent_under = self._eras.sent_under()
         try:
-            return await self._client.call_json(
+            (
+                status,
+                headers,
+                answer,
+            ) = await self._client.call_json_with_headers(
                 self._address, method, target, value, **kwargs
             )
         except OSError as exc:
             raise exceptions.KvError(f"{operation}: {exc!r}") from exc
+        self._eras.accept(_stated_era(headers))
+        if operation not in _READS:
+            self._eras.check_unchanged(sent_under)
+        return status, answer
 
     async def _get(self, operation, target, query, **kwargs):
         text = urllib.parse.urlencode(query)
@@ -77,12 +115,14 @@
 
         :returns: a ``Snapshot``.
         :raises KvError: if the store did not answer.
+        :raises KvEraChanged: if the pages are of different eras.
         """
         entries = []
         revision = None
         query = {"prefix": prefix}
+        _, answer = await self._get("range", "/v1/kv-range", query)
+        era = self.era
         while True:
-            _, answer = await self._get("range", "/v1/kv-range", query)
             try:
                 page = [_decode_entry(raw) for raw in answer["items"]]
                 page_revision = int(answer["storeRevision"])
@@ -91,8 +131,10 @@
             entries += page
             revision = page_revision if revision is None else revision
             if not answer.get("hasMore") or not page:
-                return _kv.Snapshot(tuple(entries), revision)
+                return _kv.Snapshot(tuple(entries), revision, era)
             query["after"] = page[-1].key
+            _, answer = await self._get("range", "/v1/kv-range", query)
+            self._eras.check_unchanged(era)
 
     async def get(self, key):
         """Read one key.
--- a/src/coltsfootsail/standins/store.py
+++ b/src/coltsfootsail/standins/store.py
@@ -16,6 +16,9 @@
 
 LIMITS = _http.HttpLimits(body_bytes=16_777_216, idle_timeout_s=3600.0)
 PAGE_ITEMS = 500
+ERA_HEADER = "store-era"
+FOREIGN_PREFIXES = ("op/", "servers/")  # written by operator and servers
+REWRITE_S = 1.0  # after a restore, until these are written again
 
 
 class StoreFault(enum.Enum):
@@ -45,6 +48,15 @@
     lease: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Copy:
+    """What a copy of the store holds."""
+
+    revision: int
+    items: dict
+    leases: dict
+
+
 def _item_json(key, item):
     return {
         "key": key,
@@ -58,13 +70,17 @@
 class StoreStandIn:
     """State and HTTP handler of the metadata store.
 
+    ``era`` is stated in all answers; None if they state none.
+
     :param now: function that reads the clock in seconds.
     """
 
     def __init__(self, now=trio.current_time):
         self.revision = 100
+        self.era = None
         self.calls = collections.Counter()
         self.faults = {}
+        self.away = False
         self._now = now
         self._items = {}
         self._leases = {}
@@ -117,6 +133,41 @@
         self._events.clear()
         self._history_start = self.revision
 
+    def copy(self):
+        """Make a copy, from which the store can be restored."""
+        return _Copy(self.revision, dict(self._items), dict(self._leases))
+
+    async def restore(self, copy, away_s=0.0, rewrite_s=REWRITE_S):
+        """Come back from a copy: what was written since is lost.
+
+        The operator and the servers write again what they wrote since.
+
+        :param away_s: how long the store does not answer before.
+        :param rewrite_s: how long it is back until they have done so.
+        """
+        self.away = True
+        await trio.sleep(away_s)
+        lost = self._items
+        lost_s = self._now()
+        self.revision = copy.revision
+        self._items = dict(copy.items)
+        self._leases = {
+            number: (ttl_s, lost_s + ttl_s)
+            for number, (ttl_s, _) in copy.leases.items()
+        }
+        self.forget_history()
+        self.era = (self.era or 0) + 1
+        self.away = False
+        await trio.sleep(rewrite_s)
+        for key in self.keys(""):
+            if key.startswith(FOREIGN_PREFIXES) and key not in lost:
+                self.drop(key)
+        for key, item in lost.items():
+            old = self._items.get(key)
+            is_new = old is None or old.value != item.value
+            if key.startswith(FOREIGN_PREFIXES) and is_new:
+                self.put(key, item.value)
+
     def _append_event(self, event):
         self._events.append(event)
         changed, self._changed = self._changed, trio.Event()
@@ -158,17 +209,24 @@
     async def _handle(self, address, req, resp):
         fault = self.faults.get(address, StoreFault.NONE)
         self.calls[req.path.rpartition("/")[0] or req.path] += 1
-        if fault is StoreFault.DOWN:
-            await resp.reply_json({"error": "down"}, 503)
+        era_headers = self._era_headers()
+        if fault is StoreFault.DOWN or self.away:
+            await resp.reply_json({"error": "down"}, 503, era_headers)
             return
         if fault is StoreFault.SILENT:
             await trio.sleep_forever()
         self._expire()
         status, value = await self._dispatch(req)
         is_write = req.method != "GET"
+        era_headers = self._era_headers()
         if fault is StoreFault.LOST_REPLY and is_write:
             await trio.sleep_forever()
-        await resp.reply_json(value, status)
+        await resp.reply_json(value, status, era_headers)
+
+    def _era_headers(self):
+        if self.era is None:
+            return ()
+        return ((ERA_HEADER, str(self.era)),)
 
     async def _dispatch(self, req):
         query = dict(urllib.parse.parse_qsl(req.query))
