--- a/src/coltsfootsail/_engine_controller.py
+++ b/src/coltsfootsail/_engine_controller.py
@@ -3,8 +3,9 @@
 An ``EngineController`` runs while this node holds the engine's claim.  On
 each change it decides at once which queued requests get a grant.  Orders,
 which load and unload adapters, are sent one after the other.  Each states
-how many orders the engine must have accepted so far, so that a lost or
-late one shows in the engine's report.
+how many orders the engine must have accepted so far.  One that is left
+unanswered can therefore be followed by another at once: the engine accepts
+at most one of them, and refuses those that arrive late.
 """
 
 import dataclasses
@@ -14,13 +15,14 @@
 
 from coltsfootsail import _adapter_slots
 from coltsfootsail import _admission
+from coltsfootsail import _answer_times
 from coltsfootsail import _grants
 from coltsfootsail import _logs
 from coltsfootsail import _metrics
 from coltsfootsail import exceptions
 from coltsfootsail.platform import engines
 
-ORDER_TIMEOUT_S = 0.5
+ORDER_TIMEOUT_MAX_S = 0.5
 REPORT_TIMEOUT_S = 0.5
 REPORT_LAG_S = 0.12  # a report shows the engine's state at this age
 DOWN_PERIOD_S = 1.0  # without grants or orders after a refused connection
@@ -79,6 +81,7 @@
         self._numbers = itertools.count(1)
         self._replies = {}
         self._has_ordered = False
+        self._answer_times = _answer_times.AnswerTimes(ORDER_TIMEOUT_MAX_S)
         self._down_until_s = 0.0
         self._admission_wake = trio.Event()
         self._orders_wake = trio.Event()
@@ -298,17 +301,18 @@
         )
         self._claims.note_order(name)
         self._has_ordered = True
+        sent_s = self._now()
         try:
             answer = await engines.send_order(
-                self._client, self.server, order, ORDER_TIMEOUT_S
+                self._client,
+                self.server,
+                order,
+                self._answer_times.timeout_s(),
             )
         except OSError as exc:
-            self._count("order_failures", type(exc).__name__)
-            _logs.state("order_unanswered", server=name, reason=repr(exc))
-            self.adapter_slots.sequence = None
-            if isinstance(exc, ConnectionRefusedError):
-                self.note_unreachable()
+            self._on_unanswered(exc)
             return
+        self._answer_times.add(self._now() - sent_s)
         self._count("orders", answer.value)
         _logs.detail(
             "order",
@@ -326,6 +330,18 @@
             return
         _ANSWER_HANDLERS[answer](self, plan)
 
+    def _on_unanswered(self, exc):
+        """Repeat an order, or read the engine's state if that is no use."""
+        self._count("order_failures", type(exc).__name__)
+        _logs.state(
+            "order_unanswered", server=self.server.name, reason=repr(exc)
+        )
+        if isinstance(exc, TimeoutError) and self._answer_times.add_timeout():
+            return
+        self.adapter_slots.sequence = None
+        if isinstance(exc, ConnectionRefusedError):
+            self.note_unreachable()
+
     def _on_accepted(self, plan):
         now_s = self._now()
         if plan.load:
