Learn how fast an engine reads prompts

Cause: prompts were paced and queues judged by a fixed 19 tokens/ms and a fixed 0.12 s to the first event.

Change: entry nodes report the time to the first event with the end of a grant; _reading_speed fits tokens to times as decayed sums. It feeds pace, backlog and the test whether the objective can still be met. The simulated engine sends its first event after one token, as the users' engines do.

Tried first and not kept: a least squares fit of delay and slope with decay 0.97.

--- a/src/coltsfootsail/_admission.py
+++ b/src/coltsfootsail/_admission.py
@@ -14,9 +14,9 @@
 
 import dataclasses
 
+from coltsfootsail import _reading_speed
+
 PROMPT_SPACING = 1.5  # between starts, in multiples of the prefill time
-PREFILL_TOKENS_PER_S = 19000.0  # assumed prefill speed of an engine
-FIRST_EVENT_DELAY_S = 0.12  # on an idle engine, without the prefill
 MEMORY_SHARE = 0.92  # of the memory that running requests may use
 MAX_WAIT_OBJECTIVES = 2.2  # longest wait, in multiples of the objective
 MAX_WAIT_FLOOR_S = 1.0  # for requests that arrive late from another engine
@@ -51,12 +51,6 @@
     objective_s: float
     until_s: float
 
-    @property
-    def latest_start_s(self):
-        """Latest start that still meets the objective."""
-        prefill_s = self.read_tokens / PREFILL_TOKENS_PER_S
-        return self.objective_s - FIRST_EVENT_DELAY_S - prefill_s
-
     @property
     def reject_at_s(self):
         """When it is turned away if it still waits."""
@@ -97,6 +91,7 @@
         self._next_start_s = 0.0
         self._mean_run_s = INITIAL_RUN_S
         self._started_s = {}
+        self._reading_speed = _reading_speed.ReadingSpeed()
         self.waiting = []
         self.running = {}
 
@@ -113,7 +108,7 @@
             request for request in self.waiting if request.priority <= priority
         ]
         tokens = sum(request.read_tokens for request in ahead)
-        prefill_wait_s = tokens * PROMPT_SPACING / PREFILL_TOKENS_PER_S
+        prefill_wait_s = PROMPT_SPACING * self._reading_speed.read_s(tokens)
         prefill_wait_s += max(0.0, self._next_start_s - now_s)
         return max(prefill_wait_s, self._slot_wait_s(len(ahead)))
 
@@ -128,7 +123,10 @@
         :returns: pairs of adapter and version, most urgent first.
         """
         versions = {}
-        for request in sorted(self.waiting, key=lambda r: _sort_key(r, now_s)):
+        by_urgency = sorted(
+            self.waiting, key=lambda request: self._sort_key(request, now_s)
+        )
+        for request in by_urgency:
             versions.setdefault(request.adapter, request.version)
             versions[request.adapter] = max(
                 versions[request.adapter], request.version
@@ -147,15 +145,19 @@
         self.waiting.append(request)
         return None
 
-    def withdraw(self, number, now_s=None):
+    def withdraw(self, number, now_s=None, first_event_s=None):
         """Remove a waiting or running request.
 
         :param now_s: when its run ended; None leaves the run out of
             the mean run time.
+        :param first_event_s: time from its start to its first event, None
+            if it is not known.
         :returns: the ``AdmissionRequest``, or None if it is unknown.
         """
         request = self.running.pop(number, None)
         if request is not None:
+            if first_event_s is not None:
+                self._reading_speed.add(request.read_tokens, first_event_s)
             self._used_tokens -= request.memory_tokens
             started_s = self._started_s.pop(number)
             if now_s is not None:
@@ -195,7 +197,7 @@
                 continue
             if self._used_tokens + request.memory_tokens > self._budget_tokens:
                 continue
-            key = _sort_key(request, now_s)
+            key = self._sort_key(request, now_s)
             if best is None or key < best[0]:
                 best = (key, request)
         return best[1] if best else None
@@ -205,7 +207,7 @@
         self.running[request.number] = request
         self._started_s[request.number] = now_s
         self._used_tokens += request.memory_tokens
-        prefill_s = request.read_tokens / PREFILL_TOKENS_PER_S
+        prefill_s = self._reading_speed.read_s(request.read_tokens)
         self._next_start_s = (
             max(now_s, self._next_start_s) + PROMPT_SPACING * prefill_s
         )
@@ -222,7 +224,8 @@
             due_s = min(due_s, self._next_start_s)
         return due_s
 
-
-def _sort_key(request, now_s):
-    """Order by: objective still reachable, priority class, arrival."""
-    return now_s > request.latest_start_s, request.priority, request.number
+    def _sort_key(self, request, now_s):
+        """Order by: objective still reachable, priority class, arrival."""
+        first_event_s = self._reading_speed.first_event_s(request.read_tokens)
+        is_late = now_s + first_event_s > request.objective_s
+        return is_late, request.priority, request.number
--- a/src/coltsfootsail/_engine_controller.py
+++ b/src/coltsfootsail/_engine_controller.py
@@ -145,11 +145,15 @@
         self._orders_wake.set()
         return request.number
 
-    def finish(self, number):
-        """Remove a request that has ended or been withdrawn."""
+    def finish(self, number, first_event_s=None):
+        """Remove a request that has ended or been withdrawn.
+
+        :param first_event_s: time from its start to its first event, None
+            if it is not known.
+        """
         self._replies.pop(number, None)
         was_running = number in self.queue.running
-        request = self.queue.withdraw(number, self._now())
+        request = self.queue.withdraw(number, self._now(), first_event_s)
         if request is None:
             return
         if was_running:
--- a/src/coltsfootsail/_grants.py
+++ b/src/coltsfootsail/_grants.py
@@ -36,6 +36,21 @@
     UNREACHABLE = "unreachable"
 
 
+@dataclasses.dataclass(slots=True)
+class GrantUse:
+    """What became of a grant, to be reported to the owner.
+
+    :param first_event_s: time from the grant's use to the first event; 0.0
+        if there was none.
+    """
+
+    outcome: GrantOutcome = GrantOutcome.DONE
+    first_event_s: float = 0.0
+
+
+NOT_USED = GrantUse()
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class GrantRequest:
     """An entry node's request for a grant, with the resources it needs.
@@ -114,7 +129,7 @@
 
         :param request: a ``GrantRequest``.
         :param reply: called once with ``Grant`` or ``TurnAway``.
-        :returns: closure that takes a ``GrantOutcome``, to be called once
+        :returns: closure that takes a ``GrantUse``, to be called once
             when the granted request has ended or the grant is not wanted
             any more.
         :raises TurnedAway: at once, if this node can't grant it.
@@ -167,12 +182,12 @@
 
         number = controller.enqueue(create_admission_request, on_decision)
 
-        def end(outcome):
-            if outcome is GrantOutcome.ABSENT:
+        def end(use):
+            if use.outcome is GrantOutcome.ABSENT:
                 controller.note_adapter_absent(request.adapter)
-            elif outcome is GrantOutcome.UNREACHABLE:
+            elif use.outcome is GrantOutcome.UNREACHABLE:
                 controller.note_unreachable()
-            controller.finish(number)
+            controller.finish(number, use.first_event_s or None)
 
         return end
 
@@ -226,14 +241,14 @@
         """Handle a ``GrantEnd`` of another node."""
         end = self._remote_grants.pop((node, msg.number), None)
         if end is not None and msg.outcome in set(GrantOutcome):
-            end(GrantOutcome(msg.outcome))
+            end(GrantUse(GrantOutcome(msg.outcome), msg.first_event_s))
 
     def drop_node(self, node):
         """End all grants and requests of a node whose link is down."""
         for key in [key for key in self._remote_grants if key[0] == node]:
             end = self._remote_grants.pop(key)
             if end is not None:
-                end(GrantOutcome.DONE)
+                end(NOT_USED)
 
 
 class _PendingGrant:
@@ -280,8 +295,7 @@
     async def acquire(self, owner, server_name, request):
         """Hold a grant for an engine.
 
-        Yields a closure that sets the ``GrantOutcome`` to report at the
-        end, which is ``DONE`` without a call.
+        Yields the ``GrantUse`` to report at the end.
 
         :param owner: name of the node that owns the engine.
         :param server_name: the engine's name.
@@ -289,15 +303,15 @@
         :raises TurnedAway: if the owner rejected the request.
         :raises OwnerSilent: if the owner does not answer.
         """
-        outcomes = [GrantOutcome.DONE]
+        use = GrantUse()
         if owner == self._node:
             finish = await self._acquire_locally(server_name, request)
         else:
             finish = await self._acquire_remotely(owner, server_name, request)
         try:
-            yield outcomes.append
+            yield use
         finally:
-            finish(outcomes[-1])
+            finish(use)
 
     async def _acquire_locally(self, server_name, request):
         pending = _PendingGrant(server_name)
@@ -305,7 +319,7 @@
         try:
             await pending.event.wait()
         except trio.Cancelled:
-            end(GrantOutcome.DONE)
+            end(NOT_USED)
             raise
         if isinstance(pending.reply, _admission.TurnAway):
             raise exceptions.TurnedAway(
@@ -329,8 +343,9 @@
             float(request.until_s - now_s),
         )
 
-        def end(outcome):
-            self._mesh.send(owner, _wire.GrantEnd(number, str(outcome)))
+        def end(use):
+            msg = _wire.GrantEnd(number, str(use.outcome), use.first_event_s)
+            self._mesh.send(owner, msg)
 
         pending = self._pending[number] = _PendingGrant(server_name)
         try:
@@ -339,7 +354,7 @@
             self._mesh.ping_if_silent(owner)
             await self._wait_for_reply(pending, owner)
         except BaseException:
-            end(GrantOutcome.DONE)
+            end(NOT_USED)
             raise
         finally:
             del self._pending[number]
--- a/src/coltsfootsail/_streams.py
+++ b/src/coltsfootsail/_streams.py
@@ -209,8 +209,9 @@
             grant = gateway.grant_client.acquire(
                 owner, server.name, grant_request
             )
-            async with grant as set_outcome:
-                waited_s = self._now() - requested_s
+            async with grant as use:
+                granted_s = self._now()
+                waited_s = granted_s - requested_s
                 self._metrics.observe(
                     "grant_seconds", waited_s, context.labels
                 )
@@ -219,11 +220,14 @@
                         context, sink, resp, server, grant_request, owner
                     )
                 except exceptions.EndpointNotRun:
-                    set_outcome(_grants.GrantOutcome.ABSENT)
+                    use.outcome = _grants.GrantOutcome.ABSENT
                     raise
                 except exceptions.EndpointUnreachable:
-                    set_outcome(_grants.GrantOutcome.UNREACHABLE)
+                    use.outcome = _grants.GrantOutcome.UNREACHABLE
                     raise
+                finally:
+                    if sink.first_event_s is not None and not context.begun:
+                        use.first_event_s = sink.first_event_s - granted_s
         except (exceptions.TurnedAway, exceptions.OwnerSilent) as exc:
             self._count(
                 "turned_away", _turn_away_reason(exc), labels=context.labels
--- a/src/coltsfootsail/_wire.py
+++ b/src/coltsfootsail/_wire.py
@@ -213,10 +213,13 @@
     """Ends a granted request or withdraws a ``GrantRequest``.
 
     :param outcome: value of a ``_grants.GrantOutcome``.
+    :param first_event_s: time from the grant's use to the first event; 0.0
+        if there was none.
     """
 
     number: int
     outcome: str
+    first_event_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/coltsfootsail/standins/batch.py
+++ b/src/coltsfootsail/standins/batch.py
@@ -2,9 +2,10 @@
 
 Each step generates one token for every running request.  Prompts are
 prefilled in chunks as part of the steps, so a long prompt lengthens the
-pauses between the tokens of all streams.  Running requests and cached
-prompt prefixes share the KV-cache memory.  Concurrent adapter loads by
-many servers slow each other down.
+pauses between the tokens of all streams.  The first event has one token,
+the others have several.  Running requests and cached prompt prefixes share
+the KV-cache memory.  Concurrent adapter loads by many servers slow each
+other down.
 """
 
 import collections
@@ -272,9 +273,10 @@
         while self._active or self._waiting:
             self._admit()
             self._free_memory()
+            read_s = self._prefill() / spec.prefill_tokens_per_s
             running = [job for job in self._active if not job.prefill_left]
             step_s = spec.step_s + spec.step_s_per_request * len(running)
-            step_s += self._prefill() / spec.prefill_tokens_per_s
+            step_s += read_s
             self.run_s += step_s * len(self._active)
             await trio.sleep(step_s)
             for job in running:
@@ -284,7 +286,7 @@
     def _generate_token(self, job):
         job.generated += 1
         finished = job.generated >= job.output_tokens
-        if finished or job.generated % self._spec.stride == 0:
+        if finished or (job.generated - 1) % self._spec.stride == 0:
             job.events += 1
             job.notify()
         if finished and job in self._active:
