Count a load as the time of three

A load costs its own request the load time, evicts an adapter that is loaded again, and delays another load.

Change: the backlog that outweighs a load is three load times, 0.9 s, instead of 0.45 s.

--- a/src/coltsfootsail/_engine_selection.py
+++ b/src/coltsfootsail/_engine_selection.py
@@ -6,12 +6,15 @@
 that costs more than another load.
 """
 
+from coltsfootsail import _adapter_slots
 from coltsfootsail import _grants
 from coltsfootsail import _placement
 from coltsfootsail import _popularity
 
 COMPARED_ENGINES = 10  # first engines of an adapter's order
-LOAD_COST_S = 0.45  # backlog that outweighs a load and the slot it takes
+# Backlog that outweighs a load: the request waits for it, the adapter that
+# it evicts has to be loaded again, and another load is delayed meanwhile.
+LOAD_COST_S = 3 * _adapter_slots.COLD_LOAD_S
 HOT_RATE_PER_S = 1.0  # above this request rate a load costs less
 RANK_COST_S = 0.02  # per place in the order, to keep adapters on few engines
 RATE_HALF_LIFE_S = 20.0  # of this node's request counts
