Turn away at once what can't start in time

Hypothesis: a request whose adapter has to wait longer for a slot than the request may wait is known not to be servable when it arrives; it waited for 2.2 objectives before it was told so.

Change: the queue and the adapter slots estimate the wait of a new request: the prompts ahead, the loads ahead and the slots in use. One that could only start after it would be turned away is rejected at its arrival, with the expected wait as its retry time.

--- a/src/coltsfootsail/_adapter_slots.py
+++ b/src/coltsfootsail/_adapter_slots.py
@@ -80,6 +80,24 @@
             return False
         return slot.version >= version and slot.ready_s <= now_s
 
+    def load_wait_s(self, adapter, version, absent_ahead, now_s, run_s):
+        """Estimate how long a new request would wait for its adapter.
+
+        :param absent_ahead: number of other adapters to be loaded first.
+        :param run_s: mean run time of requests, after which the slots of
+            running requests become free.
+        """
+        slot = self.held.get(adapter)
+        if slot is not None and slot.version >= version and not slot.blocked:
+            return max(0.0, slot.ready_s - now_s)
+        if slot is not None:
+            return COLD_LOAD_S + (run_s if slot.running else 0.0)
+        count = self._engine.adapter_slots
+        running = sum(slot.running > 0 for slot in self.held.values())
+        excess = max(0, absent_ahead + 1 - (count - running))
+        turn_s = excess * run_s / max(1, count)
+        return turn_s + COLD_LOAD_S * (1 + absent_ahead // LOADS_MAX)
+
     def loads_in_progress(self, now_s):
         """Count the loads in progress."""
         return sum(slot.ready_s > now_s for slot in self.held.values())
--- a/src/coltsfootsail/_admission.py
+++ b/src/coltsfootsail/_admission.py
@@ -133,11 +133,35 @@
             )
         return list(versions.items())
 
-    def add(self, request):
-        """Queue a request.
+    @property
+    def mean_run_s(self):
+        """Mean time from the start of a request to its end."""
+        return self._mean_run_s
+
+    def adapters_ahead(self, request, now_s):
+        """List the adapters of the requests that go before a new one.
 
+        :returns: set of adapter keys, without that of the request.
+        """
+        key = self._sort_key(request, now_s)
+        adapters = {
+            waiting.adapter
+            for waiting in self.waiting
+            if self._sort_key(waiting, now_s) < key
+        }
+        return adapters - {request.adapter}
+
+    def add(self, request, load_wait_s=0.0):
+        """Queue a request, unless it would be turned away later anyway.
+
+        :param load_wait_s: expected wait for the request's adapter.
         :returns: a ``TurnAway``, or None if the request was queued.
         """
+        wait_s = max(
+            load_wait_s, self.backlog_s(request.arrived_s, request.priority)
+        )
+        if request.arrived_s + wait_s > request.reject_at_s:
+            return TurnAway(request, wait_s, "overload")
         if request.memory_tokens > self._budget_tokens:
             return TurnAway(request, 1.0, "larger than the engine")
         if len(self.waiting) >= QUEUE_MAX:
--- a/src/coltsfootsail/_engine_controller.py
+++ b/src/coltsfootsail/_engine_controller.py
@@ -136,7 +136,7 @@
         request = create_admission_request(next(self._numbers))
         if "/" in request.adapter:
             self._popularity.add(request.adapter, self._now())
-        rejection = self.queue.add(request)
+        rejection = self.queue.add(request, self._load_wait_s(request))
         if rejection is not None:
             reply(rejection)
             return request.number
@@ -145,6 +145,20 @@
         self._orders_wake.set()
         return request.number
 
+    def _load_wait_s(self, request):
+        """Estimate how long a new request would wait for its adapter."""
+        if "/" not in request.adapter:
+            return 0.0
+        now_s = self._now()
+        ahead = self.queue.adapters_ahead(request, now_s)
+        return self.adapter_slots.load_wait_s(
+            request.adapter,
+            request.version,
+            len(ahead - self.adapter_slots.held.keys()),
+            now_s,
+            self.queue.mean_run_s,
+        )
+
     def finish(self, number, first_event_s=None):
         """Remove a request that has ended or been withdrawn.
 
