--- a/src/coltsfootsail/_admission.py
+++ b/src/coltsfootsail/_admission.py
@@ -22,7 +22,6 @@
 MAX_WAIT_FLOOR_S = 1.0  # for requests that arrive late from another engine
 QUEUE_MAX = 256
 INITIAL_RUN_S = 1.5  # mean run time before any run has ended
-NO_ROOM = "no room in time"  # reason of a rejection at arrival
 RUN_EWMA_WEIGHT = 0.1  # of the newest run in the moving average
 
 
@@ -162,7 +161,7 @@
             load_wait_s, self.backlog_s(request.arrived_s, request.priority)
         )
         if request.arrived_s + wait_s > request.reject_at_s:
-            return TurnAway(request, wait_s, NO_ROOM)
+            return TurnAway(request, wait_s, "overload")
         if request.memory_tokens > self._budget_tokens:
             return TurnAway(request, 1.0, "larger than the engine")
         if len(self.waiting) >= QUEUE_MAX:
--- a/src/coltsfootsail/_request_context.py
+++ b/src/coltsfootsail/_request_context.py
@@ -31,8 +31,6 @@
         crash servers.
     :param sends: how often it was sent to a server.
     :param begun: whether a part of its stream has reached the caller.
-    :param engines_without_room: number of engines that could not start it
-        in time.
     :param tried: names of the servers that it was sent to.
     :param may_have_run: names of the servers that may have run it.
     :param avoided: names of the engines to leave out of the next choice.
@@ -50,7 +48,6 @@
     fingerprint: str
     sends: int = 0
     begun: bool = False
-    engines_without_room: int = 0
     tried: set = dataclasses.field(default_factory=set)
     may_have_run: set = dataclasses.field(default_factory=set)
     avoided: set = dataclasses.field(default_factory=set)
--- a/src/coltsfootsail/_streams.py
+++ b/src/coltsfootsail/_streams.py
@@ -10,7 +10,6 @@
 
 import trio
 
-from coltsfootsail import _admission
 from coltsfootsail import _grants
 from coltsfootsail import _http
 from coltsfootsail import _logs
@@ -35,10 +34,8 @@
         "engine leaving",
         "no model yet",
         "no orders yet",
-        _admission.NO_ROOM,
     }
 )
-NO_ROOM_MAX = 2  # engines without room after which a request is refused
 
 
 @contextlib.contextmanager
@@ -191,9 +188,6 @@
             isinstance(exc, exceptions.TurnedAway)
             and exc.reason not in _TRY_ELSEWHERE_REASONS
         )
-        if _turn_away_reason(exc) == _admission.NO_ROOM:
-            context.engines_without_room += 1
-            overload = context.engines_without_room >= NO_ROOM_MAX
         if final or overload or not context.may_retry(exc):
             raise _request_context.correct_outcome(exc, context)
         if sink.started and not context.route.resumable:
