Leave an engine that runs an older version of an adapter

Hypothesis: a request for a new version waits until the runs of the old one end, longer than its objective; another engine loads the version in 0.3 s.

Change: the owner rejects such a request with a reason of its own, and the entry node asks one other engine. A request that has moved once waits.

--- a/src/coltsfootsail/_engine_controller.py
+++ b/src/coltsfootsail/_engine_controller.py
@@ -122,6 +122,13 @@
         slot = self.adapter_slots.held.get(request.adapter)
         return slot is not None and slot.version >= request.version
 
+    def runs_older_version(self, request):
+        """Tell whether a request must wait for runs of an older version."""
+        slot = self.adapter_slots.held.get(request.adapter)
+        if slot is None or not slot.running:
+            return False
+        return slot.version < request.version
+
     def backlog_s(self):
         """Estimate how long a new request would wait for a grant."""
         return self.queue.backlog_s(self._now())
--- a/src/coltsfootsail/_engine_selection.py
+++ b/src/coltsfootsail/_engine_selection.py
@@ -99,6 +99,7 @@
             priority=0 if context.begun else context.route.priority,
             objective_s=objective_from_s + context.route.objective_s,
             until_s=context.until_s,
+            may_move=not context.moved,
         )
 
     def _engines(self, service, model):
--- a/src/coltsfootsail/_grants.py
+++ b/src/coltsfootsail/_grants.py
@@ -21,6 +21,7 @@
 # An owner that leaves a ping unanswered for longer counts as unreachable.
 OWNER_SILENCE_MAX_S = 0.6
 OWNER_CHECK_S = 0.2  # interval of checks while a reply is pending
+OLDER_VERSION_RUNS = "older version runs"  # reason of a rejection
 CACHED_PARTS_MAX = 4000  # prompt parts assumed to fit the prefix cache
 
 
@@ -60,6 +61,7 @@
     :param parts: pairs of a prompt part's id and its token count.
     :param objective_s: absolute time by which the first event is due.
     :param until_s: absolute time at which the request expires.
+    :param may_move: whether another engine may be asked instead.
     """
 
     adapter: str
@@ -70,6 +72,7 @@
     priority: int
     objective_s: float
     until_s: float
+    may_move: bool = False
 
 
 class PrefixCacheEstimate:
@@ -147,6 +150,8 @@
             request
         ):
             raise exceptions.TurnedAway("no orders yet", 0.2)
+        if request.may_move and controller.runs_older_version(request):
+            raise exceptions.TurnedAway(OLDER_VERSION_RUNS, 0.3)
         uncached = controller.prefix_cache.uncached_tokens(request)
         enqueued_s = self._now()
         adapter_state = controller.adapter_state(request)
@@ -207,6 +212,7 @@
             msg.priority,
             now_s + msg.objective_s,
             now_s + msg.until_s,
+            msg.may_move,
         )
 
         def reply(decision):
@@ -341,6 +347,7 @@
             request.priority,
             float(request.objective_s - now_s),
             float(request.until_s - now_s),
+            request.may_move,
         )
 
         def end(use):
--- a/src/coltsfootsail/_request_context.py
+++ b/src/coltsfootsail/_request_context.py
@@ -31,6 +31,8 @@
         crash servers.
     :param sends: how often it was sent to a server.
     :param begun: whether a part of its stream has reached the caller.
+    :param moved: whether an engine that runs an older version of its
+        adapter has been left for another.
     :param tried: names of the servers that it was sent to.
     :param may_have_run: names of the servers that may have run it.
     :param avoided: names of the engines to leave out of the next choice.
@@ -48,6 +50,7 @@
     fingerprint: str
     sends: int = 0
     begun: bool = False
+    moved: bool = False
     tried: set = dataclasses.field(default_factory=set)
     may_have_run: set = dataclasses.field(default_factory=set)
     avoided: set = dataclasses.field(default_factory=set)
--- a/src/coltsfootsail/_streams.py
+++ b/src/coltsfootsail/_streams.py
@@ -34,6 +34,7 @@
         "engine leaving",
         "no model yet",
         "no orders yet",
+        _grants.OLDER_VERSION_RUNS,
     }
 )
 
@@ -236,6 +237,8 @@
                 await trio.sleep(OWNER_RETRY_PAUSE_S)
             else:
                 context.avoided.add(server.name)
+            if _turn_away_reason(exc) == _grants.OLDER_VERSION_RUNS:
+                context.moved = True
             raise
         except exceptions.EndpointNotRun:
             await trio.sleep(ADAPTER_ABSENT_PAUSE_S)
@@ -260,6 +263,9 @@
             await trio.sleep(OWNER_RETRY_PAUSE_S)
             context.avoided = set(context.interrupted_by)
             choice = engine_selector.choose(context)
+        if choice is None and context.moved:
+            context.avoided = set(context.interrupted_by)
+            choice = engine_selector.choose(context)
         if choice is None and context.interrupted_by:
             context.interrupted_by.clear()
             context.avoided.clear()
--- a/src/coltsfootsail/_wire.py
+++ b/src/coltsfootsail/_wire.py
@@ -179,6 +179,7 @@
     :param objective_s: seconds left to meet the objective for the first
         event.
     :param until_s: seconds left until the deadline of the request.
+    :param may_move: whether another engine may be asked instead.
     """
 
     number: int
@@ -191,6 +192,7 @@
     priority: int
     objective_s: float
     until_s: float
+    may_move: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
