Pause longer between watches where the bound allows it

A change must be applied within 3 s there, and 0.4 of that time passes between two watches. 1.2 s are left beside the pause at a bound of 2 s; as much is enough at 3 s.

Change: the pause is the longer of 0.4 of the bound and the bound less 1.2 s, which is 1.8 s at 3 s and unchanged at 2 s.

--- a/src/coltsfootsail/_view.py
+++ b/src/coltsfootsail/_view.py
@@ -20,6 +20,9 @@
 
 WATCH_WAIT_S = 2.0  # bounds the time until a dead connection is noticed
 WATCH_PAUSE_SHARE = 0.4  # of the propagation time, spent to batch changes
+# What a longer propagation time leaves beside that pause is enough for a
+# watch that has to be repeated.
+WATCH_MARGIN_S = 1.2
 # A store that did not answer for this long may have dropped the entries of
 # live servers, which expire after 3.6 s without a renewal.
 OUTAGE_MIN_S = 3.5
@@ -68,7 +71,9 @@
         self._started_s = now()
         self._store_returned_s = None
         self._unconfirmed = set()
-        self._batch_pause_s = WATCH_PAUSE_SHARE * propagation_s
+        self._batch_pause_s = max(
+            WATCH_PAUSE_SHARE * propagation_s, propagation_s - WATCH_MARGIN_S
+        )
         self._handlers = (
             (registry.CONFIG_KEY, self._apply_deployment_entry),
             (registry.VERSION_PREFIX, self._apply_version_entry),
