Let former owners name their successors

Cause: a node that is cut off from the store asks the owners that it last saw.

Change: a former owner knows its successor from the request for release, and names it with its fencing number when it is asked for a grant. The entry node asks that one at once.

--- a/src/coltsfootsail/_claims.py
+++ b/src/coltsfootsail/_claims.py
@@ -112,6 +112,7 @@
         self._unclaimed_since_s = {}
         self._last_order_s = {}
         self._absent_since_s = {}
+        self._successors = {}
         self._last_sweep_s = now()
         self._era_orders_from_s = now()
         self.held = {}
@@ -161,16 +162,34 @@
         since_s = self._last_order_s.get(server, self._started_s)
         return self._now() - since_s
 
-    def superseded(self, server, fence):
+    def superseded(self, server, fence, successor=""):
         """Note that another node holds a server's claim.
 
+        :param successor: name of that node, empty if it is not known.
         :returns: seconds since this process last gave it an order.
         """
         held = self.held.get(server)
         if held is not None and held.fence < fence:
             self._drop_claim(server, "superseded")
+        if successor and fence > self._successors.get(server, ("", 0))[1]:
+            self._successors[server] = successor, fence
         return self.idle_s(server)
 
+    def successor(self, server):
+        """Get the node that holds a server's claim in place of this one.
+
+        A node that is cut off from the store knows it from the successor.
+
+        :returns: tuple of its name and fencing number; empty and 0 if none
+            is known.
+        """
+        stored = self._view.claim(server)
+        known = self._successors.get(server, ("", 0))
+        if stored is None or stored[0].node == self._node:
+            return known
+        fence = _eras.fencing_number(self._view.era, stored[1])
+        return max(known, (stored[0].node, fence), key=lambda pair: pair[1])
+
     def released(self, server, fence, idle_s):
         """Apply the former holder's reply about its last order.
 
@@ -384,6 +403,11 @@
 
     async def _sweep(self):
         oldest_s = self._now() - FORGET_AFTER_S
+        self._successors = {
+            name: successor
+            for name, successor in self._successors.items()
+            if name in self._view.servers
+        }
         self._last_order_s = {
             name: ordered_s
             for name, ordered_s in self._last_order_s.items()
--- a/src/coltsfootsail/_engine_selection.py
+++ b/src/coltsfootsail/_engine_selection.py
@@ -7,6 +7,7 @@
 """
 
 from coltsfootsail import _adapter_slots
+from coltsfootsail import _eras
 from coltsfootsail import _grants
 from coltsfootsail import _placement
 from coltsfootsail import _popularity
@@ -41,6 +42,7 @@
         self._backlog = backlog
         self._now = now
         self._down_until_s = {}
+        self._named_owners = {}
         self._cached_generation = None
         self._engines_cache = {}
         self._rates = _popularity.Popularity(
@@ -66,8 +68,12 @@
         self._rates.add(adapter, self._now(), weight)
 
     def sweep(self):
-        """Forget adapters that are no longer requested."""
+        """Forget adapters and engines that are no longer used."""
         self._rates.sweep(self._now())
+        for name in [
+            n for n in self._named_owners if n not in self._view.servers
+        ]:
+            del self._named_owners[name]
 
     def _load_cost_s(self, adapter):
         """Get the backlog that outweighs one more load of an adapter.
@@ -131,17 +137,31 @@
         refused = self._down_until_s.get(server.name, 0.0) > self._now()
         return not refused and server.name not in context.avoided
 
+    def note_owner(self, server_name, node, fence):
+        """Note the owner that the former owner of an engine named."""
+        if fence > self._named_owners.get(server_name, ("", 0))[1]:
+            self._named_owners[server_name] = node, fence
+
+    def _newest_owner(self, server):
+        """Get the owner with the highest fencing number, or None."""
+        claim = self._view.claim(server.name)
+        named, named_fence = self._named_owners.get(server.name, (None, 0))
+        if claim is None:
+            return named
+        fence = _eras.fencing_number(self._view.era, claim[1])
+        return named if named_fence > fence else claim[0].node
+
     def owner(self, server):
         """Get the node that owns an engine.
 
+        A node that is cut off from the store may know a newer owner from
+        the former one.
+
         :returns: its name, or None if there is no owner or no live link
             to it.
         """
-        claim = self._view.claim(server.name)
-        if claim is None:
-            return None
-        node = claim[0].node
-        if node == self._node:
+        node = self._newest_owner(server)
+        if node in (None, self._node):
             return node
         silence_s = self._mesh.unanswered_ping_s(node)
         if silence_s is None or silence_s > OWNER_SILENCE_MAX_S:
--- a/src/coltsfootsail/_gateway.py
+++ b/src/coltsfootsail/_gateway.py
@@ -126,7 +126,10 @@
             self.claims, self.view, dependencies
         )
         self.grant_server = _grants.GrantServer(
-            self.owned_engines.controllers, self.view.is_unavailable, self.now
+            self.owned_engines.controllers,
+            self.view.is_unavailable,
+            self.claims.successor,
+            self.now,
         )
 
     def _build_request_handling(self, settings, network):
@@ -141,6 +144,9 @@
             self.mesh,
             self.now,
             self.owned_engines.record_backlog,
+            lambda server, node, fence: self.engine_selector.note_owner(
+                server, node, fence
+            ),
         )
         self.engine_selector = _engine_selection.EngineSelector(
             self._name,
--- a/src/coltsfootsail/_grants.py
+++ b/src/coltsfootsail/_grants.py
@@ -118,12 +118,15 @@
     :param controllers: dict of server name to ``EngineController``.
     :param is_unavailable: ``(server name) -> bool``, whether the server is
         gone or draining.
+    :param successor: ``(server name) -> (node, fence)``, the node that owns
+        the server instead of this one.
     :param now: closure that reads the clock.
     """
 
-    def __init__(self, controllers, is_unavailable, now):
+    def __init__(self, controllers, is_unavailable, successor, now):
         self._controllers = controllers
         self._is_unavailable = is_unavailable
+        self._successor = successor
         self._now = now
         self._remote_grants = {}
 
@@ -239,8 +242,11 @@
         backlog_s = (
             0.0 if controller is None else float(controller.backlog_s())
         )
+        owner, fence = "", 0
+        if controller is None:
+            owner, fence = self._successor(msg.server)
         return _wire.GrantReply(
-            msg.number, granted, retry_s, reason, backlog_s
+            msg.number, granted, retry_s, reason, backlog_s, owner, fence
         )
 
     def handle_end(self, node, msg):
@@ -279,14 +285,17 @@
     :param now: closure that reads the clock.
     :param on_backlog: ``(server name, backlog_s)``, called with each reply
         of an owner.
+    :param on_owner: ``(server name, node, fence)``, called when a former
+        owner names its successor.
     """
 
-    def __init__(self, node, grant_server, mesh, now, on_backlog):
+    def __init__(self, node, grant_server, mesh, now, on_backlog, on_owner):
         self._node = node
         self._grant_server = grant_server
         self._mesh = mesh
         self._now = now
         self._on_backlog = on_backlog
+        self._on_owner = on_owner
         self._numbers = itertools.count(1)
         self._pending = {}
 
@@ -295,6 +304,8 @@
         pending = self._pending.get(msg.number)
         if pending is not None:
             self._on_backlog(pending.server, msg.backlog_s)
+            if msg.owner:
+                self._on_owner(pending.server, msg.owner, msg.fence)
             pending.resolve(msg)
 
     @contextlib.asynccontextmanager
--- a/src/coltsfootsail/_peers.py
+++ b/src/coltsfootsail/_peers.py
@@ -90,7 +90,7 @@
         self._gateway.grant_server.handle_end(node, msg)
 
     def _on_release_request(self, node, msg):
-        idle_s = self._gateway.claims.superseded(msg.server, msg.fence)
+        idle_s = self._gateway.claims.superseded(msg.server, msg.fence, node)
         reply = _wire.Released(msg.server, msg.fence, float(idle_s))
         self.mesh.send(node, reply)
 
--- a/src/coltsfootsail/_streams.py
+++ b/src/coltsfootsail/_streams.py
@@ -234,7 +234,8 @@
                 "turned_away", _turn_away_reason(exc), labels=context.labels
             )
             if self._may_wait_for_owner(context, exc):
-                await trio.sleep(OWNER_RETRY_PAUSE_S)
+                if gateway.engine_selector.owner(server) in (None, owner):
+                    await trio.sleep(OWNER_RETRY_PAUSE_S)
             else:
                 context.avoided.add(server.name)
             if _turn_away_reason(exc) == _grants.OLDER_VERSION_RUNS:
--- a/src/coltsfootsail/_wire.py
+++ b/src/coltsfootsail/_wire.py
@@ -201,6 +201,9 @@
 
     :param backlog_s: current backlog of the engine in seconds, more recent
         than the one in the last heartbeat.
+    :param owner: node that owns the engine instead, if the sender does not;
+        empty if it knows none.
+    :param fence: fencing number of that node's claim.
     """
 
     number: int
@@ -208,6 +211,8 @@
     retry_after_s: float
     reason: str
     backlog_s: float
+    owner: str = ""
+    fence: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/test_engine_selection.py
+++ b/tests/test_engine_selection.py
@@ -27,6 +27,7 @@
         }
         view = types.SimpleNamespace(
             generation=1,
+            era=0,
             servers=self.servers,
             versions={},
             claim=lambda server: (types.SimpleNamespace(node="g0"), 1),
@@ -66,6 +67,7 @@
             ),
             route=types.SimpleNamespace(priority=1, objective_s=1.0),
             begun=False,
+            moved=False,
             received_s=self.now_s,
             until_s=self.now_s + 10.0,
             avoided=set(),
@@ -84,20 +86,20 @@
 
 def test_rare_adapter_stays_on_its_first_engine_under_a_short_backlog(harness):
     first = engine_order("base/a1")[0]
-    harness.backlogs[first] = 0.4
+    harness.backlogs[first] = 0.9 * _engine_selection.LOAD_COST_S
     assert harness.choose("base/a1") == first
 
 
 def test_rare_adapter_moves_to_its_second_engine_under_a_long_backlog(harness):
     first, second = engine_order("base/a1")[:2]
-    harness.backlogs[first] = 0.6
+    harness.backlogs[first] = 1.2 * _engine_selection.LOAD_COST_S
     assert harness.choose("base/a1") == second
 
 
 def test_popular_adapter_moves_at_a_shorter_backlog(harness):
     """One engine cannot serve all requests for a popular adapter."""
     first, second = engine_order("base/a1")[:2]
-    harness.backlogs[first] = 0.2
+    harness.backlogs[first] = 0.4 * _engine_selection.LOAD_COST_S
     assert harness.choose("base/a1", every_s=0.2, times=100) == second
 
 
@@ -120,9 +122,31 @@
 
 def test_owners_reply_updates_the_engines_backlog():
     backlogs = []
+    owners = []
     client = _grants.GrantClient(
-        "g0", None, None, lambda: 0.0, lambda *args: backlogs.append(args)
+        "g0",
+        None,
+        None,
+        lambda: 0.0,
+        lambda *args: backlogs.append(args),
+        lambda *args: owners.append(args),
     )
     client._pending[7] = _grants._PendingGrant("e1")
     client.handle_reply(_wire.GrantReply(7, False, 0.3, "overload", 0.8))
-    assert backlogs == [("e1", 0.8)]
+    assert backlogs == [("e1", 0.8)] and not owners
+    client.handle_reply(
+        _wire.GrantReply(7, False, 0.1, "not the owner", 0.0, "g4", 12)
+    )
+    assert owners == [("e1", "g4", 12)]
+
+
+def test_newest_owner_is_asked_when_a_former_one_names_it(harness):
+    harness.selector._mesh.unanswered_ping_s = lambda node: 0.0
+    engine = harness.servers[ENGINES[0]]
+    assert harness.selector.owner(engine) == "g0"
+    harness.selector.note_owner(engine.name, "g1", 5)
+    harness.selector.note_owner(engine.name, "g2", 4)
+    assert harness.selector.owner(engine) == "g1"
+    claim = (types.SimpleNamespace(node="g3"), 9)
+    harness.selector._view.claim = lambda server: claim
+    assert harness.selector.owner(engine) == "g3"
