Replay unanswered orders, fast engines and the moves between engines

The bench of admission gets the pattern late_orders, in which engines leave three orders in ten unanswered for a quarter of the run, and the size fast, whose engines read 29 tokens/ms.

--- a/src/coltsfootsail/_arrivals.py
+++ b/src/coltsfootsail/_arrivals.py
@@ -57,6 +57,8 @@
     :param load_s: time of a load at full speed.
     :param full_speed_loads: concurrent loads, over all engines, up to which
         each goes at full speed.
+    :param prompt_tokens_per_s: how fast an engine reads prompts.
+    :param step_s: time of a decoding step of an engine.
     """
 
     kinds: tuple
@@ -70,6 +72,8 @@
     popularity_exponent: float
     load_s: float
     full_speed_loads: int
+    prompt_tokens_per_s: float = 19_100.0
+    step_s: float = 0.00887
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -164,7 +168,27 @@
     tokens_per_event=5,
     full_speed_loads=64,
 )
-SIZES = {"shop": SHOP, "shop-grown": GROWN, "few-slots": FEW_SLOTS}
+# Engines that read and decode faster, for more callers.
+FAST = dataclasses.replace(
+    SHOP,
+    kinds=(
+        _kind("live", 38.8, (198, 628), 58, 0.3, 15.0, 2.1, 0.64),
+        _kind("batch", 5.4, (198, 628), 58, 0.3, 15.0, 2.1, 0.64),
+        _kind("tag", 7.1, (568, 1800), 5, 0.3, 3.0, 0.93, 0.28),
+    ),
+    engines=6,
+    kv_tokens=134_000,
+    adapter_slots=25,
+    tokens_per_event=5,
+    prompt_tokens_per_s=29_400.0,
+    step_s=0.0051,
+)
+SIZES = {
+    "shop": SHOP,
+    "shop-grown": GROWN,
+    "few-slots": FEW_SLOTS,
+    "fast": FAST,
+}
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -179,6 +203,8 @@
         are equally popular, so that rare ones prevail.
     :param fault: ``none``, ``engine_gone`` or ``all_empty``, injected half
         way through the run.
+    :param late_orders: ``(share of the run) -> float``, share of the orders
+        that the engines leave unanswered and carry out later.
     :param leave_share: share of the callers who leave early.
     :param immediate_retry_share: share of the callers who retry a refused
         request immediately.
@@ -188,6 +214,7 @@
     popularity_shift: float | None = None
     uniform: object = lambda run_share: False
     fault: str = "none"
+    late_orders: object = lambda run_share: 0.0
     leave_share: float = 0.0
     immediate_retry_share: float = 0.0
 
@@ -212,6 +239,9 @@
     "shift": LoadPattern(popularity_shift=0.5),
     "engine_gone": LoadPattern(fault="engine_gone"),
     "all_empty": LoadPattern(fault="all_empty"),
+    "late_orders": LoadPattern(
+        late_orders=lambda run_share: 0.3 if _in_middle(run_share) else 0.0
+    ),
     "repeaters": LoadPattern(
         rate_factor=lambda kind, run_share: (
             2.2 if _in_middle(run_share) else 1.0
--- a/src/coltsfootsail/_bench_admission.py
+++ b/src/coltsfootsail/_bench_admission.py
@@ -85,6 +85,7 @@
         self._pattern = pattern
         self._arrivals = _arrivals.make_arrivals(size, pattern, length_s, seed)
         self._rng = random.Random(f"callers/{seed}")
+        self._order_rng = random.Random(f"orders/{seed}")
         self._network = memory.MemoryNetwork()
         self._store = store.StoreStandIn()
         self._node_names = [f"g{number}" for number in range(size.nodes)]
@@ -132,6 +133,8 @@
         speed = batch.ServerSpec(
             slots=size.slots,
             memory_tokens=size.kv_tokens,
+            step_s=size.step_s,
+            prefill_tokens_per_s=size.prompt_tokens_per_s,
             stride=size.tokens_per_event,
             cold_s=size.load_s,
         )
@@ -145,6 +148,7 @@
             size.adapter_slots,
             nursery,
         )
+        engine.is_order_late = self._is_order_late
         self.engines.append(engine)
         serve = self._network.network(name).serve
         scope = self._engine_scopes[engine] = trio.CancelScope()
@@ -156,6 +160,11 @@
         await nursery.start(run)
         nursery.start_soon(self._register, engine)
 
+    def _is_order_late(self):
+        run_share = (trio.current_time() - STARTUP_S) / self.length_s
+        late_share = self._pattern.late_orders(run_share)
+        return self._order_rng.random() < late_share
+
     async def _register(self, engine):
         """Write the engine's entry whenever its adapters or models change.
 
--- a/src/coltsfootsail/_cli_bench.py
+++ b/src/coltsfootsail/_cli_bench.py
@@ -100,7 +100,7 @@
 
     size: typing.Annotated[
         str,
-        cappa.Arg(long="--size", help="shop, shop-grown or few-slots."),
+        cappa.Arg(long="--size", help="shop, shop-grown, few-slots or fast."),
     ] = "shop"
     pattern: typing.Annotated[
         str,
--- a/src/coltsfootsail/standins/servers.py
+++ b/src/coltsfootsail/standins/servers.py
@@ -13,6 +13,7 @@
 from coltsfootsail.platform import messages
 
 LIMITS = _http.HttpLimits(idle_timeout_s=3600.0, body_bytes=16_777_216)
+LATE_ORDER_S = 2.0
 STAMP_HEADER = (messages.STAMP, "3e1b.07.5a2.600.0.c9f2a4d1")
 
 
@@ -91,7 +92,8 @@
     loaded adapter, ``pending`` the version of each one being loaded and
     when it is ready, and ``versions`` the newest version in the weight
     store.  ``sequence`` counts accepted orders; an order that expects
-    another count is refused.
+    another count is refused.  ``is_order_late`` tells whether an order is
+    left unanswered and carried out ``LATE_ORDER_S`` later.
 
     :param store: the ``StoreStandIn`` in which it registers.
     :param address: where it listens.
@@ -114,6 +116,7 @@
         self.draining = False
         self.crashed = False
         self.cut_after = None
+        self.is_order_late = lambda: False
         self._store = store
 
     def register(self):
@@ -156,6 +159,10 @@
         if req.path == "/v1/report":
             await resp.reply_json(self._report())
         elif req.path == "/v1/order":
+            if self.is_order_late():
+                await trio.sleep(LATE_ORDER_S)
+                self._order(req)
+                await trio.sleep_forever()
             await resp.reply_json({}, self._order(req))
         else:
             await self._run(req, resp)
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -385,3 +385,39 @@
     queue.add(make_request(99, read_tokens=1, arrived_s=now_s))
     queue.decide(now_s, always_ready)
     assert queue.backlog_s(now_s) == pytest.approx(0.4, rel=0.05)
+
+
+def test_request_that_cannot_start_in_time_is_turned_away_at_once(queue):
+    request = make_request(1)
+    longest_wait_s = request.reject_at_s - request.arrived_s
+    rejection = queue.add(request, load_wait_s=longest_wait_s + 0.1)
+    assert rejection.retry_after_s == pytest.approx(longest_wait_s + 0.1)
+    assert not queue.waiting
+    assert queue.add(request, load_wait_s=longest_wait_s - 0.1) is None
+
+
+def test_only_requests_that_go_first_count_as_ahead(queue):
+    queue.add(make_request(1, adapter="m/urgent", priority=0))
+    queue.add(make_request(2, adapter="m/later", priority=2))
+    queue.add(make_request(3, adapter="m/same", priority=0))
+    request = make_request(4, adapter="m/same", priority=1)
+    assert queue.adapters_ahead(request, 0.0) == {"m/urgent"}
+
+
+def test_wait_for_a_load_counts_busy_slots_and_loads_ahead(slots):
+    load_s = _adapter_slots.COLD_LOAD_S
+
+    def wait_s(adapter, version=0, ahead=0):
+        return slots.load_wait_s(adapter, version, ahead, 10.0, 2.0)
+
+    count = ENGINE.adapter_slots
+    assert wait_s("m/a0") == pytest.approx(load_s)
+    for number in range(count):
+        slots.note_load(f"m/a{number}", 1, 0.0)
+        slots.start(f"m/a{number}")
+    assert wait_s("m/a0") == 0.0
+    assert wait_s("m/a0", version=2) == pytest.approx(load_s + 2.0)
+    assert wait_s("m/new") == pytest.approx(load_s + 2.0 / count)
+    assert wait_s("m/new", ahead=count - 1) > 2.0
+    slots.end("m/a1")
+    assert wait_s("m/new") == pytest.approx(load_s)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -9,6 +9,7 @@
 from coltsfootsail import _view
 from coltsfootsail import exceptions
 from coltsfootsail.platform import messages
+from coltsfootsail.standins import servers
 from coltsfootsail.standins import store as stores
 from tests import gateways
 
@@ -950,3 +951,72 @@
         assert await fleet.resolve() == ["g0:80"]
 
     gateways.run(scenario, nodes=1)
+
+
+def test_unanswered_order_is_repeated_before_its_late_execution():
+    async def scenario(fleet):
+        for engine in fleet.engines:
+            await fleet.call("/notes/1", adapter="base/a1")
+            unanswered = iter([True])
+            engine.is_order_late = lambda orders=unanswered: next(
+                orders, False
+            )
+        begun_s = trio.current_time()
+        reply = await fleet.call("/notes/1", adapter="base/a7")
+        assert reply.status == 200
+        assert trio.current_time() - begun_s < 1.0
+        await trio.sleep(servers.LATE_ORDER_S + 1.0)
+        assert not any(engine.crashed for engine in fleet.engines)
+        reply = await fleet.call("/notes/1", adapter="base/a8")
+        assert reply.status == 200
+
+    gateways.run(scenario)
+
+
+def test_request_leaves_an_engine_that_runs_an_older_version():
+    async def scenario(fleet):
+        preferred = _preferred_engine(fleet, "base/a7")
+        other = next(e for e in fleet.engines if e is not preferred)
+        preferred.events = 100
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(
+                lambda: fleet.call("/notes/1", adapter="base/a7")
+            )
+            await trio.sleep(1.5)
+            version = {"model": "base", "adapter": "a7", "version": 2}
+            fleet.store.put("op/version/base.a7", version)
+            for engine in fleet.engines:
+                engine.versions["a7"] = 2
+            await trio.sleep(1.0)
+            begun_s = trio.current_time()
+            reply = await fleet.call("/notes/1", adapter="base/a7")
+            assert reply.status == 200
+            assert trio.current_time() - begun_s < 1.0
+        assert [run.version for run in preferred.runs] == [1]
+        assert [run.version for run in other.runs] == [2]
+
+    gateways.run(scenario)
+
+
+def test_node_cut_from_the_store_learns_the_owner_from_the_former_one():
+    async def scenario(fleet):
+        engine = _preferred_engine(fleet, "base/a7")
+        former = _owner(fleet, engine)
+        entry = next(name for name in fleet.names if name != former)
+        successor = next(
+            name for name in fleet.names if name not in (former, entry)
+        )
+        fleet.store.faults[f"store-{entry}:1"] = stores.StoreFault.SILENT
+        await trio.sleep(1.0)
+        fleet.store.drop(f"/coltsfootsail/state/members/{entry}")
+        fleet.gateways[former].draining = True
+        await fleet.gateways[former]._publish()
+        await fleet.gateways[former].claims.release()
+        await trio.sleep(6.0)
+        assert _owner(fleet, engine) == successor
+        begun_s = trio.current_time()
+        reply = await fleet.call("/notes/1", entry, adapter="base/a7")
+        assert reply.status == 200
+        assert trio.current_time() - begun_s < 0.6
+
+    gateways.run(scenario, nodes=3)
--- a/tests/test_replay.py
+++ b/tests/test_replay.py
@@ -120,4 +120,16 @@
     assert half_retry["credit"] >= all_wait["credit"] - 0.05
 
 
+def test_orders_left_unanswered_do_not_stop_loads(run_pattern):
+    """Three in ten orders are not answered and carried out 2 s later."""
+    result = run_pattern("late_orders")
+    assert min(_by_kind(result, "in_time_share")) >= IN_TIME_SHARE_MIN
+
+
+def test_fast_engines_are_used_at_their_speed_in_a_wave(run_pattern):
+    """Engines that read half as fast again as assumed serve every kind."""
+    result = run_pattern("wave", "fast")
+    assert min(_by_kind(result, "served_share")) >= IN_TIME_SHARE_MIN
+
+
 _ENDS = ("in_time", "late", "refused", "failed")
