Count the wait for the adapter in the retry time

A request that had waited in vain for an adapter was told to come back after the time that the prompts ahead take, mostly the least time of 0.3 s. Its retry time is now the expected wait for the adapter, if that is longer.

Kept for the callers, not for a gain.

--- a/src/coltsfootsail/_admission.py
+++ b/src/coltsfootsail/_admission.py
@@ -21,6 +21,7 @@
 MAX_WAIT_OBJECTIVES = 2.2  # longest wait, in multiples of the objective
 MAX_WAIT_FLOOR_S = 1.0  # for requests that arrive late from another engine
 QUEUE_MAX = 256
+RETRY_MIN_S = 0.3  # before a request that waited in vain may come back
 INITIAL_RUN_S = 1.5  # mean run time before any run has ended
 RUN_EWMA_WEIGHT = 0.1  # of the newest run in the moving average
 
@@ -194,18 +195,24 @@
                 return request
         return None
 
-    def decide(self, now_s, is_ready):
+    def decide(self, now_s, is_ready, load_wait_s=lambda request: 0.0):
         """Turn away overdue requests and start those that may start.
 
         :param is_ready: ``(adapter, version) -> bool``, whether the engine
             can serve that version now.
+        :param load_wait_s: ``(request) -> float``, expected wait for a
+            request's adapter.
         :returns: list of ``Grant`` and ``TurnAway``.
         """
         decisions = []
         for request in [r for r in self.waiting if now_s >= r.reject_at_s]:
             self.waiting.remove(request)
-            retry_s = self.backlog_s(now_s, request.priority)
-            decisions.append(TurnAway(request, max(0.3, retry_s), "overload"))
+            retry_s = max(
+                RETRY_MIN_S,
+                self.backlog_s(now_s, request.priority),
+                load_wait_s(request),
+            )
+            decisions.append(TurnAway(request, retry_s, "overload"))
         while self._next_start_s <= now_s and len(self.running) < self._slots:
             request = self._next_startable(now_s, is_ready)
             if request is None:
--- a/src/coltsfootsail/_engine_controller.py
+++ b/src/coltsfootsail/_engine_controller.py
@@ -218,7 +218,9 @@
         """Grant or reject the requests that can be decided now."""
         if self.is_down():
             return
-        for decision in self.queue.decide(self._now(), self._is_ready):
+        for decision in self.queue.decide(
+            self._now(), self._is_ready, self._load_wait_s
+        ):
             if isinstance(decision, _admission.Grant):
                 self._record_grant(decision.request)
             self._deliver(decision)
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -421,3 +421,12 @@
     assert wait_s("m/new", ahead=count - 1) > 2.0
     slots.end("m/a1")
     assert wait_s("m/new") == pytest.approx(load_s)
+
+
+def test_retry_time_after_a_vain_wait_is_the_expected_wait(queue):
+    queue.add(make_request(1, adapter="m/rare"))
+    reject_at_s = queue.waiting[0].reject_at_s
+    (decision,) = queue.decide(
+        reject_at_s, lambda adapter, version: False, lambda request: 1.7
+    )
+    assert decision.retry_after_s == pytest.approx(1.7)
