--- a/src/coltsfootsail/_grants.py
+++ b/src/coltsfootsail/_grants.py
@@ -49,9 +49,6 @@
     first_event_s: float = 0.0
 
 
-NOT_USED = GrantUse()
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class GrantRequest:
     """An entry node's request for a grant, with the resources it needs.
@@ -260,7 +257,7 @@
         for key in [key for key in self._remote_grants if key[0] == node]:
             end = self._remote_grants.pop(key)
             if end is not None:
-                end(NOT_USED)
+                end(GrantUse())
 
 
 class _PendingGrant:
@@ -336,7 +333,7 @@
         try:
             await pending.event.wait()
         except trio.Cancelled:
-            end(NOT_USED)
+            end(GrantUse())
             raise
         if isinstance(pending.reply, _admission.TurnAway):
             raise exceptions.TurnedAway(
@@ -372,7 +369,7 @@
             self._mesh.ping_if_silent(owner)
             await self._wait_for_reply(pending, owner)
         except BaseException:
-            end(NOT_USED)
+            end(GrantUse())
             raise
         finally:
             del self._pending[number]
--- a/src/coltsfootsail/_view.py
+++ b/src/coltsfootsail/_view.py
@@ -9,6 +9,7 @@
 
 import trio
 
+from coltsfootsail import _departed
 from coltsfootsail import _eras
 from coltsfootsail import _fleet
 from coltsfootsail import _keys
@@ -28,10 +29,6 @@
 OUTAGE_MIN_S = 3.5
 REREGISTRATION_S = 2.0  # servers write their entries again within this time
 REREGISTRATION_POLL_S = 0.2
-# A copy of the store may show a server that has left since.  Its entry
-# expires within this time unless the server is alive.
-COPIED_ENTRY_S = 4.0
-FORGET_GONE_S = 60.0  # no copy is older
 STARTUP_S = 3.0  # after its start, a node follows changes more closely
 STARTUP_POLL_S = 0.2
 ALL_KEYS = ""  # the prefix of every key
@@ -89,8 +86,7 @@
         self._records = {prefix: {} for prefix, _ in _RECORD_CLASSES}
         self.revision = 0
         self.era = _eras.FIRST_ERA
-        self._gone_since_s = {}
-        self._doubtful_entries = {}
+        self._departed = _departed.DepartedServers()
         self.last_contact_s = None
         self.synced = trio.Event()
         self.populated = trio.Event()
@@ -236,7 +232,7 @@
 
     def _apply_server_entry(self, entry, deleted):
         name = entry.key.removeprefix(registry.SERVER_PREFIX)
-        self._doubtful_entries.pop(name, None)
+        self._departed.note_changed(name)
         if deleted:
             self._remove_server(name)
             return
@@ -273,7 +269,7 @@
             return
         del self.servers[name]
         self._unconfirmed.discard(name)
-        self._gone_since_s[name] = self._now()
+        self._departed.note_gone(name, self._now())
         self.generation += 1
         _logs.state("server_gone", server=name)
 
@@ -297,12 +293,8 @@
         if self._unconfirmed and not self._store_just_returned():
             for name in list(self._unconfirmed):
                 self._remove_server(name)
-        if (
-            self._doubtful_entries
-            and now_s > self._store_returned_s + COPIED_ENTRY_S
-        ):
-            for entry in list(self._doubtful_entries.values()):
-                self.apply_entry(entry)
+        for entry in self._departed.take_confirmed(now_s):
+            self.apply_entry(entry)
 
     def _apply_record_entry(self, entry, deleted):
         for prefix, record_class in _RECORD_CLASSES:
@@ -352,7 +344,6 @@
         Servers register again within seconds, so those that the copy lacks
         are kept meanwhile.
         """
-        now_s = self._now()
         _logs.state(
             "store_era",
             era=snapshot.era,
@@ -360,12 +351,7 @@
             old_era=self.era,
             old_revision=self.revision,
         )
-        self._store_returned_s = now_s
-        self._gone_since_s = {
-            name: gone_s
-            for name, gone_s in self._gone_since_s.items()
-            if now_s - gone_s < FORGET_GONE_S
-        }
+        self._store_returned_s = self._now()
 
     def _is_outdated(self, entry):
         """Tell whether a copy shows a server as it was before it left.
@@ -376,10 +362,9 @@
         if name == entry.key:
             return False
         known = self.servers.get(name)
-        if known is None and name in self._gone_since_s:
-            self._doubtful_entries[name] = entry
-            return True
-        return known is not None and known.draining
+        if known is None:
+            return self._departed.withhold(name, entry, self._now())
+        return known.draining
 
     def apply_snapshot(self, snapshot):
         """Apply all entries of the store, and remove those it lacks.
