--- a/src/coltsfootsail/_adapter_slots.py
+++ b/src/coltsfootsail/_adapter_slots.py
@@ -1,8 +1,10 @@
 """The adapter slots of one engine and its next load or unload order.
 
-The code does no I/O and has no clock.  An engine that is ordered to hold
-more adapters than it has slots crashes, so this module bounds the number
-of adapters.  It need not protect running requests: the engine unloads an
+The code does no I/O and has no clock.  It answers demand for more adapters
+than fit, such as many rare ones at once: the least requested adapter makes
+room for the most urgent request.  An engine that is ordered to hold more
+adapters than it has slots crashes, so this module bounds the number of
+adapters.  It need not protect running requests: the engine unloads an
 adapter only when no request uses it.
 """
 
--- a/src/coltsfootsail/_admission.py
+++ b/src/coltsfootsail/_admission.py
@@ -3,13 +3,15 @@
 Decides when waiting requests start and which ones are turned away.  The
 code does no I/O and has no clock.
 
-An engine prefills prompts between the decoding steps of its running
-requests, so prompts that start too close together delay the next token of
-every stream.  Requests are therefore admitted at the engine's prefill
-rate.  In a burst, more urgent requests start first, and those that wait
-too long are turned away with a retry time.  Requests
-that wait for rare adapters to load do not block the others.  Requests of
-callers that retry are queued like any other.
+Answers waves and bursts beyond what the engine can carry.  An engine
+prefills prompts between the decoding steps of its running requests, so
+prompts that start too close together delay the next token of every stream.
+Requests are therefore admitted at the engine's prefill rate.  Those that
+can still meet their objective start first, the more urgent ones before
+others.  A request that can't start in time is turned away on arrival, one
+that has waited too long later, both with the expected wait as retry time.
+Requests that wait for rare adapters to load do not block the others.
+Requests of callers that retry are queued like any other.
 """
 
 import dataclasses
--- a/src/coltsfootsail/_engine_selection.py
+++ b/src/coltsfootsail/_engine_selection.py
@@ -3,7 +3,9 @@
 Every adapter has its own order of engines, by rendezvous hash of their
 addresses, so that few engines fetch it from the weight store.  The next
 engine in the order is used if the first is unavailable or has a backlog
-that costs more than another load.
+that costs more than another load.  This answers a few popular adapters
+among many rare ones: the popular ones spread over engines, the rare ones
+take one adapter slot each.
 """
 
 from coltsfootsail import _adapter_slots
--- a/src/coltsfootsail/_eras.py
+++ b/src/coltsfootsail/_eras.py
@@ -3,7 +3,8 @@
 A store that comes back from an older copy has lost what it acknowledged
 since that copy was made, leases too, and gives the same revisions out
 again.  Its answers state the era, which rises each time.  Positions in the
-store are therefore ordered by era first and revision second.
+store are therefore ordered by era first and revision second.  The code does
+no I/O.
 """
 
 from coltsfootsail import exceptions
--- a/src/coltsfootsail/platform/store.py
+++ b/src/coltsfootsail/platform/store.py
@@ -82,11 +82,8 @@
         kwargs.setdefault("timeout_s", CALL_TIMEOUT_S)
         sent_under = self._eras.sent_under()
         try:
-            (
-                status,
-                headers,
-                answer,
-            ) = await self._client.call_json_with_headers(
+            call = self._client.call_json_with_headers
+            status, headers, answer = await call(
                 self._address, method, target, value, **kwargs
             )
         except OSError as exc:
--- a/src/coltsfootsail/standins/store.py
+++ b/src/coltsfootsail/standins/store.py
@@ -267,7 +267,7 @@
         prefix, after = query.get("prefix", ""), int(query["after"])
         with trio.move_on_after(int(query["waitMs"]) / 1000):
             while True:
-                if after < self._history_start:
+                if not self._history_start <= after <= self.revision:
                     return 410, {}
                 events = [
                     event
--- a/tests/test_eras.py
+++ b/tests/test_eras.py
@@ -383,6 +383,8 @@
             await trio.sleep(0.1)
             with pytest.raises(exceptions.KvEraChanged):
                 await client.changes("", snapshot.revision, 0.1)
+            with pytest.raises(exceptions.KvHistoryGone):
+                await client.changes("", store.revision + 1, 0.1)
             nursery.cancel_scope.cancel()
 
     virtual(main)
