--- a/tests/test_eras.py
+++ b/tests/test_eras.py
@@ -41,6 +41,16 @@
     )
 
 
+async def _copy_without_claim(fleet, engine):
+    """Make a copy from which the claim on an engine and its holder lack."""
+    for key in (_keys.claim(engine.name), _keys.intent(engine.name)):
+        fleet.store.drop(key)
+    copy = fleet.store.copy()
+    await trio.sleep(3.0)
+    await _send_requests(fleet, 1.0)
+    return copy
+
+
 async def _send_request(fleet, node, adapter):
     with contextlib.suppress(OSError):  # the node may be starting
         await fleet.call("/notes/1", node, adapter=adapter)
@@ -144,12 +154,7 @@
 def test_claim_and_holder_record_lost_while_its_holder_is_cut_off():
     async def scenario(fleet):
         engine = fleet.engines[0]
-        holder = _holder(fleet, engine)
-        for key in (_keys.claim(engine.name), _keys.intent(engine.name)):
-            fleet.store.drop(key)
-        copy = fleet.store.copy()
-        await trio.sleep(3.0)
-        await _send_requests(fleet, 1.0)
+        copy = await _copy_without_claim(fleet, engine)
         holder = _holder(fleet, engine)
         fleet.store.faults[f"store-{holder}:1"] = stores.StoreFault.SILENT
         others = [name for name in fleet.names if name != holder]
@@ -166,6 +171,27 @@
     _run(scenario)
 
 
+@pytest.mark.parametrize("pause_s", [1.0, 4.0, 8.0])
+def test_holder_suspended_over_the_drill_orders_beside_no_successor(pause_s):
+    """Its answers of the past era arrive when it goes on."""
+
+    async def scenario(fleet):
+        engine = fleet.engines[0]
+        copy = await _copy_without_claim(fleet, engine)
+        holder = _holder(fleet, engine)
+        fleet.net.pause(holder)
+        others = [name for name in fleet.names if name != holder]
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(fleet.store.restore, copy, 0.2)
+            nursery.start_soon(_send_requests, fleet, 18.0, others)
+            await trio.sleep(pause_s)
+            fleet.net.resume(holder)
+            nursery.start_soon(_send_requests, fleet, 18.0 - pause_s, [holder])
+        assert len(_owners(fleet, engine)) == 1
+
+    _run(scenario)
+
+
 def test_lease_of_a_past_era_is_replaced_and_never_renewed():
     async def scenario(fleet):
         gateway = fleet.gateways["g0"]
