Take the era's header name from the platform's client

Cause: the stand-in of the store had its own copy of the header's name, which belongs to platform/ alone.

Change: the stand-in uses platform/store.ERA; a docstring no longer says that a waiting request is new. Behaviour is unchanged.

--- a/src/coltsfootsail/_engine_controller.py
+++ b/src/coltsfootsail/_engine_controller.py
@@ -153,7 +153,7 @@
         return request.number
 
     def _load_wait_s(self, request):
-        """Estimate how long a new request would wait for its adapter."""
+        """Estimate how long a request has to wait for its adapter."""
         if "/" not in request.adapter:
             return 0.0
         now_s = self._now()
--- a/src/coltsfootsail/standins/store.py
+++ b/src/coltsfootsail/standins/store.py
@@ -13,10 +13,10 @@
 import trio
 
 from coltsfootsail import _http
+from coltsfootsail.platform import store as store_client
 
 LIMITS = _http.HttpLimits(body_bytes=16_777_216, idle_timeout_s=3600.0)
 PAGE_ITEMS = 500
-ERA_HEADER = "store-era"
 FOREIGN_PREFIXES = ("op/", "servers/")  # written by operator and servers
 REWRITE_S = 1.0  # after a restore, until these are written again
 
@@ -226,7 +226,7 @@
     def _era_headers(self):
         if self.era is None:
             return ()
-        return ((ERA_HEADER, str(self.era)),)
+        return ((store_client.ERA, str(self.era)),)
 
     async def _dispatch(self, req):
         query = dict(urllib.parse.parse_qsl(req.query))
