Log how each send to a server ended, on which connection, and what callers were told

Now one bounded line per send (send_ended) states server, connection uses and age, phase, status and conclusion; answered and refused state the caller's status; request states whether it may run again.

--- a/src/coltsfootsail/_gateway.py
+++ b/src/coltsfootsail/_gateway.py
@@ -169,7 +169,9 @@
         client = _http.HttpClient(
             network, None, IDLE_CONNECTIONS_MAX, limits.limit
         )
-        self.upstream = _upstream.UpstreamClient(client)
+        self.upstream = _upstream.UpstreamClient(
+            client, self.now, self.metrics.count
+        )
         self.strikes = _poison.Strikes(lambda fingerprint: 0, STRIKES_MAX)
         self.request_handler = _request_handler.RequestHandler(self)
 
--- a/src/coltsfootsail/_http_client.py
+++ b/src/coltsfootsail/_http_client.py
@@ -20,19 +20,34 @@
 POOL_IDLE_S = 20.0
 
 
+@dataclasses.dataclass(slots=True)
+class ConnectionHistory:
+    """What a connection has been used for.
+
+    :param opened_s: when it was opened.
+    :param exchanges: how many exchanges have begun on it.
+    """
+
+    opened_s: float
+    exchanges: int = 0
+
+
 class Exchange:
     """One request to a server and its answer.
 
     Use as ``async with client.exchange(...) as exchange``; leaving the
     block before ``phase`` is ``DONE`` closes the connection.  Set
     ``keep_s`` to change for how many seconds the connection is kept idle.
+
+    :param history: the ``ConnectionHistory``, this exchange included.
     """
 
-    def __init__(self, stream, conn):
+    def __init__(self, stream, conn, history):
         self.phase = _http_messages.Phase.CONNECTING
         self.status = None
         self.headers = ()
         self.keep_s = POOL_IDLE_S
+        self.history = history
         self._stream = stream
         self._conn = conn
         self._needs_data = False
@@ -162,8 +177,8 @@
         return b"".join(parts)
 
     def connection(self):
-        """Get the stream and its protocol state, for the pool."""
-        return self._stream, self._conn
+        """Get the stream, its protocol state and history, for the pool."""
+        return self._stream, self._conn, self.history
 
     def reusable(self):
         """Tell whether the connection can carry another exchange."""
@@ -206,6 +221,7 @@
 class _IdleConnection:
     stream: object
     conn: h11.Connection
+    history: ConnectionHistory
     until_s: float
 
 
@@ -236,12 +252,13 @@
             unexpired = self._network.now() < pooled.until_s
             if unexpired and not _has_input(pooled.stream):
                 pooled.conn.start_next_cycle()
-                return pooled.stream, pooled.conn
+                return pooled.stream, pooled.conn, pooled.history
             await trio.aclose_forcefully(pooled.stream)
         stream = await self._network.open_stream(address)
         if self._wrap is not None:
             stream = await self._wrap(stream, address)
-        return stream, h11.Connection(h11.CLIENT)
+        history = ConnectionHistory(self._network.now())
+        return stream, h11.Connection(h11.CLIENT), history
 
     def _keep(self, address, exchange):
         idle = self._idle.setdefault(address, [])
@@ -273,8 +290,9 @@
         """
         self._in_use[address] += 1
         try:
-            stream, conn = await self._connect(address, fresh)
-            exchange = Exchange(stream, conn)
+            stream, conn, history = await self._connect(address, fresh)
+            history.exchanges += 1
+            exchange = Exchange(stream, conn, history)
             try:
                 yield exchange
             finally:
--- a/src/coltsfootsail/_request_handler.py
+++ b/src/coltsfootsail/_request_handler.py
@@ -85,7 +85,7 @@
                 [*response.headers, *self._gateway.closing_headers()],
             )
         self._gateway.peers.clear_strikes(context.fingerprint)
-        self._record_answered(context)
+        self._record_answered(context, resp.status)
 
     def _record_request(self, context):
         prompt = context.meta.prompt
@@ -98,15 +98,17 @@
             service=context.service,
             adapter=prompt.adapter if prompt else "",
             version=self._gateway.view.deployment.version,
+            repeatable=context.route.repeatable,
         )
 
-    def _record_answered(self, context):
+    def _record_answered(self, context, status):
         duration_s = self._now() - context.received_s
         self._metrics.observe("whole_seconds", duration_s, context.labels)
         self._count("requests", "answered", labels=context.labels)
         _logs.detail(
             "answered",
             id=context.meta.request_id,
+            status=status,
             sends=context.sends,
             after_s=round(duration_s, 3),
         )
@@ -118,16 +120,15 @@
             id=meta.request_id,
             code=exc.code,
             outcome=str(exc.outcome),
+            status=resp.status or _error_status(exc),
             why=exc.detail,
             retry_after_s=exc.retry_after_s,
             begun=resp.status is not None,
         )
 
     async def _send_error(self, exc, resp):
-        status = exc.status
+        status = _error_status(exc)
         headers = list(self._gateway.closing_headers())
-        if exc.outcome is _request_context.NOT_RUN and status >= 500:
-            status = 503
         if status in (429, 503):
             delay_s = exc.retry_after_s
             delay_s = (
@@ -172,3 +173,10 @@
             owner_wait_until_s=now_s + _streams.OWNER_WAIT_S,
             fingerprint=fingerprint,
         )
+
+
+def _error_status(exc):
+    """Get the status that states an error's outcome to the caller."""
+    if exc.outcome is _request_context.NOT_RUN and exc.status >= 500:
+        return 503
+    return exc.status
--- a/src/coltsfootsail/_upstream.py
+++ b/src/coltsfootsail/_upstream.py
@@ -10,6 +10,7 @@
 import trio
 
 from coltsfootsail import _http
+from coltsfootsail import _logs
 from coltsfootsail import exceptions
 from coltsfootsail.platform import messages
 
@@ -108,10 +109,14 @@
     """Sends requests to servers.
 
     :param client: an ``HttpClient``.
+    :param now: closure that reads the clock.
+    :param count: ``(counter, reason)``.
     """
 
-    def __init__(self, client):
+    def __init__(self, client, now, count):
         self._client = client
+        self._now = now
+        self._count = count
 
     async def fetch(self, server, request, timeout_s):
         """Send a request and read the complete answer.
@@ -144,16 +149,28 @@
             been read and checked; connection errors that it raises are
             converted to typed errors.
         """
-        phase = [_http.Phase.CONNECTING]
+        trace = _SendTrace(self._now())
+        try:
+            await self._send_once(
+                server, request, timeout_s, on_response, trace
+            )
+        except exceptions.ColtsfootsailError as exc:
+            trace.conclusion = exc.code
+            raise
+        finally:
+            self._record_end(server, request, trace)
+
+    async def _send_once(self, server, request, timeout_s, on_response, trace):
         try:
             with trio.fail_after(timeout_s):
-                await self._exchange(server, request, on_response, phase)
+                await self._exchange(server, request, on_response, trace)
         except (*_http.STREAM_ERRORS, trio.TooSlowError) as exc:
-            raise _to_typed_error(phase[0], exc) from exc
+            raise _to_typed_error(trace.phase, exc) from exc
 
-    async def _exchange(self, server, request, on_response, phase):
+    async def _exchange(self, server, request, on_response, trace):
         async with self._client.exchange(server.address) as exchange:
-            phase[0] = _http.Phase.SENDING
+            trace.exchange = exchange
+            trace.phase = _http.Phase.SENDING
             await exchange.request(
                 request.method,
                 request.target,
@@ -161,13 +178,53 @@
                 request.body,
                 _make_response_check(request.request_id),
             )
-            phase[0] = _http.Phase.ANSWERING
+            trace.phase = _http.Phase.ANSWERING
             _set_keep_alive(exchange)
             if messages.was_not_run(exchange):
                 await exchange.read_body(BODY_BYTES_MAX)
                 raise exceptions.EndpointNotRun(exchange.status)
             _check_response(exchange)
             await on_response(exchange)
+            trace.conclusion = "answered"
+
+    def _record_end(self, server, request, trace):
+        self._count("sends", trace.conclusion)
+        now_s = self._now()
+        _logs.detail(
+            "send_ended",
+            id=request.request_id,
+            server=server.name,
+            conclusion=trace.conclusion,
+            after_s=round(now_s - trace.started_s, 4),
+            **trace.connection_fields(now_s),
+        )
+
+
+@dataclasses.dataclass(slots=True)
+class _SendTrace:
+    """The progress of one send, for errors and logs.
+
+    :param phase: the furthest ``Phase`` that is certain.
+    :param exchange: the ``Exchange``, None before there is a connection.
+    :param conclusion: ``answered``, ``cancelled`` or an error's code.
+    """
+
+    started_s: float
+    phase: _http.Phase = _http.Phase.CONNECTING
+    exchange: object = None
+    conclusion: str = "cancelled"
+
+    def connection_fields(self, now_s):
+        """Describe the connection and the answer for a log line."""
+        exchange = self.exchange
+        if exchange is None:
+            return {"phase": self.phase.name}
+        return {
+            "phase": exchange.phase.name,
+            "status": exchange.status,
+            "connection_uses": exchange.history.exchanges,
+            "connection_age_s": round(now_s - exchange.history.opened_s, 4),
+        }
 
 
 def _to_typed_error(phase, exc):
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -1020,3 +1020,21 @@
         assert trio.current_time() - begun_s < 0.6
 
     gateways.run(scenario, nodes=3)
+
+
+def test_log_names_connection_and_conclusion_of_each_send(caplog):
+    async def scenario(fleet):
+        fleet.shop_servers[0].refuse = fleet.shop_servers[1].refuse = True
+        await fleet.call("/orders/9", request_id="r1")
+
+    with caplog.at_level("DEBUG", "coltsfootsail"):
+        gateways.run(scenario)
+    ends = [
+        (record.conclusion, record.status, record.connection_uses)
+        for record in caplog.records
+        if record.message == "send_ended" and record.id == "r1"
+    ]
+    assert ends[:2] == [("endpoint_not_run", 503, 1)] * 2
+    assert ends[2] == ("endpoint_not_run", 503, 2)
+    told = [r.status for r in caplog.records if r.message == "refused"]
+    assert told == [503]
