Soak of real processes, and tests that fail: refused requests run, and run twice

The rig starts three gateways, the store, two engines and three shop servers as processes on loopback, with proxies on the edges, callers that keep the users' rules, and faults of processes and links in overlapping series. Servers record each run that they begin, callers what they were told; a checker joins both.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 STAMP := $(VENV)/installed
 DEPLOYMENT := museum
 
-.PHONY: setup run test lint format faults capacity docs dist dist-test clean
+.PHONY: setup run test lint format faults soak capacity docs dist dist-test clean
 
 setup: $(STAMP)
 
@@ -30,6 +30,13 @@
 faults: setup
 	PYTHONHASHSEED=0 $(BIN)/pytest tests/faults --long --numprocesses auto --dist worksteal --durations 10
 
+SEED := 1
+SEEDS := 1
+SECONDS := 20
+
+soak: setup
+	$(BIN)/python -m tests.soak --seed $(SEED) --seeds $(SEEDS) --seconds $(SECONDS)
+
 clean:
 	rm -rf $(VENV) build dist
 
--- /dev/null
+++ b/tests/soak/__main__.py
@@ -0,0 +1,131 @@
+"""Plays seeds of the soak and prints what was found."""
+
+import argparse
+import pathlib
+import random
+import shutil
+import sys
+import tempfile
+
+import trio
+
+from tests.soak import callers
+from tests.soak import checker
+from tests.soak import faults
+from tests.soak import records
+from tests.soak import system as systems
+
+SERIES = 3
+CALLERS = 24
+CHECK_S = 5.0
+SETTLE_S = 3.0  # without new faults, before the nodes are stopped
+
+
+async def _play_traffic(system, options):
+    writer = systems.make_writer(system, "soak")
+    rng = random.Random(f"{options.seed}/faults")
+    # With a proxy in between, a reset says nothing about the node.
+    direct = options.seed % 3 != 0
+    addresses = (
+        system.direct_caller_addresses if direct else system.caller_addresses
+    )
+    async with trio.open_nursery() as nursery:
+        for caller in callers.make_callers(
+            options.callers, options.seed, addresses, writer, direct
+        ):
+            nursery.start_soon(caller.run, options.pause_s)
+        await _play_faults(system, options, rng, writer)
+        await trio.sleep(SETTLE_S)
+        for node in systems.NODES:
+            system.signal(node, faults.signal.SIGTERM)
+        for node in systems.NODES:
+            await system.wait(node, faults.EXIT_S)
+        nursery.cancel_scope.cancel()
+
+
+async def _play_faults(system, options, rng, writer):
+    """Play the fault plan; stop early once a promise is broken."""
+    with trio.move_on_after(options.seconds):
+        async with trio.open_nursery() as nursery:
+            busy = set()
+            for _ in range(options.series):
+                series_rng = random.Random(rng.random())
+                nursery.start_soon(
+                    faults.run_series, system, series_rng, writer, busy, 1.0
+                )
+            while not checker.check(records.read(system.directory)):
+                await trio.sleep(CHECK_S)
+            nursery.cancel_scope.cancel()
+    # A fault that was cut short may have left its target suspended.
+    for name in (*systems.NODES, *systems.ENGINES, *systems.SHOPS, "store"):
+        system.signal(name, faults.signal.SIGCONT)
+
+
+async def play(directory, options):
+    """Play one seed.
+
+    :param directory: ``pathlib.Path`` for all files.
+    :returns: list of ``checker.Violation`` and the summary.
+    """
+    system = systems.System(
+        directory, options.seed, options.trouble, options.program
+    )
+    async with trio.open_nursery() as nursery:
+        try:
+            await system.start(nursery)
+            await _play_traffic(system, options)
+        finally:
+            await system.stop()
+            nursery.cancel_scope.cancel()
+    found = records.read(directory)
+    return checker.check(found), checker.summary(found)
+
+
+def make_parser():
+    """Create the parser of the command line."""
+    parser = argparse.ArgumentParser(prog="python -m tests.soak")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seeds", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=20.0)
+    parser.add_argument("--callers", type=int, default=CALLERS)
+    parser.add_argument("--series", type=int, default=SERIES)
+    parser.add_argument("--pause", type=float, default=0.3, dest="pause_s")
+    parser.add_argument("--trouble", type=float, default=0.3)
+    parser.add_argument("--keep", action="store_true")
+    parser.add_argument(
+        "--program", nargs="+", default=(), help="command that runs a node"
+    )
+    return parser
+
+
+def _play_one(options):
+    directory = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{options.seed}-"))
+    violations, summary = trio.run(play, directory, options)
+    counts = " ".join(f"{name}={count}" for name, count in summary.items())
+    print(f"seed {options.seed}: {len(violations)} violations; {counts}")
+    for violation in violations:
+        print(violation)
+    if violations or options.keep:
+        print(f"records, settings and logs: {directory}", flush=True)
+    else:
+        shutil.rmtree(directory)
+    return bool(violations)
+
+
+def main():
+    """Play the seeds of the command line.
+
+    :returns: the exit code: 1 if a promise was broken.
+    """
+    options = make_parser().parse_args()
+    broken = 0
+    for seed in range(options.seed, options.seed + options.seeds):
+        broken += _play_one(
+            argparse.Namespace(**{**vars(options), "seed": seed})
+        )
+    print(f"{options.seeds} seeds, {broken} with violations")
+    return 1 if broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/soak/checker.py
@@ -0,0 +1,123 @@
+"""Joins the records of servers and callers and finds broken promises."""
+
+import collections
+import dataclasses
+
+from tests.soak import records
+
+PROMISES = frozenset({408, 421, 429, 503})  # statuses that say "not run"
+NOT_REPEATABLE = frozenset({"mutating", "stream"})
+OVERLAP_MAX_S = 0.4  # a run may go on after another one has taken over
+CONTACT_S = 3.0  # faults at a link or process excuse overlaps this long
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Violation:
+    """A broken promise.
+
+    :param rule: its name.
+    :param records: the records that show it.
+    """
+
+    rule: str
+    records: tuple
+
+    def __str__(self):
+        lines = [f"{self.rule}:", *(f"  {each}" for each in self.records)]
+        return "\n".join(lines)
+
+
+def check(found):
+    """Find the violations in the records of a soak.
+
+    ``TWICE``: a request that is not repeatable ran twice.
+    ``REFUSED``: a request ran whose caller was told that it did not.
+    ``OVERLAP``: a resumed stream ran at two servers at a time.
+    ``MIXED``: a success had not the body of the content.
+    ``PHANTOM``: a caller got a success for something that never ran.
+
+    :param found: list of records, ordered by time.
+    :returns: list of ``Violation``.
+    """
+    by_type = collections.defaultdict(list)
+    for record in found:
+        by_type[type(record)].append(record)
+    begins = by_type[records.Begin]
+    told = by_type[records.Told]
+    return [
+        *_ran_twice(begins),
+        *_ran_though_refused(begins, told),
+        *_overlaps(begins, by_type[records.End], by_type[records.Fault]),
+        *_wrong_successes(begins, told),
+    ]
+
+
+def _group(items, key):
+    groups = collections.defaultdict(list)
+    for item in items:
+        groups[key(item)].append(item)
+    return groups
+
+
+def _ran_twice(begins):
+    once = [each for each in begins if each.kind in NOT_REPEATABLE]
+    for runs in _group(once, lambda run: run.content).values():
+        if len(runs) > 1:
+            yield Violation("TWICE", tuple(runs))
+
+
+def _ran_though_refused(begins, told):
+    """A promise is broken whether the run came before it or after."""
+    runs = _group(begins, lambda run: run.attempt)
+    for each in told:
+        promised = each.status in PROMISES and each.kind in NOT_REPEATABLE
+        if promised and each.attempt in runs:
+            yield Violation("REFUSED", (each, *runs[each.attempt]))
+
+
+def _overlaps(begins, ends, faults):
+    end_s = {end.run: end.at_s for end in ends}
+    resumable = [each for each in begins if each.kind == "resumable"]
+    for runs in _group(resumable, lambda run: run.attempt).values():
+        for first, second in zip(runs, runs[1:], strict=False):
+            until_s = end_s.get(first.run, float("inf"))
+            late = until_s > second.at_s + OVERLAP_MAX_S
+            if late and not _excused(first, second, faults):
+                yield Violation("OVERLAP", (first, second))
+
+
+def _excused(first, second, faults):
+    """Tell whether the first server could not be reached or did not run."""
+    return any(
+        fault.target == first.server
+        and fault.at_s <= second.at_s + OVERLAP_MAX_S
+        and fault.until_s + CONTACT_S >= second.at_s
+        for fault in faults
+    )
+
+
+def _wrong_successes(begins, told):
+    contents = {each.content for each in begins}
+    for each in told:
+        if not 200 <= each.status < 300:
+            continue
+        if not each.right:
+            yield Violation("MIXED", (each,))
+        if each.content not in contents:
+            yield Violation("PHANTOM", (each,))
+
+
+def summary(found):
+    """Count what callers were told and what servers ran.
+
+    :returns: dict of text to count.
+    """
+    counts = collections.Counter()
+    for record in found:
+        if isinstance(record, records.Told):
+            counts[f"told {record.status or record.what}"] += 1
+        elif isinstance(record, records.End):
+            counts[f"run {record.how}"] += 1
+        elif isinstance(record, records.Fault):
+            counts[f"fault {record.what}"] += 1
+    return dict(sorted(counts.items()))
--- /dev/null
+++ b/tests/soak/faults.py
@@ -0,0 +1,173 @@
+"""The faults of a soak: what happens to processes and links, and when.
+
+Several series run at a time, so that faults overlap.  Each fault is
+``async (system, rng, target)`` and returns once its target works again.
+"""
+
+import signal
+
+import trio
+
+from tests.soak import proxy
+from tests.soak import records
+from tests.soak import system as systems
+
+RESTART_S = 0.3
+EXIT_S = systems.GRACE_S + 1.0  # a node that has not ended is then killed
+DRAIN_S = 3.0  # a server ends this long after it began to drain
+
+
+async def _suspend(system, rng, target):
+    system.signal(target, signal.SIGSTOP)
+    await trio.sleep(rng.choice((0.2, 1.0, 2.5, 4.0)))
+    system.signal(target, signal.SIGCONT)
+
+
+async def _suspend_and_kill(system, rng, target):
+    system.signal(target, signal.SIGSTOP)
+    await trio.sleep(rng.uniform(0.2, 2.0))
+    await _kill(system, rng, target)
+
+
+async def _kill(system, rng, target):
+    system.signal(target, signal.SIGKILL)
+    await system.wait(target, EXIT_S)
+    await trio.sleep(RESTART_S)
+    await system.restart_node(target)
+
+
+async def _terminate(system, rng, target):
+    system.signal(target, signal.SIGTERM)
+    await system.wait(target, EXIT_S)
+    await trio.sleep(RESTART_S)
+    await system.restart_node(target)
+
+
+async def _terminate_twice(system, rng, target):
+    system.signal(target, signal.SIGTERM)
+    await trio.sleep(rng.uniform(0.0, 2.0))
+    await _terminate(system, rng, target)
+
+
+async def _terminate_and_suspend(system, rng, target):
+    system.signal(target, signal.SIGTERM)
+    await trio.sleep(rng.uniform(0.0, 3.0))
+    await _suspend(system, rng, target)
+    await system.wait(target, EXIT_S)
+    await trio.sleep(RESTART_S)
+    await system.restart_node(target)
+
+
+async def _reload(system, rng, target):
+    for _ in range(3):
+        system.signal(target, signal.SIGHUP)
+        await trio.sleep(0.1)
+
+
+async def _kill_server(system, rng, target):
+    system.signal(target, signal.SIGKILL)
+    await system.wait(target, EXIT_S)
+    await trio.sleep(rng.uniform(0.1, 1.5))
+    await system.deregister(target)
+    await system.start_server(target)
+
+
+async def _drain_server(system, rng, target):
+    await system.register(target, "draining")
+    await trio.sleep(DRAIN_S)
+    await _kill_server(system, rng, target)
+
+
+def _on_link(duration_s, **changes):
+    async def fault(system, rng, target):
+        link = system.links[target].link
+        for name, value in changes.items():
+            setattr(link, name, value)
+        await trio.sleep(rng.uniform(*duration_s))
+        normal = proxy.Link()
+        for name in changes:
+            setattr(link, name, getattr(normal, name))
+
+    return fault
+
+
+async def _reset_link(system, rng, target):
+    for _ in range(3):
+        system.links[target].reset_all()
+        await trio.sleep(rng.uniform(0.0, 1.0))
+
+
+NODE_FAULTS = {
+    "suspend": _suspend,
+    "suspend_and_kill": _suspend_and_kill,
+    "kill": _kill,
+    "terminate": _terminate,
+    "terminate_twice": _terminate_twice,
+    "terminate_and_suspend": _terminate_and_suspend,
+    "reload": _reload,
+}
+SERVER_FAULTS = {
+    "suspend": _suspend,
+    "kill": _kill_server,
+    "drain": _drain_server,
+}
+STORE_FAULTS = {"suspend": _suspend}
+LINK_FAULTS = {
+    "delay": _on_link((0.5, 3.0), delay_s=0.1),
+    "slow": _on_link((0.5, 2.0), delay_s=0.6),
+    "silent_to_server": _on_link(
+        (0.5, 3.0), silent=frozenset({proxy.TO_SERVER})
+    ),
+    "silent_to_client": _on_link(
+        (0.5, 3.0), silent=frozenset({proxy.TO_CLIENT})
+    ),
+    "silent": _on_link(
+        (0.5, 3.0), silent=frozenset({proxy.TO_SERVER, proxy.TO_CLIENT})
+    ),
+    "split": _on_link((1.0, 4.0), split=True),
+    "hold_end": _on_link((1.0, 4.0), hold_end=True),
+    "reset": _reset_link,
+}
+
+
+def _choices(system):
+    """List all pairs of a target and the faults that it may have.
+
+    :returns: list of (target, faults, weight).
+    """
+    choices = [(node, NODE_FAULTS, 3) for node in systems.NODES]
+    servers = (*systems.ENGINES, *systems.SHOPS)
+    choices += [(server, SERVER_FAULTS, 2) for server in servers]
+    choices += [("store", STORE_FAULTS, 1)]
+    choices += [(link, LINK_FAULTS, 1) for link in sorted(system.links)]
+    return choices
+
+
+async def run_series(system, rng, writer, busy, pause_s):
+    """Apply one fault after the other until cancelled.
+
+    :param busy: set of the targets that have a fault, shared by all series.
+    :param pause_s: mean pause between faults.
+    """
+    choices = _choices(system)
+    weights = [weight for _, _, weight in choices]
+    while True:
+        await trio.sleep(rng.expovariate(1 / pause_s))
+        target, faults, _ = rng.choices(choices, weights)[0]
+        name, fault = rng.choice(sorted(faults.items()))
+        if target in busy:
+            continue
+        busy.add(target)
+        started_s = records.now_s()
+        subject = _subject(system, target)
+        await fault(system, rng, target)
+        writer.write(records.Fault(started_s, records.now_s(), subject, name))
+        busy.discard(target)
+
+
+def _subject(system, target):
+    """Name the server incarnation that a fault concerns, or the target."""
+    name = target.rpartition("/")[2]
+    if name in (*systems.ENGINES, *systems.SHOPS):
+        return system.instance(name)
+    return target
--- /dev/null
+++ b/tests/soak/processes.py
@@ -0,0 +1,332 @@
+"""The store and the servers of a soak, as processes of their own.
+
+``python -m tests.soak.processes ROLE NAME ADDRESS RECORDS SEED TROUBLE`` runs
+one of them; ``ROLE`` is ``store``, ``engine`` or ``plain``, and ``TROUBLE``
+the share of requests that a server answers badly.
+"""
+
+import random
+import socket
+import struct
+import sys
+
+import trio
+
+from coltsfootsail import _http
+from coltsfootsail import _net
+from coltsfootsail import _tasks
+from coltsfootsail.platform import messages
+from coltsfootsail.standins import servers
+from coltsfootsail.standins import store
+from coltsfootsail.standins import users
+from tests.soak import records
+
+CONTENT = "x-content"  # header with the id of a request's content
+KIND = "x-kind"
+PLAIN_SLOTS = 6
+IDLE_TIMEOUTS_S = (0.15, 0.6, 2.0, 60.0)  # after which servers close
+LINGER_RESET = struct.pack("ii", 1, 0)  # makes a close reset the connection
+
+
+def reset(stream):
+    """Close a connection with a reset in place of an orderly end."""
+    stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
+    stream.socket.close()
+
+
+def plain_body(content):
+    """Get the body that answers a content."""
+    return f"done:{content}".encode()
+
+
+def event(content, number):
+    """Get one event of the stream that answers a content."""
+    return f"id: {number}\ndata: {content} {number}\n\n".encode()
+
+
+class Troubles:
+    """Answers requests, some of them badly, and records every run.
+
+    Each behaviour is ``async (req, resp, work)``; ``work`` answers rightly.
+
+    :param name: the server's name.
+    :param writer: a ``records.Writer``.
+    :param rng: source of randomness.
+    :param share: of the requests that are answered badly.
+    """
+
+    def __init__(self, name, writer, rng, share):
+        self._name = name
+        self._writer = writer
+        self._rng = rng
+        self._share = share
+        self._runs = 0
+        self._extra = {}
+        self.open_runs = 0
+        self._behaviours = (
+            self.refuse,
+            self._refuse_and_repeat,
+            self._refuse_and_repeat,
+            self._refuse_and_close,
+            self._reset_unread,
+            self._run_slowly,
+            self._run_and_reset,
+            self._run_and_close,
+            self._run_and_state(408),
+            self._run_and_state(429),
+            self._run_and_state(503),
+            self._run_and_state(500),
+            self._run_and_truncate,
+            self._run_and_send_garbage,
+            self._answer_and_repeat,
+            self._answer_and_repeat,
+        )
+
+    async def answer(self, req, resp, work):
+        """Answer a request by one of the behaviours."""
+        extra = self._extra.pop(resp.stream, None)
+        if extra is not None:
+            await resp.stream.send_all(extra)
+        if self._rng.random() < self._share:
+            behave = self._rng.choice(self._behaviours)
+            await behave(req, resp, work)
+        else:
+            await work(req, resp)
+
+    async def serve(self, stream, handler):
+        """Serve one connection until it has been idle for a while."""
+        idle_timeout_s = self._rng.choice(IDLE_TIMEOUTS_S)
+        limits = _http.HttpLimits(idle_timeout_s=idle_timeout_s)
+        await _http.serve_connection(stream, limits, handler)
+
+    async def run(self, req, resp, work):
+        """Record a run and do its work until the caller is gone.
+
+        :param work: ``async ()``; returns how the run ended.
+        """
+        self._runs += 1
+        run = f"{self._name}/{self._runs}"
+        begin = records.Begin(
+            records.now_s(),
+            run,
+            self._name,
+            req.header(KIND),
+            req.header(CONTENT),
+            req.header(messages.REQUEST_ID),
+        )
+        self._writer.write(begin)
+        self.open_runs += 1
+        how = ["dropped"]
+
+        async def work_until_hangup():
+            with trio.CancelScope() as scope:
+
+                async def watch():
+                    await resp.wait_hangup()
+                    scope.cancel()
+
+                how[0] = await _tasks.run_with_background(watch, work)
+
+        try:
+            await work_until_hangup()
+        finally:
+            self.open_runs -= 1
+            self._writer.write(records.End(records.now_s(), run, how[0]))
+        if how[0] != "done":
+            raise trio.BrokenResourceError
+
+    async def refuse(self, req, resp, work=None):
+        """Refuse a request and state that it was not run."""
+        headers = [*_echo(req), (messages.NOT_RUN, "1")]
+        await resp.reply(503, b"", headers)
+
+    async def _refuse_and_repeat(self, req, resp, work):
+        """Send the refusal again before the connection's next answer."""
+        await self.refuse(req, resp)
+        echo = "".join(f"{name}: {value}\r\n" for name, value in _echo(req))
+        self._extra[resp.stream] = (
+            "HTTP/1.1 503 busy\r\n"
+            f"{echo}{messages.NOT_RUN}: 1\r\ncontent-length: 0\r\n\r\n"
+        ).encode()
+
+    async def _refuse_and_close(self, req, resp, work):
+        headers = [*_echo(req), (messages.NOT_RUN, "1")]
+        await resp.reply(503, b"", [*headers, ("connection", "close")])
+
+    async def _reset_unread(self, req, resp, work):
+        reset(resp.stream)
+        raise trio.BrokenResourceError
+
+    async def _run_slowly(self, req, resp, work):
+        await trio.sleep(self._rng.uniform(0.0, 0.1))
+        await work(req, resp, self._rng.uniform(5.0, 20.0))
+
+    async def _run_and_reset(self, req, resp, work):
+        async def end():
+            await trio.sleep(self._rng.uniform(0.0, 0.1))
+            reset(resp.stream)
+            return "reset"
+
+        await self.run(req, resp, end)
+
+    async def _run_and_close(self, req, resp, work):
+        async def end():
+            await trio.sleep(self._rng.uniform(0.0, 0.1))
+            return "closed"
+
+        await self.run(req, resp, end)
+
+    def _run_and_state(self, status):
+        async def behave(req, resp, work):
+            async def end():
+                headers = [*_echo(req), servers.STAMP_HEADER]
+                await resp.reply(status, b"busy", headers)
+                return "done"
+
+            await self.run(req, resp, end)
+
+        return behave
+
+    async def _run_and_truncate(self, req, resp, work):
+        async def end():
+            head = [*_echo(req), servers.STAMP_HEADER]
+            await resp.start(200, [*head, ("content-length", "999")])
+            await resp.write(b"do")
+            return "truncated"
+
+        await self.run(req, resp, end)
+
+    async def _run_and_send_garbage(self, req, resp, work):
+        async def end():
+            await resp.stream.send_all(b"\x00\x01 no answer\r\n\r\n")
+            return "garbage"
+
+        await self.run(req, resp, end)
+
+    async def _answer_and_repeat(self, req, resp, work):
+        """Send another answer before the connection's next one."""
+        await work(req, resp)
+        request_id = self._rng.choice((*_echo(req), ("x-none", "0")))
+        self._extra[resp.stream] = (
+            "HTTP/1.1 200 OK\r\n"
+            f"{request_id[0]}: {request_id[1]}\r\n"
+            f"{servers.STAMP_HEADER[0]}: {servers.STAMP_HEADER[1]}\r\n"
+            "content-length: 5\r\n\r\nextra"
+        ).encode()
+
+
+def _echo(req):
+    return [(messages.REQUEST_ID, req.header(messages.REQUEST_ID))]
+
+
+class PlainProcess(servers.PlainServer):
+    """A server of a plain service with the behaviours of ``Troubles``."""
+
+    def __init__(self, name, troubles):
+        super().__init__(name)
+        self._troubles = troubles
+
+    async def serve(self, stream):
+        """Serve one connection."""
+        await self._troubles.serve(stream, self._handle)
+
+    async def _handle(self, req, resp):
+        if self._misdirected(req):
+            await resp.reply(421, b"", _echo(req))
+        elif self._troubles.open_runs >= PLAIN_SLOTS:
+            await self._troubles.refuse(req, resp)
+        else:
+            await self._troubles.answer(req, resp, self._work)
+
+    async def _work(self, req, resp, factor=1.0):
+        async def work():
+            await trio.sleep(self.work_s * factor)
+            body = plain_body(req.header(CONTENT))
+            await resp.reply(200, body, [*_echo(req), servers.STAMP_HEADER])
+            return "done"
+
+        await self._troubles.run(req, resp, work)
+
+
+class _NoStore:
+    """Takes the registrations of a server that others register."""
+
+    def put(self, key, value):
+        pass
+
+
+class EngineProcess(servers.ModelServer):
+    """A model server with the behaviours of ``Troubles``."""
+
+    def __init__(self, name, address, troubles):
+        super().__init__(name, _NoStore(), address)
+        self._troubles = troubles
+        self.events = 8
+        self.event_s = 0.05
+
+    async def serve(self, stream):
+        """Serve one connection."""
+        await self._troubles.serve(stream, self._handle)
+
+    async def _run(self, req, resp):
+        adapter = req.header(messages.MODEL).partition("/")[2]
+        version = self.adapters.get(adapter, 0) if adapter else 1
+        expected = req.header(messages.EXPECT_VERSION)
+        other = expected and int(expected) != version
+        if self._misdirected(req) or not version or other:
+            await resp.reply(421, b"", _echo(req))
+        else:
+            await self._troubles.answer(req, resp, self._work)
+
+    async def _work(self, req, resp, factor=1.0):
+        after = int(req.header(messages.LAST_EVENT) or -1)
+
+        async def work():
+            headers = [*_echo(req), servers.STAMP_HEADER]
+            await resp.start(
+                200, [*headers, ("content-type", "text/event-stream")]
+            )
+            for number in range(after + 1, self.events):
+                await trio.sleep(self.event_s * factor)
+                await resp.write(event(req.header(CONTENT), number))
+            await resp.end()
+            return "done"
+
+        await self._troubles.run(req, resp, work)
+
+
+def _make_store():
+    stand_in = store.StoreStandIn(records.now_s)
+    stand_in.put("op/config", users.configuration(1))
+    return stand_in.connection_handler("store")
+
+
+def _make_handler(role, name, address, path, seed, share):
+    if role == "store":
+        return _make_store()
+    rng = random.Random(f"{seed}/{name}")
+    writer = records.Writer(path)
+    troubles = Troubles(name, writer, rng, float(share))
+    if role == "engine":
+        return EngineProcess(name, address, troubles).serve
+    return PlainProcess(name, troubles).serve
+
+
+async def _serve(address, handler):
+    async def handle(stream):
+        try:
+            await handler(stream)
+        except (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
+            return
+
+    await _net.tcp_network().serve(address, handle)
+
+
+def main(role, name, address, path, seed, share):
+    """Run one process until it is killed."""
+    handler = _make_handler(role, name, address, path, seed, share)
+    trio.run(_serve, address, handler)
+
+
+if __name__ == "__main__":
+    main(*sys.argv[1:])
--- /dev/null
+++ b/tests/soak/records.py
@@ -0,0 +1,104 @@
+"""Records of what servers ran and callers were told, one line each."""
+
+import dataclasses
+import json
+import os
+import time
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Begin:
+    """A server has begun to run a request.
+
+    :param run: unique number of the run.
+    :param content: id of the content, the same in all the caller's retries.
+    :param attempt: id of the caller's attempt.
+    """
+
+    at_s: float
+    run: str
+    server: str
+    kind: str
+    content: str
+    attempt: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class End:
+    """A run has ended.
+
+    :param how: ``done``, ``dropped`` or what the server did instead.
+    """
+
+    at_s: float
+    run: str
+    how: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Told:
+    """What a caller was told about one attempt.
+
+    :param status: of a complete answer, or 0.
+    :param what: ``answer``, or how the attempt failed.
+    :param right: whether a success had the content's whole body.
+    """
+
+    at_s: float
+    kind: str
+    content: str
+    attempt: str
+    status: int
+    what: str
+    right: bool = True
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Fault:
+    """A fault was applied until ``until_s``.
+
+    :param target: name of a process or of a link.
+    """
+
+    at_s: float
+    until_s: float
+    target: str
+    what: str
+
+
+_TYPES = {each.__name__: each for each in (Begin, End, Told, Fault)}
+
+
+def now_s():
+    """Read the clock that all processes of a soak share, in seconds."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+class Writer:
+    """Appends records to a file, each with one write that can't be torn.
+
+    :param path: the file.
+    """
+
+    def __init__(self, path):
+        flags = os.O_WRONLY | os.O_CREAT | os.O_APPEND
+        self._descriptor = os.open(path, flags, 0o644)
+
+    def write(self, record):
+        """Append a record."""
+        line = json.dumps([type(record).__name__, dataclasses.asdict(record)])
+        os.write(self._descriptor, line.encode() + b"\n")
+
+
+def read(directory):
+    """Read all records of a soak, ordered by time.
+
+    :param directory: ``pathlib.Path`` with files that end in ``.records``.
+    """
+    found = []
+    for path in sorted(directory.glob("*.records")):
+        # The last line may still be in the making.
+        lines = path.read_text().rpartition("\n")[0].splitlines()
+        for name, fields in map(json.loads, lines):
+            found.append(_TYPES[name](**fields))
+    return sorted(found, key=lambda record: record.at_s)
--- /dev/null
+++ b/tests/soak/system.py
@@ -0,0 +1,246 @@
+"""The processes of a soak: start, signals and restarts."""
+
+import base64
+import dataclasses
+import json
+import pathlib
+import signal
+import sys
+
+import trio
+
+from coltsfootsail import _embedded
+from coltsfootsail import _http
+from coltsfootsail import _net
+from coltsfootsail.platform import messages
+from coltsfootsail.standins import users
+from tests.soak import proxy
+from tests.soak import records
+
+NODES = ("g0", "g1", "g2")
+ENGINES = ("e0", "e1")
+SHOPS = ("s0", "s1", "s2")
+GRACE_S = 5.0
+READY_TIMEOUT_S = 40.0
+PARTS = ("caller", "peer", "ready", "directory")
+ROOT = pathlib.Path(__file__).parent.parent.parent
+SETTINGS = """\
+[node]
+name = "{name}"
+region = "here"
+data_centre = "a"
+caller_address = "{caller}"
+peer_address = "{peer}"
+admin_address = "{ready}"
+seed_addresses = {seeds}
+[platform]
+kv_addresses = ["{store}"]
+[lease]
+ttl_s = 8
+renew_s = 1.5
+margin_s = 2.0
+[gateway]
+ready_address = "{ready}"
+directory_address = "{directory}"
+grace_s = {grace_s}
+retry_extra = 58.0
+"""
+
+
+@dataclasses.dataclass(slots=True)
+class _Process:
+    command: list
+    log: pathlib.Path
+    running: object = None
+
+
+class System:
+    """Nodes, servers and the store as processes, with proxies between them.
+
+    ``links`` has the ``Proxy`` of each edge: ``callers/NODE``,
+    ``NODE/store`` and ``nodes/SERVER``.
+
+    :param directory: ``pathlib.Path`` for settings, logs and records.
+    :param seed: seed of the servers' behaviour.
+    :param trouble: share of the requests that servers answer badly.
+    :param program: command that runs a node, without its settings.
+    """
+
+    def __init__(self, directory, seed, trouble, program=()):
+        self.directory = directory
+        self.links = {}
+        self._seed = seed
+        self._trouble = trouble
+        self._program = program or (sys.executable, "-m", "coltsfootsail")
+        self._processes = {}
+        self._incarnations = dict.fromkeys((*ENGINES, *SHOPS), 0)
+        self._client = _http.HttpClient(_net.tcp_network())
+        nodes = [f"{node}/{part}" for node in NODES for part in PARTS]
+        proxies = [f"callers/{node}" for node in NODES]
+        proxies += [f"{node}/store" for node in NODES]
+        proxies += [f"nodes/{server}" for server in (*ENGINES, *SHOPS)]
+        self.addresses = _embedded.loopback_addresses(
+            ["store", *ENGINES, *SHOPS, *nodes, *proxies]
+        )
+
+    @property
+    def caller_addresses(self):
+        """Addresses at which callers reach the nodes through proxies."""
+        return [self.addresses[f"callers/{node}"] for node in NODES]
+
+    @property
+    def direct_caller_addresses(self):
+        """Addresses at which callers reach the nodes without proxies."""
+        return [self.addresses[f"{node}/caller"] for node in NODES]
+
+    async def start(self, nursery):
+        """Start everything and wait until the nodes are ready.
+
+        :param nursery: runs the proxies.
+        """
+        self._add("store", self._stand_in("store", "store", "store"))
+        await self._launch("store")
+        await self._start_proxies(nursery)
+        for server in (*ENGINES, *SHOPS):
+            await self.start_server(server)
+        for node in NODES:
+            self._add(node, self._node_command(node))
+            await self._launch(node)
+        with trio.fail_after(READY_TIMEOUT_S):
+            for node in NODES:
+                while not await self._is_ready(node):
+                    await trio.sleep(0.1)
+
+    async def _start_proxies(self, nursery):
+        targets = {f"callers/{node}": f"{node}/caller" for node in NODES}
+        targets |= {f"{node}/store": "store" for node in NODES}
+        targets |= {f"nodes/{each}": each for each in (*ENGINES, *SHOPS)}
+        for link, target in targets.items():
+            self.links[link] = proxy.Proxy(self.addresses[target])
+            await nursery.start(
+                _net.tcp_network().serve,
+                self.addresses[link],
+                self.links[link].serve,
+            )
+
+    def _stand_in(self, role, name, address_name):
+        path = self.directory / f"{name}.records"
+        return [
+            sys.executable,
+            "-m",
+            "tests.soak.processes",
+            role,
+            name,
+            self.addresses[address_name],
+            str(path),
+            str(self._seed),
+            str(self._trouble),
+        ]
+
+    def _node_command(self, node):
+        at = self.addresses
+        text = SETTINGS.format(
+            name=node,
+            seeds=json.dumps([at[f"{each}/peer"] for each in NODES]),
+            store=at[f"{node}/store"],
+            grace_s=GRACE_S,
+            **{part: at[f"{node}/{part}"] for part in PARTS},
+        )
+        path = self.directory / f"{node}.toml"
+        path.write_text(text)
+        return [*self._program, "node", "--settings", str(path)]
+
+    def _add(self, name, command):
+        log = self.directory / f"{name}.log"
+        self._processes[name] = _Process(command, log)
+
+    async def _launch(self, name):
+        process = self._processes[name]
+        with process.log.open("ab") as log:
+            process.running = await trio.lowlevel.open_process(
+                process.command, stdout=log, stderr=log, cwd=ROOT
+            )
+
+    async def start_server(self, server):
+        """Start a server's next incarnation and register it."""
+        self._incarnations[server] += 1
+        name = self.instance(server)
+        role = "engine" if server in ENGINES else "plain"
+        self._add(server, self._stand_in(role, name, server))
+        await self._launch(server)
+        await self.register(server)
+
+    def instance(self, server):
+        """Get the id of a server's incarnation."""
+        return f"i-{server}-{self._incarnations[server]}"
+
+    async def register(self, server, state="ready"):
+        """Write a server's entry to the store."""
+        entry = users.plain_entry(self.addresses[f"nodes/{server}"], state)
+        if server in ENGINES:
+            models = [{"name": "base", "version": 1, "adapters": []}]
+            entry |= {"service": "engines", "slots": 64, "models": models}
+        key = f"servers/{self.instance(server)}"
+        value = base64.b64encode(json.dumps(entry).encode()).decode()
+        await self._write(writes=[{"key": key, "value": value}])
+
+    async def deregister(self, server):
+        """Delete a server's entry from the store."""
+        await self._write(drop=[f"servers/{self.instance(server)}"])
+
+    async def _write(self, **rows):
+        with trio.fail_after(READY_TIMEOUT_S):
+            while True:
+                try:
+                    await self._client.call_json(
+                        self.addresses["store"], "POST", "/v1/kv-txn", rows
+                    )
+                    return
+                except OSError:
+                    await trio.sleep(0.1)
+
+    async def _is_ready(self, node):
+        address = self.addresses[f"{node}/ready"]
+        try:
+            status, _, _ = await self._client.call(
+                address, "GET", messages.READY_PATH, fresh=True
+            )
+        except OSError:
+            return False
+        return status == 200
+
+    def signal(self, name, signum):
+        """Send a signal to a process, unless it has ended."""
+        running = self._processes[name].running
+        if running.poll() is None:
+            running.send_signal(signum)
+
+    async def wait(self, name, timeout_s):
+        """Wait for the end of a process; kill it after ``timeout_s``."""
+        running = self._processes[name].running
+        with trio.move_on_after(timeout_s):
+            await running.wait()
+        self.signal(name, signal.SIGKILL)
+        await running.wait()
+
+    async def restart_node(self, node):
+        """Start a node that has ended."""
+        await self._launch(node)
+
+    async def stop(self):
+        """Kill all processes that this object started."""
+        with trio.CancelScope(shield=True):
+            for name in self._processes:
+                self.signal(name, signal.SIGKILL)
+            for process in self._processes.values():
+                if process.running is not None:
+                    await process.running.wait()
+
+    def record_path(self, name):
+        """Get the path of a file of records."""
+        return self.directory / f"{name}.records"
+
+
+def make_writer(system, name):
+    """Create the ``records.Writer`` of a part of the soak's own process."""
+    return records.Writer(system.record_path(name))
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -1,5 +1,7 @@
 """Requests through gateways to servers, in memory and in virtual time."""
 
+import json
+
 import pytest
 import trio
 
@@ -1038,3 +1040,101 @@
     assert ends[2] == ("endpoint_not_run", 503, 2)
     told = [r.status for r in caplog.records if r.message == "refused"]
     assert told == [503]
+
+
+def _refusal(request_id=b"r1"):
+    """Encode a refusal that states that the request was not run."""
+    return (
+        b"HTTP/1.1 503 busy\r\ncoltsfootsail-request-id: %s\r\n"
+        b"coltsfootsail-not-executed: 1\r\ncontent-length: 0\r\n\r\n"
+        % request_id
+    )
+
+
+async def _receive_request(stream):
+    data = b""
+    while not data.endswith(b"\r\n\r\nx"):
+        received = await stream.receive_some(65536)
+        if not received:
+            return False
+        data += received
+    return True
+
+
+def test_repeated_refusal_does_not_answer_the_next_send_of_a_request():
+    """A refused request that is sent again has the id of its first send."""
+    runs = []
+
+    async def serve(stream):
+        if await _receive_request(stream):
+            await stream.send_all(_refusal())
+        while await _receive_request(stream):
+            runs.append(stream)
+            await stream.send_all(_refusal())
+            await trio.sleep(0.1)
+            await stream.send_all(_answer(b"ok", b"r1"))
+
+    async def scenario(fleet):
+        await _replace_shop_servers(fleet, serve)
+        reply = await fleet.call("/orders/9")
+        assert len(runs) <= 1
+        assert not (runs and reply.status in (408, 421, 429, 503))
+
+    gateways.run(scenario)
+
+
+@pytest.mark.parametrize("path", ["/orders/9", "/notes/9"])
+def test_408_of_a_server_that_ran_the_request_becomes_502(path):
+    """408 promises the caller that its request was not run."""
+
+    async def serve(stream):
+        while await _receive_request(stream):
+            await stream.send_all(
+                _refusal()
+                .replace(b"503 busy", b"408 late")
+                .replace(b"not-executed", b"server-stamp")
+            )
+
+    async def scenario(fleet):
+        await fleet.listen("odd:80", serve)
+        for name in list(fleet.store.keys("servers/")):
+            entry = json.loads(fleet.store.value(name))
+            fleet.store.put(name, {**entry, "addr": "odd:80"})
+        await trio.sleep(1.5)
+        reply = await fleet.call(path, adapter="base")
+        assert reply.status == 502
+
+    gateways.run(scenario)
+
+
+def test_stream_refused_by_a_server_where_it_ran_is_not_told_as_not_run():
+    """The first send of a resumable stream breaks, all others are refused."""
+    runs = []
+
+    async def scenario(fleet):
+        engine = fleet.engines[0]
+
+        async def handle(req, resp):
+            if req.path.startswith("/v1/"):
+                await engine._handle(req, resp)
+            elif not runs:
+                runs.append(req)
+                raise trio.BrokenResourceError
+            else:
+                request_id = req.header(messages.REQUEST_ID)
+                headers = [(messages.REQUEST_ID, request_id)]
+                await resp.reply(503, b"", [*headers, (messages.NOT_RUN, "1")])
+
+        async def serve(stream):
+            await _http.serve_connection(stream, servers.LIMITS, handle)
+
+        await fleet.listen("odd:80", serve)
+        entry = json.loads(fleet.store.value(f"servers/{engine.name}"))
+        fleet.store.drop(f"servers/{fleet.engines[1].name}")
+        fleet.store.put(f"servers/{engine.name}", {**entry, "addr": "odd:80"})
+        await trio.sleep(4.0)
+        reply = await fleet.call("/prints/9", adapter="base")
+        assert runs
+        assert reply.status in (502, 504)
+
+    gateways.run(scenario)
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,62 @@
+"""The soak's checker, and short runs of the soak with fixed seeds."""
+
+import pytest
+import trio
+
+from tests.soak import __main__ as soak
+from tests.soak import checker
+from tests.soak import records
+
+SECONDS = "10"
+
+
+def _begin(at_s, run="a/1", kind="mutating", attempt="x1"):
+    server = run.partition("/")[0]
+    return records.Begin(at_s, run, server, kind, "c1", attempt)
+
+
+def _told(at_s, status, kind="mutating", right=True):
+    return records.Told(at_s, kind, "c1", "x1", status, "answer", right)
+
+
+def _rules(*found):
+    return [violation.rule for violation in checker.check(list(found))]
+
+
+def test_checker_accepts_one_run_with_its_answer():
+    assert not _rules(_begin(1), records.End(2, "a/1", "done"), _told(2, 200))
+
+
+@pytest.mark.parametrize("attempt", ["x1", "x2"])
+def test_checker_finds_a_second_run_by_node_or_caller(attempt):
+    assert _rules(_begin(1), _begin(2, "b/1", attempt=attempt)) == ["TWICE"]
+
+
+@pytest.mark.parametrize("status", sorted(checker.PROMISES))
+@pytest.mark.parametrize("run_at_s", [1, 3])
+def test_checker_finds_a_broken_promise_before_and_after_a_run(
+    status, run_at_s
+):
+    assert _rules(_begin(run_at_s), _told(2, status)) == ["REFUSED"]
+
+
+def test_checker_finds_a_stream_at_two_servers_unless_a_fault_excuses_it():
+    runs = [_begin(1, kind="resumable"), _begin(2, "b/1", "resumable")]
+    ends = [records.End(2.5, "a/1", "dropped"), records.End(3, "b/1", "done")]
+    fault = records.Fault(1.5, 2.2, "a", "suspend")
+    assert _rules(*runs, *ends) == ["OVERLAP"]
+    assert not _rules(*runs, *ends, fault)
+
+
+def test_checker_finds_wrong_and_invented_successes():
+    assert _rules(_begin(1), _told(2, 200, right=False)) == ["MIXED"]
+    assert _rules(_told(2, 200)) == ["PHANTOM"]
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_soak_of_real_processes_breaks_no_promise(seed, tmp_path):
+    arguments = ["--seed", str(seed), "--seconds", SECONDS]
+    options = soak.make_parser().parse_args(arguments)
+    violations, summary = trio.run(soak.play, tmp_path, options)
+    assert summary["told 200"]
+    assert not violations, "\n".join(map(str, violations))
