Send a request on a connection that has not carried it before

What callers saw: a request that must run once ran two or three times, though its server had refused only the first send.

Cause: an answer is matched to a request by the id that the server echoes, but a request that is sent again has the same id. A server that repeated its refusal where the next answer was due had the second send believed refused while it ran it; the gateway sent it a third time. The class: a reply that identifies the operation, not the attempt, on a channel that outlives the attempt. A request without an id has the same fault with every extra answer that has none.

Now a kept connection remembers the ids that it carried; a request goes to another connection than those it was sent on, and a request without an id to a new one. An answer with its id on that connection can then only be to this send. Other users of kept connections send no request twice: orders and reports of engines, the store's client (matched by connection, GET alone is repeated, on a new connection), services of nodes (mutating calls use new connections).

--- a/src/coltsfootsail/_http_client.py
+++ b/src/coltsfootsail/_http_client.py
@@ -18,6 +18,7 @@
 
 POOL_IDLE_MAX = 64
 POOL_IDLE_S = 20.0
+CONNECTION_REQUESTS_MAX = 1000  # bounds the ids that a connection remembers
 
 
 @dataclasses.dataclass(slots=True)
@@ -26,10 +27,12 @@
 
     :param opened_s: when it was opened.
     :param exchanges: how many exchanges have begun on it.
+    :param request_ids: ids of the requests that were sent on it.
     """
 
     opened_s: float
     exchanges: int = 0
+    request_ids: set = dataclasses.field(default_factory=set)
 
 
 class Exchange:
@@ -224,6 +227,15 @@
     history: ConnectionHistory
     until_s: float
 
+    def may_carry(self, request_id):
+        """Tell whether an answer with this id can only be to a new send.
+
+        :param request_id: the request's id; None if its answer echoes none.
+        """
+        if request_id is None:
+            return True
+        return bool(request_id) and request_id not in self.history.request_ids
+
 
 class HttpClient:
     """An HTTP client with a pool of idle connections per address.
@@ -245,22 +257,39 @@
         self._idle = {}
         self._in_use = collections.Counter()
 
-    async def _connect(self, address, fresh):
-        idle = self._idle.get(address, [])
-        while idle and not fresh:
-            pooled = idle.pop()
-            unexpired = self._network.now() < pooled.until_s
-            if unexpired and not _has_input(pooled.stream):
-                pooled.conn.start_next_cycle()
-                return pooled.stream, pooled.conn, pooled.history
-            await trio.aclose_forcefully(pooled.stream)
+    async def _connect(self, address, fresh, request_id):
+        pooled = None
+        if not fresh:
+            pooled = await self._take_idle(address, request_id)
+        if pooled is not None:
+            pooled.conn.start_next_cycle()
+            return pooled.stream, pooled.conn, pooled.history
         stream = await self._network.open_stream(address)
         if self._wrap is not None:
             stream = await self._wrap(stream, address)
         history = ConnectionHistory(self._network.now())
         return stream, h11.Connection(h11.CLIENT), history
 
+    async def _take_idle(self, address, request_id):
+        """Take the connection that was used last and may carry a request.
+
+        :returns: an ``_IdleConnection``, or None if there is none.
+        """
+        idle = self._idle.get(address, [])
+        while True:
+            usable = (c for c in reversed(idle) if c.may_carry(request_id))
+            pooled = next(usable, None)
+            if pooled is None:
+                return None
+            idle.remove(pooled)
+            unexpired = self._network.now() < pooled.until_s
+            if unexpired and not _has_input(pooled.stream):
+                return pooled
+            await trio.aclose_forcefully(pooled.stream)
+
     def _keep(self, address, exchange):
+        if exchange.history.exchanges >= CONNECTION_REQUESTS_MAX:
+            return False
         idle = self._idle.setdefault(address, [])
         if len(idle) >= self._idle_max or self._exceeds_total(address):
             return False
@@ -281,17 +310,25 @@
             await trio.aclose_forcefully(pooled.stream)
 
     @contextlib.asynccontextmanager
-    async def exchange(self, address, *, fresh=False):
+    async def exchange(self, address, *, fresh=False, request_id=None):
         """Open an exchange with the server at an address.
 
         :param address: ``"ip:port"``.
         :param fresh: whether to open a new connection in any case.
+        :param request_id: id by which the answer is recognised.  A kept
+            connection that has carried it before is not used: a late or
+            repeated answer to the earlier send would be taken for this
+            one's.  None if answers are not recognised by an id.
         :raises OSError: if no connection can be made.
         """
         self._in_use[address] += 1
         try:
-            stream, conn, history = await self._connect(address, fresh)
+            stream, conn, history = await self._connect(
+                address, fresh, request_id
+            )
             history.exchanges += 1
+            if request_id is not None:
+                history.request_ids.add(request_id)
             exchange = Exchange(stream, conn, history)
             try:
                 yield exchange
--- a/src/coltsfootsail/_upstream.py
+++ b/src/coltsfootsail/_upstream.py
@@ -168,7 +168,9 @@
             raise _to_typed_error(trace.phase, exc) from exc
 
     async def _exchange(self, server, request, on_response, trace):
-        async with self._client.exchange(server.address) as exchange:
+        async with self._client.exchange(
+            server.address, request_id=request.request_id
+        ) as exchange:
             trace.exchange = exchange
             trace.phase = _http.Phase.SENDING
             await exchange.request(
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -1026,7 +1026,10 @@
 
 def test_log_names_connection_and_conclusion_of_each_send(caplog):
     async def scenario(fleet):
-        fleet.shop_servers[0].refuse = fleet.shop_servers[1].refuse = True
+        fleet.store.drop("servers/i-s1")
+        await trio.sleep(1.5)
+        await fleet.call("/orders/9", request_id="r0")
+        fleet.shop_servers[0].refuse = True
         await fleet.call("/orders/9", request_id="r1")
 
     with caplog.at_level("DEBUG", "coltsfootsail"):
@@ -1034,10 +1037,11 @@
     ends = [
         (record.conclusion, record.status, record.connection_uses)
         for record in caplog.records
-        if record.message == "send_ended" and record.id == "r1"
+        if record.message == "send_ended" and record.id in ("r0", "r1")
     ]
-    assert ends[:2] == [("endpoint_not_run", 503, 1)] * 2
-    assert ends[2] == ("endpoint_not_run", 503, 2)
+    assert ends[0] == ("answered", 200, 1)
+    assert ends[1] == ("endpoint_not_run", 503, 2)
+    assert ends[2] == ("endpoint_not_run", 503, 1)
     told = [r.status for r in caplog.records if r.message == "refused"]
     assert told == [503]
 
@@ -1138,3 +1142,19 @@
         assert reply.status in (502, 504)
 
     gateways.run(scenario)
+
+
+def test_late_answer_without_an_id_does_not_answer_a_request_without_one():
+    async def serve(stream):
+        await _receive_request(stream)
+        await stream.send_all(_answer(b"ok", b"r1"))
+        if await _receive_request(stream):
+            await stream.send_all(_answer(b"no"))
+
+    async def scenario(fleet):
+        await _replace_shop_servers(fleet, serve)
+        assert (await fleet.call("/orders/9")).body == b"ok"
+        reply = await fleet.call("/orders/9", request_id="")
+        assert reply.body != b"no"
+
+    gateways.run(scenario)
