Report 408 of a server that did not state that it ran nothing as unknown

Cause: of the four statuses that promise "not run" (408, 421, 429, 503) only 429 and 503 were checked for the server's own statement. The class: a list of special cases kept beside the definition that it should follow. The statuses now stand once, beside the other words of the platform, and plain services and streams check against them by one function.

PROTOCOL.md says both that a server's status is returned unchanged and that 408 promises; the promise goes first where the request may not run twice. On routes that may be repeated a status is still returned unchanged.

--- a/src/coltsfootsail/_plain.py
+++ b/src/coltsfootsail/_plain.py
@@ -4,6 +4,7 @@
 """
 
 from coltsfootsail import _request_context
+from coltsfootsail import _upstream
 from coltsfootsail import exceptions
 
 # Share of the remaining time for an attempt that another may follow.
@@ -83,9 +84,8 @@
                 server, request, remaining_s
             )
             failed = response.status >= 500
-            if response.status in (429, 503) and not context.route.repeatable:
-                # These statuses alone do not prove that it was not run.
-                raise exceptions.OutcomeUnknown(f"status {response.status}")
+            if not context.route.repeatable:
+                _upstream.check_no_false_promise(response.status)
             return response
         except exceptions.EndpointUnreachable:
             context.may_have_run.discard(server.name)
--- a/src/coltsfootsail/_streams.py
+++ b/src/coltsfootsail/_streams.py
@@ -347,9 +347,7 @@
         if sink.started:
             raise exceptions.AnswerTruncated("the stream was not resumed")
         body = await exchange.read_body(_upstream.BODY_BYTES_MAX)
-        if exchange.status in (429, 503):
-            # These statuses alone do not prove that it was not run.
-            raise exceptions.OutcomeUnknown(f"status {exchange.status}")
+        _upstream.check_no_false_promise(exchange.status)
         headers = messages.answer_headers(exchange.headers)
         with _caller_errors():
             await resp.reply(
--- a/src/coltsfootsail/_upstream.py
+++ b/src/coltsfootsail/_upstream.py
@@ -105,6 +105,17 @@
         raise exceptions.AnswerMismatch("an encoding nobody asked for")
 
 
+def check_no_false_promise(status):
+    """Check that a status does not promise what its server did not state.
+
+    :param status: of an answer that does not state that the request was
+        not run.
+    :raises OutcomeUnknown: if the caller would take it for that statement.
+    """
+    if status in messages.PROMISE_STATUSES:
+        raise exceptions.OutcomeUnknown(f"status {status}")
+
+
 class UpstreamClient:
     """Sends requests to servers.
 
--- a/src/coltsfootsail/platform/messages.py
+++ b/src/coltsfootsail/platform/messages.py
@@ -47,6 +47,8 @@
     }
 )
 _MISDIRECTED = 421
+# Callers take these statuses for a promise that nothing was or will be run.
+PROMISE_STATUSES = frozenset({408, _MISDIRECTED, 429, 503})
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
