Keep what is known of a server's earlier send when a later one is refused

What callers saw: 503 with Retry-After, a promise, for a resumable stream that had run at a server and broken there, and whose later sends the same server refused.

Cause: the servers that may have run a request are kept by name; a refused second send to a server also removed the first. The class: state of several sends kept under one name, overwritten by the last. Streams and plain services had the same lines; one context manager now notes a send, and takes back only what this send added.

--- a/src/coltsfootsail/_plain.py
+++ b/src/coltsfootsail/_plain.py
@@ -74,26 +74,24 @@
         ):
             remaining_s = remaining_s * FIRST_ATTEMPT_SHARE
         self._send_policy.authorize_send(context, server)
-        context.may_have_run.add(server.name)
         balancer = gateway.balancer
         balancer.begin(server)
         failed = None
         try:
             request = self._send_policy.build_request(context, server)
-            response = await gateway.upstream.fetch(
-                server, request, remaining_s
-            )
-            failed = response.status >= 500
-            if not context.route.repeatable:
-                _upstream.check_no_false_promise(response.status)
-            return response
+            with context.sending_to(server):
+                response = await gateway.upstream.fetch(
+                    server, request, remaining_s
+                )
+                failed = response.status >= 500
+                if not context.route.repeatable:
+                    _upstream.check_no_false_promise(response.status)
+                return response
         except exceptions.EndpointUnreachable:
-            context.may_have_run.discard(server.name)
             balancer.unreachable(server)
             failed = True
             raise
         except exceptions.EndpointNotRun:
-            context.may_have_run.discard(server.name)
             raise
         except exceptions.ColtsfootsailError as exc:
             failed = True
--- a/src/coltsfootsail/_request_context.py
+++ b/src/coltsfootsail/_request_context.py
@@ -1,5 +1,6 @@
 """The state of a caller's request, and the rules for sending it on."""
 
+import contextlib
 import dataclasses
 
 from coltsfootsail import _fleet
@@ -61,6 +62,22 @@
         """Get the ``Labels`` of the request's metrics."""
         return _metrics.Labels(self.route.name, self.service)
 
+    @contextlib.contextmanager
+    def sending_to(self, server):
+        """Note that a server may run the request during a send.
+
+        The note is taken back if the send is known not to have run, unless
+        an earlier send to the same server may have.
+        """
+        is_new = server.name not in self.may_have_run
+        self.may_have_run.add(server.name)
+        try:
+            yield
+        except exceptions.ColtsfootsailError as exc:
+            if is_new and exc.outcome is NOT_RUN:
+                self.may_have_run.discard(server.name)
+            raise
+
     def may_retry(self, exc):
         """Tell whether another attempt is safe after a failure."""
         return exc.outcome is NOT_RUN or self.route.repeatable
--- a/src/coltsfootsail/_streams.py
+++ b/src/coltsfootsail/_streams.py
@@ -301,9 +301,9 @@
             after_s=round(self._now() - context.received_s, 3),
             sends=context.sends,
         )
-        context.may_have_run.add(server.name)
         try:
             with contextlib.ExitStack() as stack:
+                stack.enter_context(context.sending_to(server))
                 timeout = stack.enter_context(
                     _IdleTimeout(_timeout_factor(context))
                 )
@@ -318,11 +318,9 @@
             if timeout.expired:
                 raise exceptions.EndpointSilent("no event")
         except exceptions.EndpointUnreachable:
-            context.may_have_run.discard(server.name)
             gateway.engine_selector.unreachable(server)
             raise
         except exceptions.EndpointNotRun:
-            context.may_have_run.discard(server.name)
             raise
         except exceptions.ColtsfootsailError as exc:
             self._send_policy.check_for_crash(context, server, exc)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -160,8 +160,11 @@
         busy.add(target)
         started_s = records.now_s()
         subject = _subject(system, target)
-        await fault(system, rng, target)
-        writer.write(records.Fault(started_s, records.now_s(), subject, name))
+        try:
+            await fault(system, rng, target)
+        finally:
+            end_s = records.now_s()
+            writer.write(records.Fault(started_s, end_s, subject, name))
         busy.discard(target)
 
 
