Report a call as unknown if one of its attempts may have run

What callers saw: outcome not_run for an idempotent call whose first instance ran it and lost the answer, and whose second instance could not be reached.

--- a/src/coltsfootsail/_services.py
+++ b/src/coltsfootsail/_services.py
@@ -154,6 +154,7 @@
             request_id, tuple(sorted(endpoints)), ATTEMPTS_MAX
         )
         failure = exceptions.NoEndpoint("no instance of the service")
+        may_have_run = False
         for position, name in enumerate(names):
             if position and not self._may_retry(failure, idempotent):
                 break
@@ -163,9 +164,13 @@
                 )
             except exceptions.ColtsfootsailError as exc:
                 failure = exc
+                if exc.outcome is not exceptions.Outcome.NOT_RUN:
+                    may_have_run = True
                 continue
             self._budget.earn()
             return answer
+        if may_have_run:
+            failure.outcome = exceptions.Outcome.UNKNOWN
         raise failure
 
     def _may_retry(self, failure, idempotent):
--- a/tests/test_contract_platform.py
+++ b/tests/test_contract_platform.py
@@ -156,6 +156,26 @@
     run_with_shop(main)
 
 
+def test_a_call_that_may_have_run_is_not_told_as_not_run(run_with_shop):
+    """The first instance loses its answer, the second one is unreachable."""
+
+    async def main(shop):
+        for instance in shop.instances.values():
+            instance.fault = FAULTS.LOST_REPLY
+        req = _http.HttpRequest("POST", "/shop/stock", (), b"{}")
+        entries = {"s0": shop.entries["s0"], "dead": shop.entries["dead"]}
+        outcomes = set()
+        for number in range(8):
+            with pytest.raises(exceptions.ColtsfootsailError) as error:
+                await shop.calls.call(
+                    req, SERVICE, entries, 10.0, f"r{number}"
+                )
+            outcomes.add(error.value.outcome)
+        assert outcomes == {exceptions.Outcome.UNKNOWN}
+
+    run_with_shop(main)
+
+
 def test_a_503_of_a_service_is_passed_on_unchanged(run_with_shop):
     async def main(shop):
         shop.instances["s0"].fault = FAULTS.REFUSED
