Never state an unknown outcome by a status that promises

Found while looking for the cause of REFUSED elsewhere: KvError and its subclasses have status 503 and an unknown outcome, and the request handler passed on the status. No path is known on which one reaches a caller's request today; one that did would promise "not run" of what may have run. The test over all error codes failed for kv_unavailable, kv_history_gone and kv_era_changed.

--- a/src/coltsfootsail/_request_handler.py
+++ b/src/coltsfootsail/_request_handler.py
@@ -120,14 +120,14 @@
             id=meta.request_id,
             code=exc.code,
             outcome=str(exc.outcome),
-            status=resp.status or _error_status(exc),
+            status=resp.status or error_status(exc),
             why=exc.detail,
             retry_after_s=exc.retry_after_s,
             begun=resp.status is not None,
         )
 
     async def _send_error(self, exc, resp):
-        status = _error_status(exc)
+        status = error_status(exc)
         headers = list(self._gateway.closing_headers())
         if status in (429, 503):
             delay_s = exc.retry_after_s
@@ -175,8 +175,11 @@
         )
 
 
-def _error_status(exc):
+def error_status(exc):
     """Get the status that states an error's outcome to the caller."""
-    if exc.outcome is _request_context.NOT_RUN and exc.status >= 500:
+    not_run = exc.outcome is _request_context.NOT_RUN
+    if not_run and exc.status >= 500:
         return 503
+    if not not_run and exc.status in messages.PROMISE_STATUSES:
+        return 502
     return exc.status
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -8,6 +8,7 @@
 from coltsfootsail import _http
 from coltsfootsail import _mesh
 from coltsfootsail import _placement
+from coltsfootsail import _request_handler
 from coltsfootsail import _view
 from coltsfootsail import exceptions
 from coltsfootsail.platform import messages
@@ -1158,3 +1159,11 @@
         assert reply.body != b"no"
 
     gateways.run(scenario)
+
+
+@pytest.mark.parametrize("code", sorted(exceptions.refusals()))
+def test_no_error_of_unknown_outcome_is_told_by_a_status_that_promises(code):
+    error = exceptions.refusals()[code]
+    if error.outcome is not exceptions.Outcome.NOT_RUN:
+        status = _request_handler.error_status(error.__new__(error))
+        assert status not in messages.PROMISE_STATUSES
