--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -3,6 +3,7 @@
 import argparse
 import pathlib
 import random
+import shlex
 import shutil
 import sys
 import tempfile
@@ -12,6 +13,7 @@
 from tests.soak import callers
 from tests.soak import checker
 from tests.soak import faults
+from tests.soak import processes
 from tests.soak import records
 from tests.soak import system as systems
 
@@ -68,7 +70,11 @@
     :returns: list of ``checker.Violation`` and the summary.
     """
     system = systems.System(
-        directory, options.seed, options.trouble, options.program
+        directory,
+        options.seed,
+        options.trouble,
+        options.only,
+        options.program,
     )
     async with trio.open_nursery() as nursery:
         try:
@@ -91,9 +97,11 @@
     parser.add_argument("--series", type=int, default=SERIES)
     parser.add_argument("--pause", type=float, default=0.3, dest="pause_s")
     parser.add_argument("--trouble", type=float, default=0.3)
+    names = list(processes.BEHAVIOURS)
+    parser.add_argument("--only", nargs="+", default=names, choices=names)
     parser.add_argument("--keep", action="store_true")
     parser.add_argument(
-        "--program", nargs="+", default=(), help="command that runs a node"
+        "--program", type=shlex.split, default=[], help="runs a node"
     )
     return parser
 
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -1,8 +1,9 @@
 """The store and the servers of a soak, as processes of their own.
 
-``python -m tests.soak.processes ROLE NAME ADDRESS RECORDS SEED TROUBLE`` runs
-one of them; ``ROLE`` is ``store``, ``engine`` or ``plain``, and ``TROUBLE``
-the share of requests that a server answers badly.
+``python -m tests.soak.processes ROLE NAME ADDRESS RECORDS SEED SHARE NAMES``
+runs one of them; ``ROLE`` is ``store``, ``engine`` or ``plain``, ``SHARE`` the
+share of requests that a server answers badly and ``NAMES`` the behaviours to
+choose from, separated by commas.
 """
 
 import random
@@ -53,34 +54,19 @@
     :param writer: a ``records.Writer``.
     :param rng: source of randomness.
     :param share: of the requests that are answered badly.
+    :param names: keys of ``BEHAVIOURS`` to choose from.
     """
 
-    def __init__(self, name, writer, rng, share):
+    def __init__(self, name, writer, rng, share, names):
         self._name = name
         self._writer = writer
         self._rng = rng
         self._share = share
         self._runs = 0
         self._extra = {}
+        self._deaf = {}
         self.open_runs = 0
-        self._behaviours = (
-            self.refuse,
-            self._refuse_and_repeat,
-            self._refuse_and_repeat,
-            self._refuse_and_close,
-            self._reset_unread,
-            self._run_slowly,
-            self._run_and_reset,
-            self._run_and_close,
-            self._run_and_state(408),
-            self._run_and_state(429),
-            self._run_and_state(503),
-            self._run_and_state(500),
-            self._run_and_truncate,
-            self._run_and_send_garbage,
-            self._answer_and_repeat,
-            self._answer_and_repeat,
-        )
+        self._behaviours = [BEHAVIOURS[each] for each in names]
 
     async def answer(self, req, resp, work):
         """Answer a request by one of the behaviours."""
@@ -89,7 +75,7 @@
             await resp.stream.send_all(extra)
         if self._rng.random() < self._share:
             behave = self._rng.choice(self._behaviours)
-            await behave(req, resp, work)
+            await behave(self, req, resp, work)
         else:
             await work(req, resp)
 
@@ -104,6 +90,7 @@
 
         :param work: ``async ()``; returns how the run ended.
         """
+        deaf = self._deaf.pop(resp.stream, False)
         self._runs += 1
         run = f"{self._name}/{self._runs}"
         begin = records.Begin(
@@ -122,6 +109,8 @@
             with trio.CancelScope() as scope:
 
                 async def watch():
+                    if deaf:
+                        await trio.sleep_forever()
                     await resp.wait_hangup()
                     scope.cancel()
 
@@ -161,6 +150,11 @@
         await trio.sleep(self._rng.uniform(0.0, 0.1))
         await work(req, resp, self._rng.uniform(5.0, 20.0))
 
+    async def _run_deaf(self, req, resp, work):
+        """Run slowly, and look at the connection only when writing."""
+        self._deaf[resp.stream] = True
+        await self._run_slowly(req, resp, work)
+
     async def _run_and_reset(self, req, resp, work):
         async def end():
             await trio.sleep(self._rng.uniform(0.0, 0.1))
@@ -176,8 +170,9 @@
 
         await self.run(req, resp, end)
 
-    def _run_and_state(self, status):
-        async def behave(req, resp, work):
+    @staticmethod
+    def _run_and_state(status):
+        async def behave(self, req, resp, work):
             async def end():
                 headers = [*_echo(req), servers.STAMP_HEADER]
                 await resp.reply(status, b"busy", headers)
@@ -215,6 +210,25 @@
         ).encode()
 
 
+BEHAVIOURS = {
+    "refuse": Troubles.refuse,
+    "refuse_and_repeat": Troubles._refuse_and_repeat,
+    "refuse_and_close": Troubles._refuse_and_close,
+    "reset_unread": Troubles._reset_unread,
+    "run_slowly": Troubles._run_slowly,
+    "run_and_reset": Troubles._run_and_reset,
+    "run_and_close": Troubles._run_and_close,
+    "run_and_408": Troubles._run_and_state(408),
+    "run_and_429": Troubles._run_and_state(429),
+    "run_and_503": Troubles._run_and_state(503),
+    "run_and_500": Troubles._run_and_state(500),
+    "run_and_truncate": Troubles._run_and_truncate,
+    "run_and_send_garbage": Troubles._run_and_send_garbage,
+    "answer_and_repeat": Troubles._answer_and_repeat,
+    "run_deaf": Troubles._run_deaf,
+}
+
+
 def _echo(req):
     return [(messages.REQUEST_ID, req.header(messages.REQUEST_ID))]
 
@@ -301,12 +315,12 @@
     return stand_in.connection_handler("store")
 
 
-def _make_handler(role, name, address, path, seed, share):
+def _make_handler(role, name, address, path, seed, share, names):
     if role == "store":
         return _make_store()
     rng = random.Random(f"{seed}/{name}")
     writer = records.Writer(path)
-    troubles = Troubles(name, writer, rng, float(share))
+    troubles = Troubles(name, writer, rng, float(share), names.split(","))
     if role == "engine":
         return EngineProcess(name, address, troubles).serve
     return PlainProcess(name, troubles).serve
@@ -322,9 +336,9 @@
     await _net.tcp_network().serve(address, handle)
 
 
-def main(role, name, address, path, seed, share):
+def main(role, name, address, *options):
     """Run one process until it is killed."""
-    handler = _make_handler(role, name, address, path, seed, share)
+    handler = _make_handler(role, name, address, *options)
     trio.run(_serve, address, handler)
 
 
--- /dev/null
+++ b/tests/soak/sabotage.py
@@ -0,0 +1,50 @@
+"""Runs a node without one of its safeguards, which the soak has to notice.
+
+``python -m tests.soak.sabotage NAME node --settings FILE``
+"""
+
+import sys
+
+from coltsfootsail import __main__ as program
+from coltsfootsail import _http_client
+from coltsfootsail import _request_context
+from coltsfootsail import _request_handler
+from coltsfootsail import _upstream
+from coltsfootsail import exceptions
+
+
+def _repeat_on_a_used_connection():
+    _http_client._IdleConnection.may_carry = lambda self, request_id: True
+
+
+def _trust_every_status():
+    _upstream.check_no_false_promise = lambda status: None
+
+
+def _retry_every_failure():
+    _request_context.RequestContext.may_retry = lambda self, exc: True
+
+
+def _believe_that_nothing_was_sent():
+    def to_typed_error(phase, exc):
+        return exceptions.EndpointUnreachable(str(exc))
+
+    _upstream._to_typed_error = to_typed_error
+
+
+def _promise_on_every_failure():
+    _request_handler.error_status = lambda exc: 503
+
+
+SABOTAGES = {
+    "repeat_on_a_used_connection": _repeat_on_a_used_connection,
+    "trust_every_status": _trust_every_status,
+    "retry_every_failure": _retry_every_failure,
+    "believe_that_nothing_was_sent": _believe_that_nothing_was_sent,
+    "promise_on_every_failure": _promise_on_every_failure,
+}
+
+if __name__ == "__main__":
+    SABOTAGES[sys.argv[1]]()
+    del sys.argv[1]
+    sys.exit(program.main())
--- a/tests/soak/system.py
+++ b/tests/soak/system.py
@@ -63,14 +63,16 @@
     :param directory: ``pathlib.Path`` for settings, logs and records.
     :param seed: seed of the servers' behaviour.
     :param trouble: share of the requests that servers answer badly.
+    :param behaviours: names of the ways in which they do.
     :param program: command that runs a node, without its settings.
     """
 
-    def __init__(self, directory, seed, trouble, program=()):
+    def __init__(self, directory, seed, trouble, behaviours, program=()):
         self.directory = directory
         self.links = {}
         self._seed = seed
         self._trouble = trouble
+        self._behaviours = behaviours
         self._program = program or (sys.executable, "-m", "coltsfootsail")
         self._processes = {}
         self._incarnations = dict.fromkeys((*ENGINES, *SHOPS), 0)
@@ -135,6 +137,7 @@
             str(path),
             str(self._seed),
             str(self._trouble),
+            ",".join(self._behaviours),
         ]
 
     def _node_command(self, node):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,5 +1,7 @@
 """The soak's checker, and short runs of the soak with fixed seeds."""
 
+import sys
+
 import pytest
 import trio
 
@@ -53,10 +55,32 @@
     assert _rules(_told(2, 200)) == ["PHANTOM"]
 
 
+def _play(directory, *arguments):
+    options = soak.make_parser().parse_args(["--seconds", SECONDS, *arguments])
+    return trio.run(soak.play, directory, options)
+
+
 @pytest.mark.parametrize("seed", [1, 2])
 def test_soak_of_real_processes_breaks_no_promise(seed, tmp_path):
-    arguments = ["--seed", str(seed), "--seconds", SECONDS]
-    options = soak.make_parser().parse_args(arguments)
-    violations, summary = trio.run(soak.play, tmp_path, options)
+    violations, summary = _play(tmp_path, "--seed", str(seed))
     assert summary["told 200"]
     assert not violations, "\n".join(map(str, violations))
+
+
+@pytest.mark.parametrize(
+    ("name", "behaviour"),
+    [
+        ("repeat_on_a_used_connection", "refuse_and_repeat"),
+        ("trust_every_status", "run_and_408"),
+        ("retry_every_failure", "run_and_reset"),
+        ("believe_that_nothing_was_sent", "run_and_close"),
+        ("promise_on_every_failure", "run_and_truncate"),
+    ],
+)
+def test_soak_notices_a_node_without_one_of_its_safeguards(
+    name, behaviour, tmp_path
+):
+    program = f"{sys.executable} -m tests.soak.sabotage {name}"
+    trouble = ("--trouble", "0.5", "--only", behaviour)
+    violations, _ = _play(tmp_path, "--program", program, *trouble)
+    assert {violation.rule for violation in violations} & {"TWICE", "REFUSED"}
