--- a/src/coltsfootsail/standins/servers.py
+++ b/src/coltsfootsail/standins/servers.py
@@ -93,7 +93,8 @@
     when it is ready, and ``versions`` the newest version in the weight
     store.  ``sequence`` counts accepted orders; an order that expects
     another count is refused.  ``is_order_late`` tells whether an order is
-    left unanswered and carried out ``LATE_ORDER_S`` later.
+    left unanswered and carried out ``LATE_ORDER_S`` later.  ``running`` has
+    the ids of the requests that it runs.
 
     :param store: the ``StoreStandIn`` in which it registers.
     :param address: where it listens.
@@ -117,6 +118,7 @@
         self.crashed = False
         self.cut_after = None
         self.is_order_late = lambda: False
+        self.running = set()
         self._store = store
 
     def register(self):
@@ -174,7 +176,8 @@
             "busy": False,
             "seq": self.sequence,
             "waiting": 0,
-            "running": 0,
+            "running": len(self.running),
+            "runs": [[each, 0, 0, 5] for each in sorted(self.running)],
             "kvUsed": 0,
             "kvTotal": 90000,
             "handles": 0,
@@ -241,6 +244,13 @@
             return
         run = Run(id_header[1], adapter, version, self._now(), req.headers)
         self.runs.append(run)
+        self.running.add(run.request_id)
+        try:
+            await self._stream_events(req, resp, run, id_header)
+        finally:
+            self.running.discard(run.request_id)
+
+    async def _stream_events(self, req, resp, run, id_header):
         after = int(req.header(messages.LAST_EVENT) or -1)
         headers = [
             id_header,
@@ -255,6 +265,7 @@
                 if self.cut_after is not None and number > self.cut_after:
                     await resp.stream.send_all(b"8\r\nid: 9\nda")
                     raise trio.BrokenResourceError
-                text = f"id: {number}\ndata: {adapter}@{version} {number}\n\n"
+                data = f"{run.adapter}@{run.version} {number}"
+                text = f"id: {number}\ndata: {data}\n\n"
                 await resp.write(text.encode())
         await resp.end()
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -1167,3 +1167,107 @@
     if error.outcome is not exceptions.Outcome.NOT_RUN:
         status = _request_handler.error_status(error.__new__(error))
         assert status not in messages.PROMISE_STATUSES
+
+
+def _record_runs(fleet):
+    """Record when each run of an engine began and ended.
+
+    The first run is silent for a while after its second event.
+
+    :returns: list of [server name, begin, end]; the end is None before it.
+    """
+    intervals = []
+
+    def record(engine):
+        original = engine._event_numbers
+
+        async def event_numbers(run, after):
+            interval = [engine.name, trio.current_time(), None]
+            intervals.append(interval)
+            try:
+                async for number in original(run, after):
+                    if len(intervals) == 1 and number == 2:
+                        await trio.sleep(SILENCE_S)
+                    yield number
+            finally:
+                interval[2] = trio.current_time()
+
+        engine._event_numbers = event_numbers
+
+    for engine in fleet.engines:
+        record(engine)
+    return intervals
+
+
+SILENCE_S = 2.6  # longer than a gateway waits for an event
+
+
+def _overlap_s(intervals):
+    (_, _, end_s), (_, begin_s, _) = intervals[:2]
+    return end_s - begin_s
+
+
+def test_stream_waits_until_a_silent_engine_has_dropped_it():
+    """An engine may notice only when it writes that the stream was closed."""
+
+    async def scenario(fleet):
+        intervals = _record_runs(fleet)
+        reply = await fleet.call("/prints/1", adapter="base")
+        await trio.sleep(SILENCE_S)
+        assert reply.whole
+        assert [name for name, _, _ in intervals] == ["i-e0", "i-e1"]
+        assert _overlap_s(intervals) <= 0.4
+
+    gateways.run(scenario)
+
+
+def test_stream_waits_for_an_engine_whose_process_hangs():
+    async def scenario(fleet):
+        intervals = _record_runs(fleet)
+
+        async def hang():
+            await trio.sleep(0.1)
+            fleet.net.pause("e0")
+            await trio.sleep(SILENCE_S)
+            fleet.net.resume("e0")
+
+        fleet.nursery.start_soon(hang)
+        await fleet.call("/prints/1", adapter="base")
+        await trio.sleep(2 * SILENCE_S)
+        if len(intervals) > 1:
+            assert _overlap_s(intervals) <= 0.4
+
+    gateways.run(scenario)
+
+
+def test_stream_ends_if_a_silent_engine_does_not_drop_it(monkeypatch):
+    """Then only its caller may decide to go on elsewhere."""
+    monkeypatch.setitem(globals(), "SILENCE_S", 20.0)
+
+    async def scenario(fleet):
+        intervals = _record_runs(fleet)
+        reply = await fleet.call("/prints/1", adapter="base")
+        assert not reply.whole
+        assert len(intervals) == 1
+
+    gateways.run(scenario)
+
+
+def test_stream_goes_on_elsewhere_at_once_if_a_silent_engine_is_down():
+    async def scenario(fleet):
+        intervals = _record_runs(fleet)
+        started_s = trio.current_time()
+        async with trio.open_nursery() as nursery:
+
+            async def call():
+                reply = await fleet.call("/prints/1", adapter="base")
+                assert reply.whole
+
+            nursery.start_soon(call)
+            await trio.sleep(0.1)
+            for node in fleet.names:
+                fleet.net.cut(node, "e0")
+        assert len(intervals) == 2
+        assert intervals[1][1] - started_s < 2.5
+
+    gateways.run(scenario)
