Resume a stream elsewhere only once a silent engine has dropped it

What callers and engines saw: a resumable stream that paused for 1.8 s (1.5 s between events) went on at a second engine while the first still had it, and ran at both until the first one looked at its socket.

Cause: a closed connection was taken for an end of the run. The class: one side's timeout taken for the other side's state.

After a silence the gateway now asks the engine for its report over a new connection, and goes on elsewhere when a report that is younger than the close no longer lists the run, when no connection can be made, or when the engine is no longer registered. If none of that is known after 1.5 s the stream ends, and its caller decides. An engine whose reports list no runs is treated as before. A broken connection needs no check: the engine ended it.

--- a/src/coltsfootsail/_fleet.py
+++ b/src/coltsfootsail/_fleet.py
@@ -167,6 +167,7 @@
     :param pending: keys of adapters that are being loaded.
     :param models: names of the base models that it holds.
     :param busy: whether an order for a base model is in progress.
+    :param runs: ids of the requests that it runs; None if it lists none.
     """
 
     sequence: int
@@ -176,6 +177,7 @@
     waiting: int
     models: tuple[str, ...]
     busy: bool = False
+    runs: frozenset[str] | None = None
 
 
 class RouteTable:
--- a/src/coltsfootsail/_http_client.py
+++ b/src/coltsfootsail/_http_client.py
@@ -304,6 +304,20 @@
         count = self._in_use[address] + len(self._idle.get(address, ()))
         return count > self._total(address)
 
+    async def is_accepting(self, address, timeout_s):
+        """Tell whether a new connection to an address can be made.
+
+        :param timeout_s: longest wait for it.
+        """
+        with trio.move_on_after(timeout_s):
+            try:
+                stream = await self._network.open_stream(address)
+            except OSError:
+                return False
+            await trio.aclose_forcefully(stream)
+            return True
+        return False
+
     async def forget(self, address):
         """Close the idle connections to an address."""
         for pooled in self._idle.pop(address, []):
--- a/src/coltsfootsail/_streams.py
+++ b/src/coltsfootsail/_streams.py
@@ -183,7 +183,8 @@
             exceptions.RetryBudgetSpent
             | exceptions.DeadlineExceeded
             | exceptions.NoEndpoint
-            | exceptions.CallerGone,
+            | exceptions.CallerGone
+            | exceptions.EndpointStillRuns,
         )
         overload = (
             isinstance(exc, exceptions.TurnedAway)
@@ -316,6 +317,11 @@
                     ),
                 )
             if timeout.expired:
+                await gateway.upstream.wait_until_dropped(
+                    server,
+                    context.meta.request_id,
+                    gateway.view.servers.__contains__,
+                )
                 raise exceptions.EndpointSilent("no event")
         except exceptions.EndpointUnreachable:
             gateway.engine_selector.unreachable(server)
--- a/src/coltsfootsail/_upstream.py
+++ b/src/coltsfootsail/_upstream.py
@@ -9,6 +9,7 @@
 
 import trio
 
+from coltsfootsail import _dropped_runs
 from coltsfootsail import _http
 from coltsfootsail import _logs
 from coltsfootsail import exceptions
@@ -200,6 +201,15 @@
             await on_response(exchange)
             trace.conclusion = "answered"
 
+    async def wait_until_dropped(self, server, request_id, is_registered):
+        """Wait until an engine has dropped a request that it was sent.
+
+        :raises EndpointStillRuns: if that is not known in time.
+        """
+        await _dropped_runs.wait_until_dropped(
+            self._client, server, request_id, is_registered
+        )
+
     def _record_end(self, server, request, trace):
         self._count("sends", trace.conclusion)
         now_s = self._now()
--- a/src/coltsfootsail/platform/engines.py
+++ b/src/coltsfootsail/platform/engines.py
@@ -100,6 +100,11 @@
     return _ANSWERS.get(status, OrderAnswer.REFUSED)
 
 
+def _decode_runs(rows):
+    """Decode the list of runs, each a row that begins with its id."""
+    return None if rows is None else frozenset(str(row[0]) for row in rows)
+
+
 def decode_report(value):
     """Decode a report.
 
@@ -120,16 +125,24 @@
             waiting=int(value.get("waiting", 0)),
             models=names,
             busy=bool(value.get("busy", False)),
+            runs=_decode_runs(value.get("runs")),
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as exc:
+    except (
+        KeyError,
+        IndexError,
+        TypeError,
+        ValueError,
+        AttributeError,
+    ) as exc:
         raise exceptions.BadField(f"report: {exc!r}") from exc
 
 
-async def fetch_report(client, server, timeout_s):
+async def fetch_report(client, server, timeout_s, *, fresh=False):
     """Get a server's report.
 
     :param client: an ``HttpClient``.
     :param server: the ``Server``.
+    :param fresh: whether to open a new connection in any case.
     :returns: an ``EngineReport``.
     :raises OSError: if there was no report.
     :raises BadField: if it can't be decoded.
@@ -140,6 +153,7 @@
         REPORT_PATH,
         headers=((EXPECT_INSTANCE, server.name),),
         timeout_s=timeout_s,
+        fresh=fresh,
     )
     if status != 200:
         raise ConnectionError(f"report: status {status}")
