Refuse bodies with two lengths, and let refused callers read their answer

Callers saw, with a raw socket: a request with both Content-Length and Transfer-Encoding was taken by its chunks, and what followed was served as a second request; an answer to a body over the limit, or sent while the caller was still writing, was lost to a reset; error texts quoted bytearray(b'...').

Cause: h11 prefers the chunks (RFC 9112, section 6.1, allows it only with a close after the answer); a connection closed with unread bytes is reset. Now both lengths are 400 and the end of the connection; after a refusal the rest is read and discarded for at most a second and 4 MB; errors quote no bytes.

--- a/src/coltsfootsail/_http_server.py
+++ b/src/coltsfootsail/_http_server.py
@@ -10,6 +10,10 @@
 from coltsfootsail import exceptions
 
 VERSIONS = (b"1.0", b"1.1")
+# A caller that is refused may still be sending; closing at once would reset
+# the connection before it has read the answer.
+LINGER_S = 1.0
+LINGER_BYTES = 4_194_304
 
 
 class Responder:
@@ -132,9 +136,11 @@
 
 
 def _check_head(event, headers, limits):
-    """Refuse other HTTP versions and large headers, which h11 accepts.
+    """Refuse other versions, large headers and two lengths.
 
-    h11 limits the size of a header only while the header is incomplete.
+    h11 accepts these; it limits the size of a header only while the header
+    is incomplete.  A body with a length and chunks may end elsewhere for
+    another reader (RFC 9112, section 6.1).
     """
     if event.http_version not in VERSIONS:
         raise exceptions.BadHttp("not HTTP/1.0 or HTTP/1.1")
@@ -142,6 +148,9 @@
     size += sum(len(name) + len(value) + 4 for name, value in headers)
     if size > limits.header_bytes:
         raise exceptions.HeaderTooLarge()
+    names = {name for name, _ in headers}
+    if {"content-length", "transfer-encoding"} <= names:
+        raise exceptions.BadHttp("both a length and a transfer coding")
     for name, value in headers:
         if name == "content-length" and int(value) > limits.body_bytes:
             raise exceptions.BodyTooLarge(f"limit {limits.body_bytes} bytes")
@@ -174,7 +183,7 @@
     except h11.RemoteProtocolError as exc:
         if exc.error_status_hint == 431:
             raise exceptions.HeaderTooLarge() from exc
-        raise exceptions.BadHttp(str(exc)) from exc
+        raise exceptions.BadHttp(_without_bytes(exc)) from exc
     return _http_messages.HttpRequest(
         method=event.method.decode("ascii"),
         target=event.target.decode("latin-1"),
@@ -183,6 +192,25 @@
     )
 
 
+def _without_bytes(exc):
+    """Get the text of an h11 error without the bytes that it quotes."""
+    text, _, _ = str(exc).partition("bytearray(")
+    return text.strip(" :=")
+
+
+async def _linger(stream):
+    """Discard what a refused caller still sends, for a bounded time."""
+    size_bytes = 0
+    with trio.move_on_after(LINGER_S):
+        if isinstance(stream, trio.abc.HalfCloseableStream):
+            await stream.send_eof()
+        while size_bytes < LINGER_BYTES:
+            data = await stream.receive_some(_http_messages.RECEIVE_BYTES)
+            if not data:
+                return
+            size_bytes += len(data)
+
+
 async def _answer_error(conn, resp, exc):
     if resp.status is not None:
         return
@@ -234,6 +262,7 @@
         if on_error is not None:
             on_error(exc)
         await _answer_error(conn, resp, exc)
+        await _linger(stream)
         return False
     if req is None:
         return False
