--- a/src/coltsfootsail/_explain.py
+++ b/src/coltsfootsail/_explain.py
@@ -9,6 +9,10 @@
 import json
 
 EXCLUDED_FIELDS = frozenset({"time", "level", "message", "id", "left_out"})
+# Changes of a node's state that bear on the requests of that moment.
+STATE_EVENTS = frozenset(
+    {"store_era", "lease", "config_in_force", "node_draining", "node_started"}
+)
 END_EVENTS = frozenset({"answered", "refused", "caller_gone"})
 LATE_S = 1.0  # a request that is first sent later than this is late
 
@@ -76,15 +80,22 @@
 def trace(lines, request_id):
     """Describe the processing of a request.
 
-    :returns: iterator of text: each log line of the request in order of
-        time, then how the request ended.
+    :returns: iterator of text: each log line of the request and each change
+        of a node's state meanwhile, in order of time, then how the request
+        ended.
     :raises KeyError: if no line has the request id.
     """
     request_lines = [line for line in lines if line.request_id == request_id]
     if not request_lines:
         raise KeyError(request_id)
-    request_lines.sort(key=lambda line: _time_key(line.when))
-    for line in request_lines:
+    request_lines.sort(key=_line_time)
+    first, last = _line_time(request_lines[0]), _line_time(request_lines[-1])
+    state_lines = [
+        line
+        for line in lines
+        if line.event in STATE_EVENTS and first <= _line_time(line) <= last
+    ]
+    for line in sorted([*request_lines, *state_lines], key=_line_time):
         yield (
             f"{line.when} {line.node or '-'} {line.event} "
             f"{_format_fields(line.fields)}"
@@ -92,11 +103,12 @@
     yield f"end: {_describe_end(request_lines)}"
 
 
-def _time_key(when):
+def _line_time(line):
+    """Get the key by which lines are ordered in time."""
     try:
-        return (float(when), "")
+        return (float(line.when), "")
     except ValueError:
-        return (0.0, when)
+        return (0.0, line.when)
 
 
 def _describe_end(request_lines):
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -43,6 +43,24 @@
     assert "end: turned_away (not_run): overload" in out
 
 
+def test_trace_shows_changes_of_state_while_a_request_was_handled():
+    lines = [
+        (1.0, {"message": "store_era", "era": 1, "old_era": 0}),
+        (2.0, {"message": "request", "id": "r1", "route": "notes"}),
+        (3.0, {"message": "store_era", "era": 2, "old_era": 1}),
+        (4.0, {"message": "answered", "id": "r1", "sends": 1}),
+        (5.0, {"message": "store_era", "era": 3, "old_era": 2}),
+    ]
+    text = "".join(f"{at_s} n1 {json.dumps(line)}\n" for at_s, line in lines)
+    trace = list(_explain.trace(_explain.read([text.splitlines()]), "r1"))
+    assert [line.split()[2] for line in trace[:-1]] == [
+        "request",
+        "store_era",
+        "answered",
+    ]
+    assert "era=2 old_era=1" in trace[1]
+
+
 def test_unknown_request_id_is_an_error(log_path, capsys):
     assert _cli.run(["explain", "r9", log_path]) != 0
     assert "r9" in capsys.readouterr().err
