Soak: returns of the store from an older copy, and orders of one holder

The store's process keeps copies and comes back from one of them on SIGUSR1; engines record the orders that arrive, and the checker finds two holders with one fencing number, a lower number after a higher one, and turns within 3 s. Faults can be chosen by name, and SIGTERM ends all processes of the soak.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -5,6 +5,7 @@
 import random
 import shlex
 import shutil
+import signal
 import sys
 import tempfile
 
@@ -39,7 +40,7 @@
         await _play_faults(system, options, rng, writer)
         await trio.sleep(SETTLE_S)
         for node in systems.NODES:
-            system.signal(node, faults.signal.SIGTERM)
+            system.signal(node, signal.SIGTERM)
         for node in systems.NODES:
             await system.wait(node, faults.EXIT_S)
         nursery.cancel_scope.cancel()
@@ -53,14 +54,19 @@
             for _ in range(options.series):
                 series_rng = random.Random(rng.random())
                 nursery.start_soon(
-                    faults.run_series, system, series_rng, writer, busy, 1.0
+                    faults.run_series,
+                    system,
+                    series_rng,
+                    writer,
+                    busy,
+                    options.faults,
                 )
             while not checker.check(records.read(system.directory)):
                 await trio.sleep(CHECK_S)
             nursery.cancel_scope.cancel()
     # A fault that was cut short may have left its target suspended.
     for name in (*systems.NODES, *systems.ENGINES, *systems.SHOPS, "store"):
-        system.signal(name, faults.signal.SIGCONT)
+        system.signal(name, signal.SIGCONT)
 
 
 async def play(directory, options):
@@ -99,6 +105,7 @@
     parser.add_argument("--trouble", type=float, default=0.3)
     names = list(processes.BEHAVIOURS)
     parser.add_argument("--only", nargs="+", default=names, choices=names)
+    parser.add_argument("--faults", nargs="+", default=faults.NAMES)
     parser.add_argument("--keep", action="store_true")
     parser.add_argument(
         "--program", type=shlex.split, default=[], help="runs a node"
@@ -120,11 +127,17 @@
     return bool(violations)
 
 
+def _interrupt(signum, frame):
+    """End as on an interrupt, which stops all processes of the soak."""
+    raise KeyboardInterrupt
+
+
 def main():
     """Play the seeds of the command line.
 
     :returns: the exit code: 1 if a promise was broken.
     """
+    signal.signal(signal.SIGTERM, _interrupt)
     options = make_parser().parse_args()
     broken = 0
     for seed in range(options.seed, options.seed + options.seeds):
--- a/tests/soak/checker.py
+++ b/tests/soak/checker.py
@@ -9,6 +9,8 @@
 PROMISES = frozenset({408, 421, 429, 503})  # statuses that say "not run"
 NOT_REPEATABLE = frozenset({"mutating", "stream"})
 OVERLAP_MAX_S = 0.4  # a run may go on after another one has taken over
+TURN_S = 3.0  # between the orders of one holder and those of the next
+THAW_S = 0.3  # orders sent before a fault may arrive this long after it
 CONTACT_S = 3.0  # faults at a link or process excuse overlaps this long
 
 
@@ -34,6 +36,7 @@
     ``TWICE``: a request that is not repeatable ran twice.
     ``REFUSED``: a request ran whose caller was told that it did not.
     ``OVERLAP``: a resumed stream ran at two servers at a time.
+    ``ONE``: an engine got orders of two holders that may overlap.
     ``MIXED``: a success had not the body of the content.
     ``PHANTOM``: a caller got a success for something that never ran.
 
@@ -49,6 +52,7 @@
         *_ran_twice(begins),
         *_ran_though_refused(begins, told),
         *_overlaps(begins, by_type[records.End], by_type[records.Fault]),
+        *_two_holders(by_type[records.Order], by_type[records.Fault]),
         *_wrong_successes(begins, told),
     ]
 
@@ -99,6 +103,28 @@
     )
 
 
+def _two_holders(orders, faults):
+    for given in _group(orders, lambda order: order.server).values():
+        counted = [each for each in given if not _thawed(each, faults)]
+        for last, order in zip(counted, counted[1:], strict=False):
+            if order.fence < last.fence:
+                yield Violation("ONE", (last, order))
+            if order.holder == last.holder:
+                continue
+            same_fence = order.fence == last.fence
+            if same_fence or order.at_s - last.at_s < TURN_S:
+                yield Violation("ONE", (last, order))
+
+
+def _thawed(order, faults):
+    """Tell whether an order may have been held up by a fault."""
+    return any(
+        0.0 <= order.at_s - fault.until_s <= THAW_S
+        for fault in faults
+        if fault.target in (order.holder, order.server)
+    )
+
+
 def _wrong_successes(begins, told):
     contents = {each.content for each in begins}
     for each in told:
@@ -123,4 +149,6 @@
             counts[f"run {record.how}"] += 1
         elif isinstance(record, records.Fault):
             counts[f"fault {record.what}"] += 1
+        else:
+            counts[type(record).__name__] += 1
     return dict(sorted(counts.items()))
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -14,6 +14,7 @@
 
 RESTART_S = 0.3
 EXIT_S = systems.GRACE_S + 1.0  # a node that has not ended is then killed
+RESTORE_S = 2.5  # until the store has come back from a copy
 DRAIN_S = 3.0  # a server ends this long after it began to drain
 
 
@@ -78,6 +79,11 @@
     await _kill_server(system, rng, target)
 
 
+async def _restore_store(system, rng, target):
+    system.signal(target, signal.SIGUSR1)
+    await trio.sleep(RESTORE_S)
+
+
 def _on_link(duration_s, **changes):
     async def fault(system, rng, target):
         link = system.links[target].link
@@ -111,7 +117,7 @@
     "kill": _kill_server,
     "drain": _drain_server,
 }
-STORE_FAULTS = {"suspend": _suspend}
+STORE_FAULTS = {"suspend": _suspend, "restore": _restore_store}
 LINK_FAULTS = {
     "delay": _on_link((0.5, 3.0), delay_s=0.1),
     "slow": _on_link((0.5, 2.0), delay_s=0.6),
@@ -130,31 +136,43 @@
 }
 
 
-def _choices(system):
-    """List all pairs of a target and the faults that it may have.
+NAMES = sorted({*NODE_FAULTS, *SERVER_FAULTS, *STORE_FAULTS, *LINK_FAULTS})
+PAUSE_S = 1.0  # mean pause of a series between its faults
+
+
+def _choices(system, names):
+    """List all targets with the faults that they may have.
 
-    :returns: list of (target, faults, weight).
+    :param names: of the faults to choose from.
+    :returns: list of (target, list of (name, fault), weight).
     """
-    choices = [(node, NODE_FAULTS, 3) for node in systems.NODES]
     servers = (*systems.ENGINES, *systems.SHOPS)
-    choices += [(server, SERVER_FAULTS, 2) for server in servers]
-    choices += [("store", STORE_FAULTS, 1)]
-    choices += [(link, LINK_FAULTS, 1) for link in sorted(system.links)]
+    groups = (
+        (systems.NODES, NODE_FAULTS, 3),
+        (servers, SERVER_FAULTS, 2),
+        (("store",), STORE_FAULTS, 2),
+        (sorted(system.links), LINK_FAULTS, 1),
+    )
+    choices = []
+    for targets, faults, weight in groups:
+        chosen = [item for item in sorted(faults.items()) if item[0] in names]
+        if chosen:
+            choices += [(target, chosen, weight) for target in targets]
     return choices
 
 
-async def run_series(system, rng, writer, busy, pause_s):
+async def run_series(system, rng, writer, busy, names):
     """Apply one fault after the other until cancelled.
 
     :param busy: set of the targets that have a fault, shared by all series.
-    :param pause_s: mean pause between faults.
+    :param names: of the faults to choose from.
     """
-    choices = _choices(system)
+    choices = _choices(system, names)
     weights = [weight for _, _, weight in choices]
     while True:
-        await trio.sleep(rng.expovariate(1 / pause_s))
+        await trio.sleep(rng.expovariate(1 / PAUSE_S))
         target, faults, _ = rng.choices(choices, weights)[0]
-        name, fault = rng.choice(sorted(faults.items()))
+        name, fault = rng.choice(faults)
         if target in busy:
             continue
         busy.add(target)
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -6,7 +6,9 @@
 choose from, separated by commas.
 """
 
+import collections
 import random
+import signal
 import socket
 import struct
 import sys
@@ -26,6 +28,8 @@
 CONTENT = "x-content"  # header with the id of a request's content
 KIND = "x-kind"
 PLAIN_SLOTS = 6
+COPIES = 12  # of the store, the oldest of which it may come back from
+COPY_INTERVAL_S = 0.5
 STALL_S = (0.5, 3.2)  # during which a server's process does nothing
 IDLE_TIMEOUTS_S = (0.15, 0.6, 2.0, 60.0)  # after which servers close
 LINGER_RESET = struct.pack("ii", 1, 0)  # makes a close reset the connection
@@ -138,6 +142,13 @@
         """Do nothing in the whole process, as if it got no processor."""
         time.sleep(self._rng.uniform(*STALL_S))
 
+    def record_order(self, order):
+        """Record an order that has arrived."""
+        record = records.Order(
+            records.now_s(), self._name, order["holder"], order["fence"]
+        )
+        self._writer.write(record)
+
     @staticmethod
     def _take(streams, stream):
         found = stream in streams
@@ -309,6 +320,10 @@
         """Serve one connection."""
         await self._troubles.serve(stream, self._handle)
 
+    def _order(self, req):
+        self._troubles.record_order(req.json())
+        return super()._order(req)
+
     async def _run(self, req, resp):
         adapter = req.header(messages.MODEL).partition("/")[2]
         version = self.adapters.get(adapter, 0) if adapter else 1
@@ -336,16 +351,30 @@
         await self._troubles.run(req, resp, work)
 
 
-def _make_store():
+async def _serve_store(address, rng):
+    """Run the store; let it come back from an older copy on ``SIGUSR1``."""
     stand_in = store.StoreStandIn(records.now_s)
+    stand_in.era = 1
     stand_in.put("op/config", users.configuration(1))
-    return stand_in.connection_handler("store")
+    copies = collections.deque(maxlen=COPIES)
 
+    async def keep_copies():
+        while True:
+            copies.append(stand_in.copy())
+            await trio.sleep(COPY_INTERVAL_S)
 
-def _make_handler(role, name, address, path, seed, share, names):
-    if role == "store":
-        return _make_store()
-    rng = random.Random(f"{seed}/{name}")
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(keep_copies)
+        handler = stand_in.connection_handler("store")
+        nursery.start_soon(_serve, address, handler)
+        with trio.open_signal_receiver(signal.SIGUSR1) as signals:
+            async for _ in signals:
+                copy = rng.choice(copies)
+                copies.clear()
+                await stand_in.restore(copy, rng.uniform(0.1, 1.0))
+
+
+def _make_handler(role, name, address, path, rng, share, names):
     writer = records.Writer(path)
     troubles = Troubles(name, writer, rng, float(share), names.split(","))
     if role == "engine":
@@ -363,9 +392,13 @@
     await _net.tcp_network().serve(address, handle)
 
 
-def main(role, name, address, *options):
+def main(role, name, address, path, seed, share, names):
     """Run one process until it is killed."""
-    handler = _make_handler(role, name, address, *options)
+    rng = random.Random(f"{seed}/{name}")
+    if role == "store":
+        trio.run(_serve_store, address, rng)
+        return
+    handler = _make_handler(role, name, address, path, rng, share, names)
     trio.run(_serve, address, handler)
 
 
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -66,7 +66,21 @@
     what: str
 
 
-_TYPES = {each.__name__: each for each in (Begin, End, Told, Fault)}
+@dataclasses.dataclass(frozen=True, slots=True)
+class Order:
+    """An order of a node has arrived at an engine.
+
+    :param holder: name of the node.
+    :param fence: its fencing number.
+    """
+
+    at_s: float
+    server: str
+    holder: str
+    fence: int
+
+
+_TYPES = {each.__name__: each for each in (Begin, End, Told, Fault, Order)}
 
 
 def now_s():
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -50,6 +50,24 @@
     assert not _rules(*runs, *ends, fault)
 
 
+@pytest.mark.parametrize(
+    ("holder", "fence", "at_s", "broken"),
+    [
+        ("g0", 7, 2.0, False),
+        ("g0", 6, 2.0, True),
+        ("g1", 8, 2.0, True),
+        ("g1", 8, 4.5, False),
+        ("g1", 7, 4.5, True),
+    ],
+)
+def test_checker_finds_orders_of_two_holders(holder, fence, at_s, broken):
+    first = records.Order(1.0, "e", "g0", 7)
+    second = records.Order(at_s, "e", holder, fence)
+    assert _rules(first, second) == (["ONE"] if broken else [])
+    thaw = records.Fault(1.5, at_s - 0.1, holder, "suspend")
+    assert not _rules(first, second, thaw)
+
+
 def test_checker_finds_wrong_and_invented_successes():
     assert _rules(_begin(1), _told(2, 200, right=False)) == ["MIXED"]
     assert _rules(_told(2, 200)) == ["PHANTOM"]
