--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -69,6 +69,13 @@
         system.signal(name, signal.SIGCONT)
 
 
+async def _end_on_sigterm():
+    """End in order on SIGTERM, so that no process of the soak is left."""
+    with trio.open_signal_receiver(signal.SIGTERM) as signals:
+        async for _ in signals:
+            raise KeyboardInterrupt
+
+
 async def play(directory, options):
     """Play one seed.
 
@@ -83,6 +90,7 @@
         options.program,
     )
     async with trio.open_nursery() as nursery:
+        nursery.start_soon(_end_on_sigterm)
         try:
             await system.start(nursery)
             await _play_traffic(system, options)
@@ -127,17 +135,11 @@
     return bool(violations)
 
 
-def _interrupt(signum, frame):
-    """End as on an interrupt, which stops all processes of the soak."""
-    raise KeyboardInterrupt
-
-
 def main():
     """Play the seeds of the command line.
 
     :returns: the exit code: 1 if a promise was broken.
     """
-    signal.signal(signal.SIGTERM, _interrupt)
     options = make_parser().parse_args()
     broken = 0
     for seed in range(options.seed, options.seed + options.seeds):
--- a/tests/soak/system.py
+++ b/tests/soak/system.py
@@ -159,7 +159,7 @@
 
     async def _launch(self, name):
         process = self._processes[name]
-        with process.log.open("ab") as log:
+        with process.log.open("ab") as log, trio.CancelScope(shield=True):
             process.running = await trio.lowlevel.open_process(
                 process.command, stdout=log, stderr=log, cwd=ROOT
             )
