--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -20,7 +20,7 @@
 
 SERIES = 3
 CALLERS = 24
-CHECK_S = 5.0
+CHECK_S = 2.0
 SETTLE_S = 3.0  # without new faults, before the nodes are stopped
 
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -10,6 +10,7 @@
 from tests.soak import records
 
 SECONDS = "10"
+SABOTAGE_SECONDS = "60"  # at most; a run ends with its first finding
 
 
 def _begin(at_s, run="a/1", kind="mutating", attempt="x1"):
@@ -73,14 +74,15 @@
     assert _rules(_told(2, 200)) == ["PHANTOM"]
 
 
-def _play(directory, *arguments):
-    options = soak.make_parser().parse_args(["--seconds", SECONDS, *arguments])
+def _play(directory, seconds, *arguments):
+    arguments = ["--seconds", seconds, *arguments]
+    options = soak.make_parser().parse_args(arguments)
     return trio.run(soak.play, directory, options)
 
 
 @pytest.mark.parametrize("seed", [1, 2])
 def test_soak_of_real_processes_breaks_no_promise(seed, tmp_path):
-    violations, summary = _play(tmp_path, "--seed", str(seed))
+    violations, summary = _play(tmp_path, SECONDS, "--seed", str(seed))
     assert summary["told 200"]
     assert not violations, "\n".join(map(str, violations))
 
@@ -99,6 +101,6 @@
     name, behaviour, tmp_path
 ):
     program = f"{sys.executable} -m tests.soak.sabotage {name}"
-    trouble = ("--trouble", "0.5", "--only", behaviour)
-    violations, _ = _play(tmp_path, "--program", program, *trouble)
+    arguments = ["--trouble", "0.5", "--only", behaviour, "--program", program]
+    violations, _ = _play(tmp_path, SABOTAGE_SECONDS, *arguments)
     assert {violation.rule for violation in violations} & {"TWICE", "REFUSED"}
