Ask engines for reports over connections that are not kept

Found in reading the change: the report that tells whether a silent engine has dropped a stream used the pool of the requests' connections, which keeps a connection for as long as a server states with its answers. Reports were kept for 20 s, past a server's idle timeout, so a later request could have been sent on a connection that the server was closing. A client that keeps no connections asks now.

--- a/src/coltsfootsail/_gateway.py
+++ b/src/coltsfootsail/_gateway.py
@@ -169,8 +169,9 @@
         client = _http.HttpClient(
             network, None, IDLE_CONNECTIONS_MAX, limits.limit
         )
+        report_client = _http.HttpClient(network, idle_max=0)
         self.upstream = _upstream.UpstreamClient(
-            client, self.now, self.metrics.count
+            client, report_client, self.now, self.metrics.count
         )
         self.strikes = _poison.Strikes(lambda fingerprint: 0, STRIKES_MAX)
         self.request_handler = _request_handler.RequestHandler(self)
--- a/src/coltsfootsail/_streams.py
+++ b/src/coltsfootsail/_streams.py
@@ -320,7 +320,7 @@
                 await gateway.upstream.wait_until_dropped(
                     server,
                     context.meta.request_id,
-                    gateway.view.servers.__contains__,
+                    lambda name: name in gateway.view.servers,
                 )
                 raise exceptions.EndpointSilent("no event")
         except exceptions.EndpointUnreachable:
--- a/src/coltsfootsail/_upstream.py
+++ b/src/coltsfootsail/_upstream.py
@@ -121,12 +121,14 @@
     """Sends requests to servers.
 
     :param client: an ``HttpClient``.
+    :param report_client: an ``HttpClient`` that keeps no connections.
     :param now: closure that reads the clock.
     :param count: ``(counter, reason)``.
     """
 
-    def __init__(self, client, now, count):
+    def __init__(self, client, report_client, now, count):
         self._client = client
+        self._report_client = report_client
         self._now = now
         self._count = count
 
@@ -207,7 +209,7 @@
         :raises EndpointStillRuns: if that is not known in time.
         """
         await _dropped_runs.wait_until_dropped(
-            self._client, server, request_id, is_registered
+            self._report_client, server, request_id, is_registered
         )
 
     def _record_end(self, server, request, trace):
