Soak: planned stops cut off nothing, and nodes that stop or take over at once are noticed

The checker finds requests that a node read and ended without a whole answer between its SIGTERM and its end, while no other fault is about (CUT). A gateway that stops at once is noticed (CUT), and one that takes engines over without a wait (ONE).

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -29,12 +29,10 @@
     rng = random.Random(f"{options.seed}/faults")
     # With a proxy in between, a reset says nothing about the node.
     direct = options.seed % 3 != 0
-    addresses = (
-        system.direct_caller_addresses if direct else system.caller_addresses
-    )
+    nodes = system.caller_addresses(direct)
     async with trio.open_nursery() as nursery:
         for caller in callers.make_callers(
-            options.callers, options.seed, addresses, writer, direct
+            options.callers, options.seed, nodes, writer, direct
         ):
             nursery.start_soon(caller.run, options.pause_s)
         await _play_faults(system, options, rng, writer)
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -57,6 +57,7 @@
     def __init__(self, stream, address):
         self.stream = stream
         self.address = address
+        self.sent_s = 0.0
         self.http = h11.Connection(h11.CLIENT)
 
 
@@ -78,16 +79,17 @@
 
     :param name: its name, unique in the soak.
     :param rng: source of randomness.
-    :param addresses: addresses of all nodes, as callers reach them.
+    :param nodes: dict of the addresses at which callers reach nodes to
+        their names.
     :param writer: a ``records.Writer``.
     :param trusts_resets: whether a reset proves that a request was not
         read; a proxy between caller and node may reset at any moment.
     """
 
-    def __init__(self, name, rng, addresses, writer, trusts_resets):
+    def __init__(self, name, rng, nodes, writer, trusts_resets):
         self._name = name
         self._rng = rng
-        self._addresses = addresses
+        self._nodes = nodes
         self._writer = writer
         self._trusts_resets = trusts_resets
         self._kept = None
@@ -133,17 +135,16 @@
     async def _attempt(self, kind, content, attempt, left_s, failed):
         attempt_id = f"{self._rng.getrandbits(64):016x}"
         answer = _Answer()
-        address = ""
+        connection = None
         with trio.move_on_after(self._patience_s(left_s)) as scope:
             try:
                 connection = await self._connect(attempt, failed)
-                address = connection.address
                 await self._exchange(
                     connection, kind, content, attempt_id, left_s, answer
                 )
             except (OSError, trio.BrokenResourceError) as exc:
                 await self._drop_kept()
-                answer.what = _describe(exc, address, answer)
+                answer.what = _describe(exc, connection, answer)
         if scope.cancelled_caught:
             await self._drop_kept()
             answer.what = "left"
@@ -155,9 +156,11 @@
             answer.status if answer.what == "answer" else 0,
             answer.what,
             answer.body == _expected_body(kind, content),
+            self._nodes[connection.address] if connection else "",
+            connection.sent_s if connection else 0.0,
         )
         self._writer.write(told)
-        return answer, address
+        return answer, connection.address if connection else ""
 
     def _patience_s(self, left_s):
         """Choose how long to wait; some callers leave early."""
@@ -171,8 +174,8 @@
             if not attempt and self._rng.random() < KEEP_SHARE:
                 return kept
             await trio.aclose_forcefully(kept.stream)
-        fresh = [each for each in self._addresses if each not in failed]
-        address = self._rng.choice(fresh or self._addresses)
+        fresh = [each for each in self._nodes if each not in failed]
+        address = self._rng.choice(fresh or list(self._nodes))
         network = _net.tcp_network(CONNECT_TIMEOUT_S)
         try:
             stream = await network.open_stream(address)
@@ -215,6 +218,7 @@
             h11.EndOfMessage(),
         )
         await stream.send_all(b"".join(map(http.send, events)))
+        connection.sent_s = records.now_s()
         await _read_answer(http, stream, answer)
         if http.our_state is http.their_state is h11.DONE:
             http.start_next_cycle()
@@ -246,9 +250,9 @@
             return
 
 
-def _describe(exc, address, answer):
+def _describe(exc, connection, answer):
     """Tell how an attempt failed from its error."""
-    if not address:
+    if connection is None:
         return "refused"
     if answer.status:
         return "truncated"
@@ -265,13 +269,13 @@
     return processes.plain_body(content)
 
 
-def make_callers(count, seed, addresses, writer, trusts_resets):
+def make_callers(count, seed, nodes, writer, trusts_resets):
     """Create callers with randomness of their own."""
     return [
         Caller(
             f"s{seed}c{number}",
             random.Random(f"{seed}/caller/{number}"),
-            addresses,
+            nodes,
             writer,
             trusts_resets,
         )
--- a/tests/soak/checker.py
+++ b/tests/soak/checker.py
@@ -11,6 +11,9 @@
 OVERLAP_MAX_S = 0.4  # a run may go on after another one has taken over
 TURN_S = 3.0  # between the orders of one holder and those of the next
 THAW_S = 0.3  # orders sent before a fault may arrive this long after it
+LOSS_SLACK_S = 0.2  # a request that ends sooner may not have been read
+BROKEN = frozenset({"closed", "reset", "truncated", "broken"})
+PLANNED = frozenset({"terminate", "terminate_twice"})
 CONTACT_S = 3.0  # faults at a link or process excuse overlaps this long
 
 
@@ -37,6 +40,8 @@
     ``REFUSED``: a request ran whose caller was told that it did not.
     ``OVERLAP``: a resumed stream ran at two servers at a time.
     ``ONE``: an engine got orders of two holders that may overlap.
+    ``CUT``: a node that was asked to stop ended a request, with no other
+    fault about.
     ``MIXED``: a success had not the body of the content.
     ``PHANTOM``: a caller got a success for something that never ran.
 
@@ -53,6 +58,7 @@
         *_ran_though_refused(begins, told),
         *_overlaps(begins, by_type[records.End], by_type[records.Fault]),
         *_two_holders(by_type[records.Order], by_type[records.Fault]),
+        *_cut_off(begins, by_type[records.End], told, by_type[records.Fault]),
         *_wrong_successes(begins, told),
     ]
 
@@ -125,6 +131,39 @@
     )
 
 
+def _cut_off(begins, ends, told, faults):
+    how = {end.run: end.how for end in ends}
+    runs = _group(begins, lambda run: run.attempt)
+    for each in told:
+        if each.what not in BROKEN:
+            continue
+        own_runs = runs.get(each.attempt, ())
+        unread = not own_runs and each.at_s - each.sent_s < LOSS_SLACK_S
+        broken = any(
+            how.get(run.run) not in ("done", "dropped") for run in own_runs
+        )
+        stopped = [
+            fault
+            for fault in faults
+            if fault.what in PLANNED
+            and fault.target == each.node
+            and fault.at_s <= each.at_s <= fault.until_s
+        ]
+        if not stopped or unread or broken:
+            continue
+        if not _is_disturbed(each, stopped, faults):
+            yield Violation("CUT", (each, *stopped, *own_runs))
+
+
+def _is_disturbed(told, stopped, faults):
+    """Tell whether any other fault was about during a request."""
+    return any(
+        fault.at_s <= told.at_s and fault.until_s + CONTACT_S >= told.sent_s
+        for fault in faults
+        if fault not in stopped
+    )
+
+
 def _wrong_successes(begins, told):
     contents = {each.content for each in begins}
     for each in told:
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -42,6 +42,8 @@
     :param status: of a complete answer, or 0.
     :param what: ``answer``, or how the attempt failed.
     :param right: whether a success had the content's whole body.
+    :param node: the node that it was sent to; empty if there was none.
+    :param sent_s: when its last byte was sent.
     """
 
     at_s: float
@@ -51,6 +53,8 @@
     status: int
     what: str
     right: bool = True
+    node: str = ""
+    sent_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/soak/sabotage.py
+++ b/tests/soak/sabotage.py
@@ -6,6 +6,8 @@
 import sys
 
 from coltsfootsail import __main__ as program
+from coltsfootsail import _claims
+from coltsfootsail import _gateway
 from coltsfootsail import _http_client
 from coltsfootsail import _request_context
 from coltsfootsail import _request_handler
@@ -36,12 +38,28 @@
     _request_handler.error_status = lambda exc: 503
 
 
+def _take_over_at_once():
+    _claims.TakeoverRules = lambda turn_s, lease_s: _NO_WAIT
+
+
+_NO_WAIT = _claims.TakeoverRules(turn_s=-10.0, lease_valid_s=-10.0)
+
+
+def _stop_at_once():
+    async def drain(self):
+        self._nursery.cancel_scope.cancel()
+
+    _gateway.Gateway.drain = drain
+
+
 SABOTAGES = {
     "repeat_on_a_used_connection": _repeat_on_a_used_connection,
     "trust_every_status": _trust_every_status,
     "retry_every_failure": _retry_every_failure,
     "believe_that_nothing_was_sent": _believe_that_nothing_was_sent,
     "promise_on_every_failure": _promise_on_every_failure,
+    "stop_at_once": _stop_at_once,
+    "take_over_at_once": _take_over_at_once,
 }
 
 if __name__ == "__main__":
--- a/tests/soak/system.py
+++ b/tests/soak/system.py
@@ -85,15 +85,14 @@
             ["store", *ENGINES, *SHOPS, *nodes, *proxies]
         )
 
-    @property
-    def caller_addresses(self):
-        """Addresses at which callers reach the nodes through proxies."""
-        return [self.addresses[f"callers/{node}"] for node in NODES]
-
-    @property
-    def direct_caller_addresses(self):
-        """Addresses at which callers reach the nodes without proxies."""
-        return [self.addresses[f"{node}/caller"] for node in NODES]
+    def caller_addresses(self, direct):
+        """Get the addresses at which callers reach the nodes.
+
+        :param direct: whether without the proxies.
+        :returns: dict of address to name of the node.
+        """
+        key = "{}/caller" if direct else "callers/{}"
+        return {self.addresses[key.format(node)]: node for node in NODES}
 
     async def start(self, nursery):
         """Start everything and wait until the nodes are ready.
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -51,6 +51,25 @@
     assert not _rules(*runs, *ends, fault)
 
 
+@pytest.mark.parametrize(
+    ("what", "at_s", "fault", "broken"),
+    [
+        ("closed", 3.0, None, True),
+        ("answer", 3.0, None, False),
+        ("closed", 7.0, None, False),
+        ("closed", 3.0, records.Fault(2.5, 3.5, "g1", "kill"), False),
+    ],
+)
+def test_checker_finds_requests_that_a_planned_stop_cut(
+    what, at_s, fault, broken
+):
+    told = records.Told(at_s, "mutating", "c1", "x1", 0, what, True, "g0", 2.0)
+    stop = records.Fault(1.5, 6.0, "g0", "terminate")
+    extra = [] if fault is None else [fault]
+    rules = _rules(stop, told, *extra)
+    assert rules == (["CUT"] if broken else [])
+
+
 @pytest.mark.parametrize(
     ("holder", "fence", "at_s", "broken"),
     [
@@ -87,6 +106,27 @@
     assert not violations, "\n".join(map(str, violations))
 
 
+PLANNED_STOPS = ["--faults", "terminate", "--series", "1", "--trouble", "0"]
+
+
+def test_soak_of_planned_stops_cuts_off_no_request(tmp_path):
+    violations, summary = _play(tmp_path, SECONDS, *PLANNED_STOPS)
+    assert summary["told 200"]
+    assert not violations, "\n".join(map(str, violations))
+
+
+@pytest.mark.parametrize(
+    ("name", "rule"), [("stop_at_once", "CUT"), ("take_over_at_once", "ONE")]
+)
+def test_soak_notices_a_node_that_stops_or_takes_over_at_once(
+    name, rule, tmp_path
+):
+    program = f"{sys.executable} -m tests.soak.sabotage {name}"
+    arguments = [*PLANNED_STOPS, "--program", program]
+    violations, _ = _play(tmp_path, SABOTAGE_SECONDS, *arguments)
+    assert rule in {violation.rule for violation in violations}
+
+
 @pytest.mark.parametrize(
     ("name", "behaviour"),
     [
