Soak: count only the orders that the named engine takes

Traced: the former owner's orders named the incarnation before, and the engine, restarted at the same address, refused them with 421 (answer=other_server in the owner's log). The engine's process recorded orders before that check.

--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -321,7 +321,8 @@
         await self._troubles.serve(stream, self._handle)
 
     def _order(self, req):
-        self._troubles.record_order(req.json())
+        if not self._misdirected(req):
+            self._troubles.record_order(req.json())
         return super()._order(req)
 
     async def _run(self, req, resp):
