Soak: plain names, and runs of killed servers end with them

A run whose end is not recorded counted as going on for ever: a check during the soak could end it early, and a server killed long before could be reported. It now ends with its server's kill, or counts up to the last record.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -83,7 +83,7 @@
     system = systems.System(
         directory,
         options.seed,
-        options.trouble,
+        options.fault_share,
         options.only,
         options.program,
     )
@@ -108,7 +108,7 @@
     parser.add_argument("--callers", type=int, default=CALLERS)
     parser.add_argument("--series", type=int, default=SERIES)
     parser.add_argument("--pause", type=float, default=0.3, dest="pause_s")
-    parser.add_argument("--trouble", type=float, default=0.3)
+    parser.add_argument("--fault-share", type=float, default=0.3)
     names = list(processes.BEHAVIOURS)
     parser.add_argument("--only", nargs="+", default=names, choices=names)
     parser.add_argument("--faults", nargs="+", default=faults.NAMES)
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -148,7 +148,7 @@
         if scope.cancelled_caught:
             await self._drop_kept()
             answer.what = "left"
-        told = records.Told(
+        result = records.Result(
             records.now_s(),
             kind.name,
             content,
@@ -159,7 +159,7 @@
             self._nodes[connection.address] if connection else "",
             connection.sent_s if connection else 0.0,
         )
-        self._writer.write(told)
+        self._writer.write(result)
         return answer, connection.address if connection else ""
 
     def _patience_s(self, left_s):
--- a/tests/soak/checker.py
+++ b/tests/soak/checker.py
@@ -2,7 +2,6 @@
 
 import collections
 import dataclasses
-import math
 
 from tests.soak import records
 
@@ -10,9 +9,10 @@
 NOT_REPEATABLE = frozenset({"mutating", "stream"})
 OVERLAP_MAX_S = 0.4  # a run may go on after another one has taken over
 TURN_S = 3.0  # between the orders of one holder and those of the next
-THAW_S = 0.3  # orders sent before a fault may arrive this long after it
+DELAY_S = 0.3  # orders sent before a fault may arrive this long after it
 LOSS_SLACK_S = 0.2  # a request that ends sooner may not have been read
 BROKEN = frozenset({"closed", "reset", "truncated", "broken"})
+KILLS = frozenset({"kill", "drain"})  # faults that end a server's process
 PLANNED = frozenset({"terminate", "terminate_twice"})
 CONTACT_S = 3.0  # faults at a link or process excuse overlaps this long
 
@@ -43,7 +43,7 @@
     ``CUT``: a node that was asked to stop ended a request, with no other
     fault about.
     ``MIXED``: a success had not the body of the content.
-    ``PHANTOM``: a caller got a success for something that never ran.
+    ``NO_RUN``: a caller got a success for something that never ran.
 
     :param found: list of records, ordered by time.
     :returns: list of ``Violation``.
@@ -51,15 +51,22 @@
     by_type = collections.defaultdict(list)
     for record in found:
         by_type[type(record)].append(record)
-    begins = by_type[records.Begin]
-    told = by_type[records.Told]
+    begins = by_type[records.RunBegin]
+    results = by_type[records.Result]
     return [
         *_ran_twice(begins),
-        *_ran_though_refused(begins, told),
-        *_overlaps(begins, by_type[records.End], by_type[records.Fault]),
+        *_ran_though_refused(begins, results),
+        *_overlaps(
+            begins,
+            by_type[records.RunEnd],
+            by_type[records.Fault],
+            found[-1].at_s if found else 0.0,
+        ),
         *_two_holders(by_type[records.Order], by_type[records.Fault]),
-        *_cut_off(begins, by_type[records.End], told, by_type[records.Fault]),
-        *_wrong_successes(begins, told),
+        *_cut_off(
+            begins, by_type[records.RunEnd], results, by_type[records.Fault]
+        ),
+        *_wrong_successes(begins, results),
     ]
 
 
@@ -77,28 +84,40 @@
             yield Violation("TWICE", tuple(runs))
 
 
-def _ran_though_refused(begins, told):
+def _ran_though_refused(begins, results):
     """A promise is broken whether the run came before it or after."""
     runs = _group(begins, lambda run: run.attempt)
-    for each in told:
+    for each in results:
         promised = each.status in PROMISES and each.kind in NOT_REPEATABLE
         if promised and each.attempt in runs:
             yield Violation("REFUSED", (each, *runs[each.attempt]))
 
 
-def _overlaps(begins, ends, faults):
+def _overlaps(begins, ends, faults, last_s):
     end_s = {end.run: end.at_s for end in ends}
+    for begin in begins:
+        end_s.setdefault(begin.run, _killed_s(begin, faults, last_s))
     resumable = [each for each in begins if each.kind == "resumable"]
     for runs in _group(resumable, lambda run: run.attempt).values():
         for first, second in zip(runs, runs[1:], strict=False):
-            until_s = min(
-                end_s.get(run.run, math.inf) for run in (first, second)
-            )
+            until_s = min(end_s[first.run], end_s[second.run])
             late = until_s > second.at_s + OVERLAP_MAX_S
             if late and not _excused(first, second, faults):
                 yield Violation("OVERLAP", (first, second))
 
 
+def _killed_s(begin, faults, last_s):
+    """Get when a run without a recorded end was last known to go on."""
+    killed = [
+        fault.until_s
+        for fault in faults
+        if fault.what in KILLS
+        and fault.target == begin.server
+        and fault.until_s >= begin.at_s
+    ]
+    return min(killed, default=last_s)
+
+
 def _excused(first, second, faults):
     """Tell whether the first server could not be reached or did not run."""
     return any(
@@ -111,7 +130,7 @@
 
 def _two_holders(orders, faults):
     for given in _group(orders, lambda order: order.server).values():
-        counted = [each for each in given if not _thawed(each, faults)]
+        counted = [each for each in given if not _is_delayed(each, faults)]
         for last, order in zip(counted, counted[1:], strict=False):
             if order.fence < last.fence:
                 yield Violation("ONE", (last, order))
@@ -122,19 +141,19 @@
                 yield Violation("ONE", (last, order))
 
 
-def _thawed(order, faults):
+def _is_delayed(order, faults):
     """Tell whether an order may have been held up by a fault."""
     return any(
-        0.0 <= order.at_s - fault.until_s <= THAW_S
+        0.0 <= order.at_s - fault.until_s <= DELAY_S
         for fault in faults
         if fault.target in (order.holder, order.server)
     )
 
 
-def _cut_off(begins, ends, told, faults):
+def _cut_off(begins, ends, results, faults):
     how = {end.run: end.how for end in ends}
     runs = _group(begins, lambda run: run.attempt)
-    for each in told:
+    for each in results:
         if each.what not in BROKEN:
             continue
         own_runs = runs.get(each.attempt, ())
@@ -155,24 +174,25 @@
             yield Violation("CUT", (each, *stopped, *own_runs))
 
 
-def _is_disturbed(told, stopped, faults):
+def _is_disturbed(result, stopped, faults):
     """Tell whether any other fault was about during a request."""
     return any(
-        fault.at_s <= told.at_s and fault.until_s + CONTACT_S >= told.sent_s
+        fault.at_s <= result.at_s
+        and fault.until_s + CONTACT_S >= result.sent_s
         for fault in faults
         if fault not in stopped
     )
 
 
-def _wrong_successes(begins, told):
+def _wrong_successes(begins, results):
     contents = {each.content for each in begins}
-    for each in told:
+    for each in results:
         if not 200 <= each.status < 300:
             continue
         if not each.right:
             yield Violation("MIXED", (each,))
         if each.content not in contents:
-            yield Violation("PHANTOM", (each,))
+            yield Violation("NO_RUN", (each,))
 
 
 def summary(found):
@@ -182,9 +202,9 @@
     """
     counts = collections.Counter()
     for record in found:
-        if isinstance(record, records.Told):
-            counts[f"told {record.status or record.what}"] += 1
-        elif isinstance(record, records.End):
+        if isinstance(record, records.Result):
+            counts[f"result {record.status or record.what}"] += 1
+        elif isinstance(record, records.RunEnd):
             counts[f"run {record.how}"] += 1
         elif isinstance(record, records.Fault):
             counts[f"fault {record.what}"] += 1
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -51,7 +51,7 @@
     return f"id: {number}\ndata: {content} {number}\n\n".encode()
 
 
-class Troubles:
+class FaultyAnswers:
     """Answers requests, some of them badly, and records every run.
 
     Each behaviour is ``async (req, resp, work)``; ``work`` answers rightly.
@@ -71,7 +71,7 @@
         self._runs = 0
         self.running = set()
         self._extra = {}
-        self._deaf = set()
+        self._unwatched = set()
         self._stalling = set()
         self.open_runs = 0
         self._behaviours = [BEHAVIOURS[each] for each in names]
@@ -98,12 +98,12 @@
 
         :param work: ``async ()``; returns how the run ended.
         """
-        deaf = self._take(self._deaf, resp.stream)
+        unwatched = self._take(self._unwatched, resp.stream)
         stalls = self._take(self._stalling, resp.stream)
         self._runs += 1
         run = f"{self._name}/{self._runs}"
         request_id = req.header(messages.REQUEST_ID)
-        begin = records.Begin(
+        begin = records.RunBegin(
             records.now_s(),
             run,
             self._name,
@@ -122,7 +122,7 @@
             with trio.CancelScope() as scope:
 
                 async def watch():
-                    if deaf:
+                    if unwatched:
                         await trio.sleep_forever()
                     await resp.wait_hangup()
                     scope.cancel()
@@ -134,7 +134,7 @@
         finally:
             self.open_runs -= 1
             self.running.discard(request_id)
-            self._writer.write(records.End(records.now_s(), run, how[0]))
+            self._writer.write(records.RunEnd(records.now_s(), run, how[0]))
         if how[0] != "done":
             raise trio.BrokenResourceError
 
@@ -181,9 +181,9 @@
         await trio.sleep(self._rng.uniform(0.0, 0.1))
         await work(req, resp, self._rng.uniform(5.0, 20.0))
 
-    async def _run_deaf(self, req, resp, work):
+    async def _run_unwatched(self, req, resp, work):
         """Run slowly, and look at the connection only when writing."""
-        self._deaf.add(resp.stream)
+        self._unwatched.add(resp.stream)
         await self._run_slowly(req, resp, work)
 
     async def _run_and_stall(self, req, resp, work):
@@ -247,22 +247,22 @@
 
 
 BEHAVIOURS = {
-    "refuse": Troubles.refuse,
-    "refuse_and_repeat": Troubles._refuse_and_repeat,
-    "refuse_and_close": Troubles._refuse_and_close,
-    "reset_unread": Troubles._reset_unread,
-    "run_slowly": Troubles._run_slowly,
-    "run_and_reset": Troubles._run_and_reset,
-    "run_and_close": Troubles._run_and_close,
-    "run_and_408": Troubles._run_and_state(408),
-    "run_and_429": Troubles._run_and_state(429),
-    "run_and_503": Troubles._run_and_state(503),
-    "run_and_500": Troubles._run_and_state(500),
-    "run_and_truncate": Troubles._run_and_truncate,
-    "run_and_send_garbage": Troubles._run_and_send_garbage,
-    "answer_and_repeat": Troubles._answer_and_repeat,
-    "run_deaf": Troubles._run_deaf,
-    "run_and_stall": Troubles._run_and_stall,
+    "refuse": FaultyAnswers.refuse,
+    "refuse_and_repeat": FaultyAnswers._refuse_and_repeat,
+    "refuse_and_close": FaultyAnswers._refuse_and_close,
+    "reset_unread": FaultyAnswers._reset_unread,
+    "run_slowly": FaultyAnswers._run_slowly,
+    "run_and_reset": FaultyAnswers._run_and_reset,
+    "run_and_close": FaultyAnswers._run_and_close,
+    "run_and_408": FaultyAnswers._run_and_state(408),
+    "run_and_429": FaultyAnswers._run_and_state(429),
+    "run_and_503": FaultyAnswers._run_and_state(503),
+    "run_and_500": FaultyAnswers._run_and_state(500),
+    "run_and_truncate": FaultyAnswers._run_and_truncate,
+    "run_and_send_garbage": FaultyAnswers._run_and_send_garbage,
+    "answer_and_repeat": FaultyAnswers._answer_and_repeat,
+    "run_unwatched": FaultyAnswers._run_unwatched,
+    "run_and_stall": FaultyAnswers._run_and_stall,
 }
 
 
@@ -271,23 +271,23 @@
 
 
 class PlainProcess(servers.PlainServer):
-    """A server of a plain service with the behaviours of ``Troubles``."""
+    """A server of a plain service with the behaviours of ``FaultyAnswers``."""
 
-    def __init__(self, name, troubles):
+    def __init__(self, name, faulty_answers):
         super().__init__(name)
-        self._troubles = troubles
+        self._faulty_answers = faulty_answers
 
     async def serve(self, stream):
         """Serve one connection."""
-        await self._troubles.serve(stream, self._handle)
+        await self._faulty_answers.serve(stream, self._handle)
 
     async def _handle(self, req, resp):
         if self._misdirected(req):
             await resp.reply(421, b"", _echo(req))
-        elif self._troubles.open_runs >= PLAIN_SLOTS:
-            await self._troubles.refuse(req, resp)
+        elif self._faulty_answers.open_runs >= PLAIN_SLOTS:
+            await self._faulty_answers.refuse(req, resp)
         else:
-            await self._troubles.answer(req, resp, self._work)
+            await self._faulty_answers.answer(req, resp, self._work)
 
     async def _work(self, req, resp, factor=1.0):
         async def work():
@@ -296,7 +296,7 @@
             await resp.reply(200, body, [*_echo(req), servers.STAMP_HEADER])
             return "done"
 
-        await self._troubles.run(req, resp, work)
+        await self._faulty_answers.run(req, resp, work)
 
 
 class _NoStore:
@@ -307,22 +307,22 @@
 
 
 class EngineProcess(servers.ModelServer):
-    """A model server with the behaviours of ``Troubles``."""
+    """A model server with the behaviours of ``FaultyAnswers``."""
 
-    def __init__(self, name, address, troubles):
+    def __init__(self, name, address, faulty_answers):
         super().__init__(name, _NoStore(), address)
-        self._troubles = troubles
-        self.running = troubles.running
+        self._faulty_answers = faulty_answers
+        self.running = faulty_answers.running
         self.events = 8
         self.event_s = 0.05
 
     async def serve(self, stream):
         """Serve one connection."""
-        await self._troubles.serve(stream, self._handle)
+        await self._faulty_answers.serve(stream, self._handle)
 
     def _order(self, req):
         if not self._misdirected(req):
-            self._troubles.record_order(req.json())
+            self._faulty_answers.record_order(req.json())
         return super()._order(req)
 
     async def _run(self, req, resp):
@@ -333,7 +333,7 @@
         if self._misdirected(req) or not version or other:
             await resp.reply(421, b"", _echo(req))
         else:
-            await self._troubles.answer(req, resp, self._work)
+            await self._faulty_answers.answer(req, resp, self._work)
 
     async def _work(self, req, resp, factor=1.0):
         after = int(req.header(messages.LAST_EVENT) or -1)
@@ -349,7 +349,7 @@
             await resp.end()
             return "done"
 
-        await self._troubles.run(req, resp, work)
+        await self._faulty_answers.run(req, resp, work)
 
 
 async def _serve_store(address, rng):
@@ -377,10 +377,12 @@
 
 def _make_handler(role, name, address, path, rng, share, names):
     writer = records.Writer(path)
-    troubles = Troubles(name, writer, rng, float(share), names.split(","))
+    faulty_answers = FaultyAnswers(
+        name, writer, rng, float(share), names.split(",")
+    )
     if role == "engine":
-        return EngineProcess(name, address, troubles).serve
-    return PlainProcess(name, troubles).serve
+        return EngineProcess(name, address, faulty_answers).serve
+    return PlainProcess(name, faulty_answers).serve
 
 
 async def _serve(address, handler):
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -7,7 +7,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Begin:
+class RunBegin:
     """A server has begun to run a request.
 
     :param run: unique number of the run.
@@ -24,7 +24,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class End:
+class RunEnd:
     """A run has ended.
 
     :param how: ``done``, ``dropped`` or what the server did instead.
@@ -36,7 +36,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Told:
+class Result:
     """What a caller was told about one attempt.
 
     :param status: of a complete answer, or 0.
@@ -84,7 +84,9 @@
     fence: int
 
 
-_TYPES = {each.__name__: each for each in (Begin, End, Told, Fault, Order)}
+_TYPES = {
+    each.__name__: each for each in (RunBegin, RunEnd, Result, Fault, Order)
+}
 
 
 def now_s():
--- a/tests/soak/system.py
+++ b/tests/soak/system.py
@@ -62,16 +62,16 @@
 
     :param directory: ``pathlib.Path`` for settings, logs and records.
     :param seed: seed of the servers' behaviour.
-    :param trouble: share of the requests that servers answer badly.
+    :param fault_share: share of the requests that servers answer badly.
     :param behaviours: names of the ways in which they do.
     :param program: command that runs a node, without its settings.
     """
 
-    def __init__(self, directory, seed, trouble, behaviours, program=()):
+    def __init__(self, directory, seed, fault_share, behaviours, program=()):
         self.directory = directory
         self.links = {}
         self._seed = seed
-        self._trouble = trouble
+        self._fault_share = fault_share
         self._behaviours = behaviours
         self._program = program or (sys.executable, "-m", "coltsfootsail")
         self._processes = {}
@@ -135,7 +135,7 @@
             self.addresses[address_name],
             str(path),
             str(self._seed),
-            str(self._trouble),
+            str(self._fault_share),
             ",".join(self._behaviours),
         ]
 
--- a/tests/soak/sabotage.py
+++ b/tests/soak/unsafe_node.py
@@ -1,6 +1,6 @@
 """Runs a node without one of its safeguards, which the soak has to notice.
 
-``python -m tests.soak.sabotage NAME node --settings FILE``
+``python -m tests.soak.unsafe_node NAME node --settings FILE``
 """
 
 import sys
@@ -52,7 +52,7 @@
     _gateway.Gateway.drain = drain
 
 
-SABOTAGES = {
+REMOVALS = {
     "repeat_on_a_used_connection": _repeat_on_a_used_connection,
     "trust_every_status": _trust_every_status,
     "retry_every_failure": _retry_every_failure,
@@ -63,6 +63,6 @@
 }
 
 if __name__ == "__main__":
-    SABOTAGES[sys.argv[1]]()
+    REMOVALS[sys.argv[1]]()
     del sys.argv[1]
     sys.exit(program.main())
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -10,16 +10,16 @@
 from tests.soak import records
 
 SECONDS = "10"
-SABOTAGE_SECONDS = "60"  # at most; a run ends with its first finding
+UNSAFE_SECONDS = "60"  # at most; a run ends with its first finding
 
 
 def _begin(at_s, run="a/1", kind="mutating", attempt="x1"):
     server = run.partition("/")[0]
-    return records.Begin(at_s, run, server, kind, "c1", attempt)
+    return records.RunBegin(at_s, run, server, kind, "c1", attempt)
 
 
-def _told(at_s, status, kind="mutating", right=True):
-    return records.Told(at_s, kind, "c1", "x1", status, "answer", right)
+def _result(at_s, status, kind="mutating", right=True):
+    return records.Result(at_s, kind, "c1", "x1", status, "answer", right)
 
 
 def _rules(*found):
@@ -27,7 +27,9 @@
 
 
 def test_checker_accepts_one_run_with_its_answer():
-    assert not _rules(_begin(1), records.End(2, "a/1", "done"), _told(2, 200))
+    assert not _rules(
+        _begin(1), records.RunEnd(2, "a/1", "done"), _result(2, 200)
+    )
 
 
 @pytest.mark.parametrize("attempt", ["x1", "x2"])
@@ -40,12 +42,15 @@
 def test_checker_finds_a_broken_promise_before_and_after_a_run(
     status, run_at_s
 ):
-    assert _rules(_begin(run_at_s), _told(2, status)) == ["REFUSED"]
+    assert _rules(_begin(run_at_s), _result(2, status)) == ["REFUSED"]
 
 
 def test_checker_finds_a_stream_at_two_servers_unless_a_fault_excuses_it():
     runs = [_begin(1, kind="resumable"), _begin(2, "b/1", "resumable")]
-    ends = [records.End(2.5, "a/1", "dropped"), records.End(3, "b/1", "done")]
+    ends = [
+        records.RunEnd(2.5, "a/1", "dropped"),
+        records.RunEnd(3, "b/1", "done"),
+    ]
     fault = records.Fault(1.5, 2.2, "a", "suspend")
     assert _rules(*runs, *ends) == ["OVERLAP"]
     assert not _rules(*runs, *ends, fault)
@@ -63,10 +68,12 @@
 def test_checker_finds_requests_that_a_planned_stop_cut(
     what, at_s, fault, broken
 ):
-    told = records.Told(at_s, "mutating", "c1", "x1", 0, what, True, "g0", 2.0)
+    result = records.Result(
+        at_s, "mutating", "c1", "x1", 0, what, True, "g0", 2.0
+    )
     stop = records.Fault(1.5, 6.0, "g0", "terminate")
     extra = [] if fault is None else [fault]
-    rules = _rules(stop, told, *extra)
+    rules = _rules(stop, result, *extra)
     assert rules == (["CUT"] if broken else [])
 
 
@@ -84,13 +91,13 @@
     first = records.Order(1.0, "e", "g0", 7)
     second = records.Order(at_s, "e", holder, fence)
     assert _rules(first, second) == (["ONE"] if broken else [])
-    thaw = records.Fault(1.5, at_s - 0.1, holder, "suspend")
-    assert not _rules(first, second, thaw)
+    delay = records.Fault(1.5, at_s - 0.1, holder, "suspend")
+    assert not _rules(first, second, delay)
 
 
 def test_checker_finds_wrong_and_invented_successes():
-    assert _rules(_begin(1), _told(2, 200, right=False)) == ["MIXED"]
-    assert _rules(_told(2, 200)) == ["PHANTOM"]
+    assert _rules(_begin(1), _result(2, 200, right=False)) == ["MIXED"]
+    assert _rules(_result(2, 200)) == ["NO_RUN"]
 
 
 def _play(directory, seconds, *arguments):
@@ -102,16 +109,23 @@
 @pytest.mark.parametrize("seed", [1, 2])
 def test_soak_of_real_processes_breaks_no_promise(seed, tmp_path):
     violations, summary = _play(tmp_path, SECONDS, "--seed", str(seed))
-    assert summary["told 200"]
+    assert summary["result 200"]
     assert not violations, "\n".join(map(str, violations))
 
 
-PLANNED_STOPS = ["--faults", "terminate", "--series", "1", "--trouble", "0"]
+PLANNED_STOPS = [
+    "--faults",
+    "terminate",
+    "--series",
+    "1",
+    "--fault-share",
+    "0",
+]
 
 
 def test_soak_of_planned_stops_cuts_off_no_request(tmp_path):
     violations, summary = _play(tmp_path, SECONDS, *PLANNED_STOPS)
-    assert summary["told 200"]
+    assert summary["result 200"]
     assert not violations, "\n".join(map(str, violations))
 
 
@@ -121,9 +135,9 @@
 def test_soak_notices_a_node_that_stops_or_takes_over_at_once(
     name, rule, tmp_path
 ):
-    program = f"{sys.executable} -m tests.soak.sabotage {name}"
+    program = f"{sys.executable} -m tests.soak.unsafe_node {name}"
     arguments = [*PLANNED_STOPS, "--program", program]
-    violations, _ = _play(tmp_path, SABOTAGE_SECONDS, *arguments)
+    violations, _ = _play(tmp_path, UNSAFE_SECONDS, *arguments)
     assert rule in {violation.rule for violation in violations}
 
 
@@ -140,7 +154,14 @@
 def test_soak_notices_a_node_without_one_of_its_safeguards(
     name, behaviour, tmp_path
 ):
-    program = f"{sys.executable} -m tests.soak.sabotage {name}"
-    arguments = ["--trouble", "0.5", "--only", behaviour, "--program", program]
-    violations, _ = _play(tmp_path, SABOTAGE_SECONDS, *arguments)
+    program = f"{sys.executable} -m tests.soak.unsafe_node {name}"
+    arguments = [
+        "--fault-share",
+        "0.5",
+        "--only",
+        behaviour,
+        "--program",
+        program,
+    ]
+    violations, _ = _play(tmp_path, UNSAFE_SECONDS, *arguments)
     assert {violation.rule for violation in violations} & {"TWICE", "REFUSED"}
