Count an engine's unanswered order as given until the engine answers again

Cause: a former holder tells its successor how long ago it sent its last order. The engine's process hung; it read the order 2 s after it was sent, when its holder had long given it up, and the successor, told 3.5 s, ordered at once.

A holder now counts an order without an answer as given just now, and one that was answered late, or followed by a report, as given at that answer. The test order_that_an_engine_reads_late failed with 2.2 s between the two holders. Not covered: an engine that hangs on for 3 s beyond the handover.

--- a/src/coltsfootsail/_claims.py
+++ b/src/coltsfootsail/_claims.py
@@ -111,6 +111,7 @@
         self._started_s = now()
         self._unclaimed_since_s = {}
         self._last_order_s = {}
+        self._unanswered = set()
         self._absent_since_s = {}
         self._successors = {}
         self._last_sweep_s = now()
@@ -156,9 +157,24 @@
     def note_order(self, server):
         """Note that an order is sent now."""
         self._last_order_s[server] = self._now()
+        self._unanswered.add(server)
+
+    def note_answer(self, server):
+        """Note that a server has answered an order or a later call.
+
+        An order that it left unanswered may have arrived only now.
+        """
+        if server in self._unanswered:
+            self._unanswered.discard(server)
+            self._last_order_s[server] = self._now()
 
     def idle_s(self, server):
-        """Get the seconds since this process last gave a server an order."""
+        """Get the seconds since an order of this process can have arrived.
+
+        An order without an answer may still arrive.
+        """
+        if server in self._unanswered:
+            return 0.0
         since_s = self._last_order_s.get(server, self._started_s)
         return self._now() - since_s
 
@@ -166,7 +182,7 @@
         """Note that another node holds a server's claim.
 
         :param successor: name of that node, empty if it is not known.
-        :returns: seconds since this process last gave it an order.
+        :returns: seconds since an order of this process can have arrived.
         """
         held = self.held.get(server)
         if held is not None and held.fence < fence:
@@ -413,6 +429,7 @@
             for name, ordered_s in self._last_order_s.items()
             if ordered_s > oldest_s or name in self._view.servers
         }
+        self._unanswered &= self._last_order_s.keys()
         for name in self._stale_holder_records():
             deletion = _kv.Delete(_keys.intent(name))
             try:
--- a/src/coltsfootsail/_engine_controller.py
+++ b/src/coltsfootsail/_engine_controller.py
@@ -308,6 +308,7 @@
             if isinstance(exc, ConnectionRefusedError):
                 self.note_unreachable()
             return False
+        self._claims.note_answer(self.server.name)
         self.adapter_slots.apply_report(report, self._now())
         for adapter in [
             a for a in self._load_ordered_s if a not in self.adapter_slots.held
@@ -339,6 +340,7 @@
         except OSError as exc:
             self._on_unanswered(exc)
             return
+        self._claims.note_answer(name)
         self._answer_times.add(self._now() - sent_s)
         self._count("orders", answer.value)
         _logs.detail(
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -1271,3 +1271,41 @@
         assert intervals[1][1] - started_s < 2.5
 
     gateways.run(scenario)
+
+
+def test_order_that_an_engine_reads_late_keeps_its_successor_waiting():
+    """An engine that hangs reads an order long after it was sent."""
+
+    async def scenario(fleet):
+        engine = _preferred_engine(fleet, "base/a7")
+        host = engine.address.partition(":")[0]
+        holder = _owner(fleet, engine)
+        caller = next(name for name in fleet.names if name != holder)
+
+        adapters = [
+            f"base/a{number}"
+            for number in range(100)
+            if _preferred_engine(fleet, f"base/a{number}") is engine
+        ]
+
+        async def send_requests():
+            for adapter in adapters:
+                fleet.nursery.start_soon(call, adapter)
+                await trio.sleep(0.4)
+
+        async def call(adapter):
+            await fleet.call("/prints/1", caller, adapter=adapter)
+
+        fleet.net.pause(host)
+        fleet.nursery.start_soon(send_requests)
+        await trio.sleep(3.0)
+        fleet.net.resume(host)
+        await fleet.gateways[holder].drain()
+        await trio.sleep(8.0)
+        arrivals = [(at_s, order["holder"]) for at_s, order in engine.orders]
+        assert {name for _, name in arrivals} == set(fleet.names)
+        last_s = max(at_s for at_s, name in arrivals if name == holder)
+        next_s = min(at_s for at_s, name in arrivals if name != holder)
+        assert next_s - last_s >= 3.0
+
+    gateways.run(scenario)
