--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -11,10 +11,10 @@
 
 import trio
 
+from tests.soak import answers
 from tests.soak import callers
 from tests.soak import checker
 from tests.soak import faults
-from tests.soak import processes
 from tests.soak import records
 from tests.soak import system as systems
 
@@ -109,7 +109,7 @@
     parser.add_argument("--series", type=int, default=SERIES)
     parser.add_argument("--pause", type=float, default=0.3, dest="pause_s")
     parser.add_argument("--fault-share", type=float, default=0.3)
-    names = list(processes.BEHAVIOURS)
+    names = list(answers.BEHAVIOURS)
     parser.add_argument("--only", nargs="+", default=names, choices=names)
     parser.add_argument("--faults", nargs="+", default=faults.NAMES)
     parser.add_argument("--keep", action="store_true")
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -17,7 +17,7 @@
 from coltsfootsail.platform import messages
 from coltsfootsail.standins import users
 from tests.soak import checker
-from tests.soak import processes
+from tests.soak import protocol
 from tests.soak import records
 
 ATTEMPTS_MAX = 3
@@ -199,8 +199,8 @@
             ("host", users.HOST),
             (messages.REQUEST_ID, attempt_id),
             (messages.DEADLINE, str(int(left_s * 1000))),
-            (processes.CONTENT, content),
-            (processes.KIND, kind.name),
+            (protocol.CONTENT, content),
+            (protocol.KIND, kind.name),
             ("content-length", str(len(body))),
         ]
         if kind.name in ("stream", "resumable"):
@@ -264,9 +264,9 @@
 def _expected_body(kind, content):
     if kind.name in ("stream", "resumable"):
         return b"".join(
-            processes.event(content, number) for number in range(EVENTS)
+            protocol.event(content, number) for number in range(EVENTS)
         )
-    return processes.plain_body(content)
+    return protocol.plain_body(content)
 
 
 def make_callers(count, seed, nodes, writer, trusts_resets):
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -9,7 +9,7 @@
 import trio
 
 from coltsfootsail import _net
-from tests.soak import processes
+from tests.soak import protocol
 
 READ_BYTES = 65536
 TO_SERVER, TO_CLIENT = 0, 1
@@ -53,7 +53,7 @@
         try:
             server = await _net.tcp_network().open_stream(self._target)
         except OSError:
-            processes.reset(client)
+            protocol.reset(client)
             return
         pair = {TO_SERVER: (client, server), TO_CLIENT: (server, client)}
         scope = trio.CancelScope()
@@ -68,8 +68,8 @@
         finally:
             self._open.discard(scope)
             if scope.cancel_called:
-                processes.reset(server)
-                processes.reset(client)
+                protocol.reset(server)
+                protocol.reset(client)
             with trio.CancelScope(shield=True):
                 await trio.aclose_forcefully(server)
 
