Remove a parameter that nothing needs, and repeats in the soak

Found in reading the whole change: fetch_report took fresh, though the only caller that set it uses a client that keeps no connections; the soak restarted a node by the same three lines in three faults; a type stood behind its use. No behaviour changes: 157 tests of the gateway, HTTP, the contract of servers and the soak pass.

--- a/src/coltsfootsail/_dropped_runs.py
+++ b/src/coltsfootsail/_dropped_runs.py
@@ -21,7 +21,7 @@
 async def wait_until_dropped(client, server, request_id, is_registered):
     """Wait until a silent engine does not run a request any more.
 
-    :param client: an ``HttpClient``.
+    :param client: an ``HttpClient`` that keeps no connections.
     :param server: the ``Server``.
     :param is_registered: ``(server name) -> bool``.
     :raises EndpointStillRuns: if that is not known after
@@ -55,9 +55,7 @@
         return ""
     asked_s = trio.current_time()
     try:
-        report = await engines.fetch_report(
-            client, server, REPORT_TIMEOUT_S, fresh=True
-        )
+        report = await engines.fetch_report(client, server, REPORT_TIMEOUT_S)
     except (OSError, exceptions.BadField):
         return "no report"
     if report.runs is None:
--- a/src/coltsfootsail/_upstream.py
+++ b/src/coltsfootsail/_upstream.py
@@ -117,6 +117,33 @@
         raise exceptions.OutcomeUnknown(f"status {status}")
 
 
+@dataclasses.dataclass(slots=True)
+class _SendTrace:
+    """The progress of one send, for errors and logs.
+
+    :param phase: the furthest ``Phase`` that is certain.
+    :param exchange: the ``Exchange``, None before there is a connection.
+    :param conclusion: ``answered``, ``cancelled`` or an error's code.
+    """
+
+    started_s: float
+    phase: _http.Phase = _http.Phase.CONNECTING
+    exchange: object = None
+    conclusion: str = "cancelled"
+
+    def connection_fields(self, now_s):
+        """Describe the connection and the answer for a log line."""
+        exchange = self.exchange
+        if exchange is None:
+            return {"phase": self.phase.name}
+        return {
+            "phase": exchange.phase.name,
+            "status": exchange.status,
+            "connection_uses": exchange.history.exchanges,
+            "connection_age_s": round(now_s - exchange.history.opened_s, 4),
+        }
+
+
 class UpstreamClient:
     """Sends requests to servers.
 
@@ -225,33 +252,6 @@
         )
 
 
-@dataclasses.dataclass(slots=True)
-class _SendTrace:
-    """The progress of one send, for errors and logs.
-
-    :param phase: the furthest ``Phase`` that is certain.
-    :param exchange: the ``Exchange``, None before there is a connection.
-    :param conclusion: ``answered``, ``cancelled`` or an error's code.
-    """
-
-    started_s: float
-    phase: _http.Phase = _http.Phase.CONNECTING
-    exchange: object = None
-    conclusion: str = "cancelled"
-
-    def connection_fields(self, now_s):
-        """Describe the connection and the answer for a log line."""
-        exchange = self.exchange
-        if exchange is None:
-            return {"phase": self.phase.name}
-        return {
-            "phase": exchange.phase.name,
-            "status": exchange.status,
-            "connection_uses": exchange.history.exchanges,
-            "connection_age_s": round(now_s - exchange.history.opened_s, 4),
-        }
-
-
 def _to_typed_error(phase, exc):
     text = f"{type(exc).__name__}: {exc}"
     if phase is _http.Phase.CONNECTING:
--- a/src/coltsfootsail/platform/engines.py
+++ b/src/coltsfootsail/platform/engines.py
@@ -137,12 +137,11 @@
         raise exceptions.BadField(f"report: {exc!r}") from exc
 
 
-async def fetch_report(client, server, timeout_s, *, fresh=False):
+async def fetch_report(client, server, timeout_s):
     """Get a server's report.
 
     :param client: an ``HttpClient``.
     :param server: the ``Server``.
-    :param fresh: whether to open a new connection in any case.
     :returns: an ``EngineReport``.
     :raises OSError: if there was no report.
     :raises BadField: if it can't be decoded.
@@ -153,7 +152,6 @@
         REPORT_PATH,
         headers=((EXPECT_INSTANCE, server.name),),
         timeout_s=timeout_s,
-        fresh=fresh,
     )
     if status != 200:
         raise ConnectionError(f"report: status {status}")
--- a/tests/soak/checker.py
+++ b/tests/soak/checker.py
@@ -5,7 +5,8 @@
 
 from tests.soak import records
 
-PROMISES = frozenset({408, 421, 429, 503})  # statuses that say "not run"
+# Statuses that say "not run", apart from the list that the gateway checks.
+PROMISES = frozenset({408, 421, 429, 503})
 NOT_REPEATABLE = frozenset({"mutating", "stream"})
 OVERLAP_MAX_S = 0.4  # a run may go on after another one has taken over
 TURN_S = 3.0  # between the orders of one holder and those of the next
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -30,18 +30,21 @@
     await _kill(system, rng, target)
 
 
-async def _kill(system, rng, target):
-    system.signal(target, signal.SIGKILL)
+async def _restart(system, target):
+    """Start a node again once it has ended."""
     await system.wait(target, EXIT_S)
     await trio.sleep(RESTART_S)
     await system.restart_node(target)
 
 
+async def _kill(system, rng, target):
+    system.signal(target, signal.SIGKILL)
+    await _restart(system, target)
+
+
 async def _terminate(system, rng, target):
     system.signal(target, signal.SIGTERM)
-    await system.wait(target, EXIT_S)
-    await trio.sleep(RESTART_S)
-    await system.restart_node(target)
+    await _restart(system, target)
 
 
 async def _terminate_twice(system, rng, target):
@@ -54,9 +57,7 @@
     system.signal(target, signal.SIGTERM)
     await trio.sleep(rng.uniform(0.0, 3.0))
     await _suspend(system, rng, target)
-    await system.wait(target, EXIT_S)
-    await trio.sleep(RESTART_S)
-    await system.restart_node(target)
+    await _restart(system, target)
 
 
 async def _reload(system, rng, target):
--- a/tests/soak/unsafe_node.py
+++ b/tests/soak/unsafe_node.py
@@ -39,10 +39,8 @@
 
 
 def _take_over_at_once():
-    _claims.TakeoverRules = lambda turn_s, lease_s: _NO_WAIT
-
-
-_NO_WAIT = _claims.TakeoverRules(turn_s=-10.0, lease_valid_s=-10.0)
+    no_wait = _claims.TakeoverRules(turn_s=-10.0, lease_valid_s=-10.0)
+    _claims.TakeoverRules = lambda turn_s, lease_valid_s: no_wait
 
 
 def _stop_at_once():
