--- a/tests/test_eras.py
+++ b/tests/test_eras.py
@@ -260,6 +260,22 @@
     _run(scenario)
 
 
+async def _check_over_drill(fleet, copy, rewrite_s, checks, check):
+    """Let the store come back from a copy and check each node's view.
+
+    :param rewrite_s: until others have written again what was lost.
+    :param checks: how many checks to make, 0.2 s apart.
+    :param check: ``(view)``, with assertions.
+    """
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(fleet.store.restore, copy, 0.1, rewrite_s)
+        for _ in range(checks):
+            await trio.sleep(0.2)
+            for gateway in fleet.gateways.values():
+                check(gateway.view)
+    await _send_requests(fleet, 10.0)
+
+
 def test_configuration_and_versions_never_go_back():
     async def scenario(fleet):
         copy = fleet.store.copy()
@@ -267,14 +283,12 @@
         version = {"model": "base", "adapter": "a7", "version": 4}
         fleet.store.put("op/version/base.a7", version)
         await trio.sleep(2.0)
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(fleet.store.restore, copy, 0.1, 3.0)
-            for _ in range(30):
-                await trio.sleep(0.2)
-                for gateway in fleet.gateways.values():
-                    assert gateway.view.deployment.version == 5
-                    assert gateway.view.versions["base/a7"] == 4
-        await _send_requests(fleet, 10.0)
+
+        def check(view):
+            assert view.deployment.version == 5
+            assert view.versions["base/a7"] == 4
+
+        await _check_over_drill(fleet, copy, 3.0, 30, check)
 
     _run(scenario)
 
@@ -285,14 +299,11 @@
         fleet.register_shop(0, "draining")
         fleet.store.drop("servers/i-s1")
         await trio.sleep(2.0)
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(fleet.store.restore, copy, 0.1, 3.0)
-            for _ in range(25):
-                await trio.sleep(0.2)
-                for gateway in fleet.gateways.values():
-                    available = gateway.view.available_servers("shop")
-                    assert not available
-        await _send_requests(fleet, 10.0)
+
+        def check(view):
+            assert not view.available_servers("shop")
+
+        await _check_over_drill(fleet, copy, 3.0, 25, check)
 
     _run(scenario)
 
@@ -304,13 +315,11 @@
         copy = fleet.store.copy()
         fleet.store.put("servers/i-s0", entry)
         await trio.sleep(2.0)
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(fleet.store.restore, copy, 0.1, 1.5)
-            for _ in range(25):
-                await trio.sleep(0.2)
-                for gateway in fleet.gateways.values():
-                    assert "i-s0" in gateway.view.servers
-        await _send_requests(fleet, 10.0)
+
+        def check(view):
+            assert "i-s0" in view.servers
+
+        await _check_over_drill(fleet, copy, 1.5, 25, check)
 
     _run(scenario)
 
