Tell a refused connection from other failures on a real network

Cause: over TCP trio raises a plain OSError for all attempts to connect, with the refusal inside its cause. The network in memory, which the tests use, raises ConnectionRefusedError itself, and three places ask for that type: the probe that finds out that a former holder's process has ended, and the engine controller after a report or an order that could not be sent. None of them ever saw it on a real network. So a killed holder counted as running until the host list named its host gone, and the adapters of its recorded orders got no protected request. The class: a stand-in that fails in another way than what it stands for.

--- a/src/coltsfootsail/_net.py
+++ b/src/coltsfootsail/_net.py
@@ -80,6 +80,19 @@
             return stream
     except trio.TooSlowError as exc:
         raise OSError(errno.ETIMEDOUT, f"connect to {address}") from exc
+    except OSError as exc:
+        raise _first_failure(exc) from exc
+
+
+def _first_failure(exc):
+    """Get the error of the first attempt, whose type tells what failed.
+
+    ``trio.open_tcp_stream`` raises a plain ``OSError`` for all attempts.
+    """
+    failures = exc.__cause__
+    if isinstance(failures, BaseExceptionGroup):
+        return failures.exceptions[0]
+    return exc
 
 
 async def _accept_connections(listener, handler, unacked_timeout_ms, nursery):
