Count the adapters of a former owner's orders only until those orders expire

Cause: one condition for two things that end at different times. A holder was counted with its adapters until its requests had ended, though orders of a process that has ended take no effect after 60 s.

Now a holder whose orders have expired has no adapters; those that its requests may still use stay pinned as before.

Evidence: adapter_that_a_killed_owner_loaded_is_used_before_its_requests_end in test_ownership failed before and passes now; test_ownership, test_net and test_cli pass (44 tests).

--- a/src/coltsfootsail/_ownership.py
+++ b/src/coltsfootsail/_ownership.py
@@ -119,22 +119,31 @@
 
         Once a node's run has ended, its requests end within the request
         timeout and its orders take no effect after ``ORDER_EXPIRY_S``.
+
+        :returns: tuple of ``Holder``; one whose orders have expired has no
+            adapters.
         """
         intent = self._cluster.intent(endpoint)
         if intent is None:
             return ()
-        return tuple(
-            holder
+        earlier = [
+            self._without_expired_orders(holder)
             for holder in intent.record.holders
             if not self._is_own(holder)
-            and not self._has_ended(holder, request_timeout_s)
+        ]
+        return tuple(
+            holder
+            for holder in earlier
+            if holder.adapters
+            or self._ended_for_s(holder.node, holder.incarnation)
+            <= request_timeout_s
         )
 
-    def _has_ended(self, holder, request_timeout_s):
+    def _without_expired_orders(self, holder):
         ended_for_s = self._ended_for_s(holder.node, holder.incarnation)
-        if holder.adapters:
-            return ended_for_s > max(request_timeout_s, ORDER_EXPIRY_S)
-        return ended_for_s > request_timeout_s
+        if ended_for_s <= ORDER_EXPIRY_S:
+            return holder
+        return dataclasses.replace(holder, adapters=())
 
     def _eligible_members(self):
         return {
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -188,6 +188,42 @@
     virtual(main)
 
 
+def test_adapter_that_a_killed_owner_loaded_is_used_before_its_requests_end(
+    virtual, system
+):
+    """Its orders expire long before the timeout of its requests."""
+    embedded = system("museum", engines=1)
+    request_timeout_s = 600.0
+
+    async def main():
+        async with embedded.running():
+            await _send_completion(embedded, "entry-0")
+            engine_name = _engine_with(embedded, MODEL)
+            host = _claim_holder(embedded, engine_name)
+            ownership = embedded.nodes[host].ownership
+            await ownership.record_orders(
+                engine_name, ownership.fence(engine_name), (MODEL,)
+            )
+            embedded.kill(host)
+            embedded.net.break_host(host)
+            await trio.sleep(30.0)
+
+            def recorded_adapters():
+                successor = embedded.nodes[
+                    _claim_holder(embedded, engine_name)
+                ]
+                holders = successor.ownership.earlier_holders(
+                    engine_name, request_timeout_s
+                )
+                return [holder.adapters for holder in holders]
+
+            assert recorded_adapters() == [(MODEL,)]
+            await trio.sleep(60.0)
+            assert recorded_adapters() == [()]
+
+    virtual(main)
+
+
 def test_orders_are_recorded_only_while_the_claim_is_held(virtual, system):
     embedded = system("museum", engines=1)
 
