Read and log the limits that servers name

Server-Limit is decoded in platform/messages; a value that is no rate is logged and ignored. Each node keeps the latest observation of each server: a limit counts for the time at which its head was read, the absence of one for the time at which its request was sent, so that an answer to an earlier request does not end a limit that was named later. Changes are logged (server_limit) and counted; send_ended shows the limit of each answer, and sent is logged for plain services too. No request is handled otherwise than before.

--- a/src/coltsfootsail/_gateway.py
+++ b/src/coltsfootsail/_gateway.py
@@ -32,6 +32,7 @@
 from coltsfootsail import _request_handler
 from coltsfootsail import _retries
 from coltsfootsail import _seeds
+from coltsfootsail import _server_limits
 from coltsfootsail import _upstream
 from coltsfootsail import _view
 from coltsfootsail import _wire
@@ -170,8 +171,9 @@
             network, None, IDLE_CONNECTIONS_MAX, limits.limit
         )
         report_client = _http.HttpClient(network, idle_max=0)
+        self.limits = _server_limits.ServerLimits(self.now, self.metrics.count)
         self.upstream = _upstream.UpstreamClient(
-            client, report_client, self.now, self.metrics.count
+            client, report_client, self.limits, self.now, self.metrics.count
         )
         self.strikes = _poison.Strikes(lambda fingerprint: 0, STRIKES_MAX)
         self.request_handler = _request_handler.RequestHandler(self)
@@ -257,6 +259,7 @@
 
     def _on_view_change(self, changed):
         self.balancer.keep(self.view.servers)
+        self.limits.keep(self.view.servers)
         self.owned_engines.turn_away_from_unavailable()
         if changed is None:
             self.mesh.dial_now()
--- a/src/coltsfootsail/_metrics.py
+++ b/src/coltsfootsail/_metrics.py
@@ -15,6 +15,7 @@
     "refusals": "Requests ended by an error, by its code",
     "retries": "Further attempts, by the code of the failed one",
     "sends": "Sends to servers, by what was concluded at their end",
+    "server_limits": "Limits that servers named, changed and ended",
     "turned_away": "Starts that owners did not grant, by reason",
     "retries_denied": "Attempts not made, by reason",
     "forwards": "Requests passed on to the owner",
--- a/src/coltsfootsail/_plain.py
+++ b/src/coltsfootsail/_plain.py
@@ -3,6 +3,7 @@
 A caller gets a complete answer or an error, never a part of an answer.
 """
 
+from coltsfootsail import _logs
 from coltsfootsail import _request_context
 from coltsfootsail import _upstream
 from coltsfootsail import exceptions
@@ -21,6 +22,7 @@
     def __init__(self, gateway, send_policy):
         self._gateway = gateway
         self._send_policy = send_policy
+        self._now = gateway.now
         self._count = gateway.metrics.count
 
     async def forward(self, context):
@@ -79,6 +81,13 @@
         failed = None
         try:
             request = self._send_policy.build_request(context, server)
+            _logs.detail(
+                "sent",
+                id=context.meta.request_id,
+                server=server.name,
+                after_s=round(self._now() - context.received_s, 3),
+                sends=context.sends,
+            )
             with context.sending_to(server):
                 response = await gateway.upstream.fetch(
                     server, request, remaining_s
--- a/src/coltsfootsail/_upstream.py
+++ b/src/coltsfootsail/_upstream.py
@@ -122,6 +122,7 @@
     """The progress of one send, for errors and logs.
 
     :param phase: the furthest ``Phase`` that is certain.
+    :param limit_per_s: the limit that the server named, None for none.
     :param exchange: the ``Exchange``, None before there is a connection.
     :param conclusion: ``answered``, ``cancelled`` or an error's code.
     """
@@ -129,6 +130,7 @@
     started_s: float
     phase: _http.Phase = _http.Phase.CONNECTING
     exchange: object = None
+    limit_per_s: float | None = None
     conclusion: str = "cancelled"
 
     def connection_fields(self, now_s):
@@ -139,6 +141,7 @@
         return {
             "phase": exchange.phase.name,
             "status": exchange.status,
+            "limit_per_s": self.limit_per_s,
             "connection_uses": exchange.history.exchanges,
             "connection_age_s": round(now_s - exchange.history.opened_s, 4),
         }
@@ -149,13 +152,15 @@
 
     :param client: an ``HttpClient``.
     :param report_client: an ``HttpClient`` that keeps no connections.
+    :param limits: the node's ``ServerLimits``.
     :param now: closure that reads the clock.
     :param count: ``(counter, reason)``.
     """
 
-    def __init__(self, client, report_client, now, count):
+    def __init__(self, client, report_client, limits, now, count):
         self._client = client
         self._report_client = report_client
+        self._limits = limits
         self._now = now
         self._count = count
 
@@ -214,6 +219,7 @@
         ) as exchange:
             trace.exchange = exchange
             trace.phase = _http.Phase.SENDING
+            sent_s = self._now()
             await exchange.request(
                 request.method,
                 request.target,
@@ -223,6 +229,7 @@
             )
             trace.phase = _http.Phase.ANSWERING
             _set_keep_alive(exchange)
+            self._note_limit(server, exchange, sent_s, trace)
             if messages.was_not_run(exchange):
                 await exchange.read_body(BODY_BYTES_MAX)
                 raise exceptions.EndpointNotRun(exchange.status)
@@ -230,6 +237,19 @@
             await on_response(exchange)
             trace.conclusion = "answered"
 
+    def _note_limit(self, server, exchange, sent_s, trace):
+        try:
+            trace.limit_per_s = messages.server_limit(exchange)
+        except exceptions.BadField as exc:
+            _logs.state(
+                "limit_unreadable", server=server.name, reason=exc.detail
+            )
+            return
+        succeeded = 200 <= exchange.status < 300
+        self._limits.note_answer(
+            server.name, trace.limit_per_s, sent_s, succeeded
+        )
+
     async def wait_until_dropped(self, server, request_id, is_registered):
         """Wait until an engine has dropped a request that it was sent.
 
--- a/src/coltsfootsail/platform/messages.py
+++ b/src/coltsfootsail/platform/messages.py
@@ -1,8 +1,11 @@
 """Headers of requests and answers, and the callers' address lookup."""
 
 import dataclasses
+import math
 import urllib.parse
 
+from coltsfootsail import exceptions
+
 REQUEST_ID = "coltsfootsail-request-id"
 DEADLINE = "coltsfootsail-deadline-ms"
 MODEL = "coltsfootsail-model"
@@ -16,6 +19,7 @@
 PRIORITY = "coltsfootsail-request-priority"
 LAST_EVENT = "last-event-id"
 RETRY_AFTER = "retry-after"
+SERVER_LIMIT = "server-limit"
 READY_PATH = "/v1/readyz"
 RESOLVE_PATH = "/v1/resolve"
 
@@ -202,6 +206,28 @@
     return None
 
 
+def server_limit(exchange):
+    """Read the limit that a server names for all nodes together.
+
+    :param exchange: an ``Exchange`` whose head was read.
+    :returns: requests a second, the lowest of several; None if it names
+        none.
+    :raises BadField: if it names one that can't be read.
+    """
+    stated = [
+        value for name, value in exchange.headers if name == SERVER_LIMIT
+    ]
+    if not stated:
+        return None
+    try:
+        limits = [float(value) for value in stated]
+    except ValueError as exc:
+        raise exceptions.BadField(f"limit: {exc}") from exc
+    if not all(0.0 <= limit < math.inf for limit in limits):
+        raise exceptions.BadField(f"limit: {stated!r}")
+    return min(limits)
+
+
 def retry_after(delay_s):
     """Build the header that tells a caller when to retry."""
     return RETRY_AFTER, f"{max(0.0, delay_s):.2f}"
--- a/src/coltsfootsail/standins/servers.py
+++ b/src/coltsfootsail/standins/servers.py
@@ -34,12 +34,15 @@
     ``answer`` is called with each request and returns the status to reply
     with, or an exception to raise, which breaks the connection.
     With ``refuse`` set, requests get status 503 and are marked as not run.
+    With ``limit`` set, all answers name that text as the server's limit.
+    ``arrived_s`` has the time of each request.
     """
 
     def __init__(self, name, now=trio.current_time):
         self.name = name
         self.runs = []
-        self.arrivals = 0
+        self.arrived_s = []
+        self.limit = None
         self.work_s = 0.05
         self.answer = lambda req: 200
         self.refuse = False
@@ -60,26 +63,40 @@
         finally:
             self.connections -= 1
 
+    @property
+    def arrivals(self):
+        """The number of requests that arrived."""
+        return len(self.arrived_s)
+
+    def _base_headers(self, req):
+        """Make the headers that every answer has."""
+        headers = [(messages.REQUEST_ID, req.header(messages.REQUEST_ID))]
+        if self.limit is not None:
+            headers.append((messages.SERVER_LIMIT, self.limit))
+        return headers
+
     def _misdirected(self, req):
         expected = req.header(messages.EXPECT_INSTANCE)
         return bool(expected) and expected != self.name
 
     async def _handle(self, req, resp):
-        self.arrivals += 1
-        id_header = (messages.REQUEST_ID, req.header(messages.REQUEST_ID))
+        self.arrived_s.append(self._now())
         if self._misdirected(req):
-            await resp.reply(421, b"", [id_header])
+            await resp.reply(421, b"", self._base_headers(req))
             return
         if self.refuse:
-            await resp.reply(503, b"", [id_header, (messages.NOT_RUN, "1")])
+            headers = [*self._base_headers(req), (messages.NOT_RUN, "1")]
+            await resp.reply(503, b"", headers)
             return
-        self.runs.append(Run(id_header[1], "", 0, self._now(), req.headers))
+        request_id = req.header(messages.REQUEST_ID)
+        self.runs.append(Run(request_id, "", 0, self._now(), req.headers))
         await trio.sleep(self.work_s)
         answer = self.answer(req)
         if not isinstance(answer, int):
             raise answer
         body = b"done:" + req.body
-        await resp.reply(answer, body, [id_header, STAMP_HEADER])
+        headers = [*self._base_headers(req), STAMP_HEADER]
+        await resp.reply(answer, body, headers)
 
 
 class ModelServer(PlainServer):
@@ -232,28 +249,28 @@
             yield number
 
     async def _run(self, req, resp):
-        self.arrivals += 1
-        id_header = (messages.REQUEST_ID, req.header(messages.REQUEST_ID))
+        self.arrived_s.append(self._now())
         model, _, adapter = req.header(messages.MODEL).partition("/")
         version = self.adapters.get(adapter, 0) if adapter else 1
         expected = req.header(messages.EXPECT_VERSION)
         version_differs = expected and int(expected) != version
         not_loaded = model not in self.models or not version
         if self._misdirected(req) or not_loaded or version_differs:
-            await resp.reply(421, b"", [id_header])
+            await resp.reply(421, b"", self._base_headers(req))
             return
-        run = Run(id_header[1], adapter, version, self._now(), req.headers)
+        request_id = req.header(messages.REQUEST_ID)
+        run = Run(request_id, adapter, version, self._now(), req.headers)
         self.runs.append(run)
         self.running.add(run.request_id)
         try:
-            await self._stream_events(req, resp, run, id_header)
+            await self._stream_events(req, resp, run)
         finally:
             self.running.discard(run.request_id)
 
-    async def _stream_events(self, req, resp, run, id_header):
+    async def _stream_events(self, req, resp, run):
         after = int(req.header(messages.LAST_EVENT) or -1)
         headers = [
-            id_header,
+            *self._base_headers(req),
             STAMP_HEADER,
             ("content-type", "text/event-stream"),
         ]
