--- a/src/coltsfootsail/_engine_selection.py
+++ b/src/coltsfootsail/_engine_selection.py
@@ -217,6 +217,7 @@
         request = self.grant_request(context)
         ranked = self._rank_engines(context, request)
         load_penalty_s = self._load_cost_s(request.adapter)
+        home = next((s for s in ranked if not self._is_limited(s.name)), None)
         best = None
         for rank, server in enumerate(ranked):
             owner = self.owner(server)
@@ -224,8 +225,8 @@
             is_limited = self._is_limited(server.name)
             if owner is None and (is_limited or not is_loaded):
                 continue
-            is_first = not rank and not is_limited
-            load_cost_s = 0.0 if is_loaded or is_first else load_penalty_s
+            is_home = server is home
+            load_cost_s = 0.0 if is_loaded or is_home else load_penalty_s
             cost = self._backlog(server.name) + load_cost_s
             cost += RANK_COST_S * rank
             if best is None or cost < best[0]:
