Read and log the software versions of servers and the streams taken up

A registration's version is decoded (Server.software) and logged when a server appears; request shows Resumes, sent the version of the server and the event after which the stream goes on. No request is handled otherwise.

--- a/src/coltsfootsail/_fleet.py
+++ b/src/coltsfootsail/_fleet.py
@@ -145,6 +145,7 @@
     :param adapters: dict of adapter key (``model/name``) to version; a
         hint only, because registrations lag behind the server.
     :param created: store revision at which the entry was created.
+    :param software: version of the server's software.
     """
 
     name: str
@@ -156,6 +157,7 @@
     models: tuple[str, ...]
     adapters: dict[str, int]
     created: int = 0
+    software: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/coltsfootsail/_request_handler.py
+++ b/src/coltsfootsail/_request_handler.py
@@ -99,6 +99,7 @@
             adapter=prompt.adapter if prompt else "",
             version=self._gateway.view.deployment.version,
             repeatable=context.route.repeatable,
+            resumes=context.meta.resumes,
         )
 
     def _record_answered(self, context, status):
--- a/src/coltsfootsail/_streams.py
+++ b/src/coltsfootsail/_streams.py
@@ -310,6 +310,8 @@
             owner=owner or "",
             adapter=grant_request.adapter,
             version=grant_request.version,
+            software=server.software,
+            after_event=last_event_id or context.meta.last_event,
             after_s=round(self._now() - context.received_s, 3),
             sends=context.sends,
         )
--- a/src/coltsfootsail/_view.py
+++ b/src/coltsfootsail/_view.py
@@ -44,7 +44,13 @@
 
 def _routing_fields(server):
     """Get the fields that decide which requests a server may be sent."""
-    return server.service, server.address, server.draining, server.models
+    return (
+        server.service,
+        server.address,
+        server.draining,
+        server.models,
+        server.software,
+    )
 
 
 class DeploymentView:
@@ -255,6 +261,7 @@
                 service=server.service,
                 draining=server.draining,
                 address=server.address,
+                software=server.software,
             )
 
     def _remove_server(self, name):
--- a/src/coltsfootsail/platform/messages.py
+++ b/src/coltsfootsail/platform/messages.py
@@ -18,6 +18,7 @@
 EXPECT_VERSION = "coltsfootsail-expect-version"
 PRIORITY = "coltsfootsail-request-priority"
 LAST_EVENT = "last-event-id"
+RESUMES = "resumes"
 RETRY_AFTER = "retry-after"
 SERVER_LIMIT = "server-limit"
 READY_PATH = "/v1/readyz"
@@ -80,12 +81,15 @@
     :param deadline_s: how long the caller waits, None if it does not say.
     :param prompt: a ``Prompt``, or None for a plain service.
     :param last_event: id of the last event that the caller received.
+    :param resumes: id of the request whose answer brought the first event
+        of the stream that the caller takes up.
     """
 
     request_id: str
     deadline_s: float | None
     prompt: Prompt | None
     last_event: str
+    resumes: str
 
 
 def _parse_number(text):
@@ -138,6 +142,7 @@
         deadline_s=None if deadline_ms is None else deadline_ms / 1000,
         prompt=_parse_prompt(req),
         last_event=req.header(LAST_EVENT),
+        resumes=req.header(RESUMES),
     )
 
 
--- a/src/coltsfootsail/platform/registry.py
+++ b/src/coltsfootsail/platform/registry.py
@@ -153,6 +153,7 @@
             models=names,
             adapters=adapters,
             created=entry.create_revision,
+            software=str(raw.get("version", "")),
         )
     except _DECODE_ERRORS as exc:
         raise exceptions.BadField(f"{entry.key}: {exc!r}") from exc
--- a/src/coltsfootsail/standins/servers.py
+++ b/src/coltsfootsail/standins/servers.py
@@ -111,7 +111,8 @@
     store.  ``sequence`` counts accepted orders; an order that expects
     another count is refused.  ``is_order_late`` tells whether an order is
     left unanswered and carried out ``LATE_ORDER_S`` later.  ``running`` has
-    the ids of the requests that it runs.
+    the ids of the requests that it runs.  ``software`` is the version of its
+    software, which its registration states.
 
     :param store: the ``StoreStandIn`` in which it registers.
     :param address: where it listens.
@@ -136,6 +137,7 @@
         self.cut_after = None
         self.is_order_late = lambda: False
         self.running = set()
+        self.software = "v1"
         self._store = store
 
     def register(self):
@@ -146,7 +148,7 @@
                 "service": "engines",
                 "addr": self.address,
                 "zone": "a",
-                "version": "v1",
+                "version": self.software,
                 "slots": 64,
                 "state": "draining" if self.draining else "ready",
                 "coldLeftMs": 0,
--- a/tests/gateways.py
+++ b/tests/gateways.py
@@ -58,19 +58,20 @@
 
 
 class Fleet:
-    """Gateways ``g0``, ``g1``, …, two engines and two shop servers.
+    """Gateways ``g0``, ``g1``, …, engines and two shop servers.
 
     :param nursery: runs the servers and gateways.
     :param nodes: number of gateways.
+    :param engines: number of engines.
     """
 
-    def __init__(self, nursery, nodes=2):
+    def __init__(self, nursery, nodes=2, engines=2):
         self.nursery = nursery
         self.net = memory.MemoryNetwork()
         self.store = store.StoreStandIn()
         self.engines = [
             servers.ModelServer(f"i-e{n}", self.store, f"e{n}:80")
-            for n in range(2)
+            for n in range(engines)
         ]
         self.shop_servers = [servers.PlainServer(f"i-s{n}") for n in range(2)]
         self.gateways = {}
@@ -211,19 +212,20 @@
     return Reply(status, headers, b"".join(parts), whole)
 
 
-def run(scenario, nodes=2, seed=1, **options):
+def run(scenario, nodes=2, seed=1, engines=2, **options):
     """Run a scenario on a running ``Fleet`` in virtual time.
 
     :param scenario: ``async (fleet)``.
     :param nodes: number of gateways.
     :param seed: for the jitter of all pauses.
+    :param engines: number of engines.
     :param options: for ``Fleet.start``.
     """
     random.seed(seed)
 
     async def main():
         async with trio.open_nursery() as nursery:
-            fleet = Fleet(nursery, nodes)
+            fleet = Fleet(nursery, nodes, engines)
             await fleet.start(**options)
             await scenario(fleet)
             nursery.cancel_scope.cancel()
