Let a stream go on only at the software version that began it

Cause: a statement of the far side was dropped unread. A registration's version was not decoded and Resumes was passed on, so that a broken stream was sent to any engine, and another node had no way to know where it began.

Within one answer only engines of that version go on with it. While a service has several versions, the node tells three others of the stream before the caller has the first event; a node that a caller comes to with Resumes asks four nodes by consistent hashing of the id. A stream of unknown origin, or whose version has no server left, is refused at once as not run. A service with one version within the last minute needs no copies; a node that has started lately relies on the store for what has left.

Weighed: telling the engine's owner with the grant costs no message, but grants also begin streams that bring nothing, and there is no owner at times; asking all 330 nodes would cost 4 million messages when half of them fail; one copy is lost with its node; a store write for each request is ruled out.

--- a/src/coltsfootsail/_engine_selection.py
+++ b/src/coltsfootsail/_engine_selection.py
@@ -113,29 +113,39 @@
             may_move=not context.moved,
         )
 
-    def _engines(self, service, model):
-        """List a service's engines that are not draining.
+    def has_engine(self, context):
+        """Tell whether an engine may serve a request, now or soon."""
+        _, names = self._engines(context)
+        return any(name not in context.limited for name in names.values())
 
-        If any of them hold the base model, only those are listed.
+    def _engines(self, context):
+        """List the engines for a request that are not draining.
+
+        They have the software version that began its stream.  If any of
+        them hold the base model, only those are listed.
 
         :returns: sorted tuple of addresses, dict of address to name.
         """
         if self._cached_generation != self._view.generation:
             self._cached_generation = self._view.generation
             self._engines_cache.clear()
-        cached = self._engines_cache.get((service, model))
+        model = context.meta.prompt.model
+        key = context.service, model, context.software
+        cached = self._engines_cache.get(key)
         if cached is None:
             engines = [
                 server
                 for server in self._view.servers.values()
-                if server.service == service and not server.draining
+                if server.service == context.service
+                and not server.draining
+                and context.software in (None, server.software)
             ]
             # The newest of several entries with one address is the valid one.
             engines.sort(key=lambda engine: engine.created)
             with_model = [e for e in engines if model in e.models]
             names = {e.address: e.name for e in with_model or engines}
             cached = tuple(sorted(names)), names
-            self._engines_cache[service, model] = cached
+            self._engines_cache[key] = cached
         return cached
 
     def _is_eligible(self, context, server):
@@ -184,9 +194,7 @@
         An adapter has its own order; requests for a base model go to the
         engine with the smallest backlog.
         """
-        addresses, names = self._engines(
-            context.service, context.meta.prompt.model
-        )
+        addresses, names = self._engines(context)
         if "/" in request.adapter:
             count = (
                 COMPARED_ENGINES
--- a/src/coltsfootsail/_gateway.py
+++ b/src/coltsfootsail/_gateway.py
@@ -34,6 +34,7 @@
 from coltsfootsail import _retries
 from coltsfootsail import _seeds
 from coltsfootsail import _server_limits
+from coltsfootsail import _stream_origins
 from coltsfootsail import _upstream
 from coltsfootsail import _view
 from coltsfootsail import _wire
@@ -111,6 +112,10 @@
             self.now,
         )
 
+        self.stream_origins = _stream_origins.StreamOrigins(
+            self.view, self.mesh, self.now
+        )
+
     def _build_engine_control(self, settings, network):
         """Build the components that control engines."""
         lease = settings.lease
@@ -300,6 +305,7 @@
 
     def _on_view_change(self, changed):
         self.balancer.keep(self.view.servers)
+        self.stream_origins.note_servers()
         self.limits.keep(self.view.servers)
         self.limited_servers.keep(self.view.servers)
         self.owned_engines.turn_away_from_unavailable()
--- a/src/coltsfootsail/_peers.py
+++ b/src/coltsfootsail/_peers.py
@@ -116,6 +116,15 @@
     def _on_server_limit(self, node, msg):
         self._gateway.limits.learn(msg, node)
 
+    def _on_stream_begun(self, node, msg):
+        self._gateway.stream_origins.learn(msg)
+
+    def _on_stream_query(self, node, msg):
+        self.mesh.send(node, self._gateway.stream_origins.answer(msg))
+
+    def _on_stream_reply(self, node, msg):
+        self._gateway.stream_origins.handle_reply(msg)
+
     def _on_strike(self, node, msg):
         self._gateway.strikes.learn(msg.fingerprint, msg.count)
 
@@ -191,5 +200,8 @@
     _wire.Released: PeerHandler._on_released,
     _wire.DeploymentUpdate: PeerHandler._on_deployment_update,
     _wire.ServerLimit: PeerHandler._on_server_limit,
+    _wire.StreamBegun: PeerHandler._on_stream_begun,
+    _wire.StreamQuery: PeerHandler._on_stream_query,
+    _wire.StreamReply: PeerHandler._on_stream_reply,
     _wire.Strike: PeerHandler._on_strike,
 }
--- a/src/coltsfootsail/_request_context.py
+++ b/src/coltsfootsail/_request_context.py
@@ -40,6 +40,9 @@
     :param avoided: names of the engines to leave out of the next choice.
     :param interrupted_by: names of the engines that failed while they may
         have run it.
+    :param software: the only software version of servers that may go on
+        with its stream, None before its first event.
+    :param origin_noted: whether this answer has brought an event.
     :param limited: the wait in seconds at each server whose limit leaves
         no room for it.
     :param waited_for_limit: whether it has waited for such a server.
@@ -60,6 +63,8 @@
     may_have_run: set = dataclasses.field(default_factory=set)
     avoided: set = dataclasses.field(default_factory=set)
     interrupted_by: set = dataclasses.field(default_factory=set)
+    software: str | None = None
+    origin_noted: bool = False
     limited: dict = dataclasses.field(default_factory=dict)
     waited_for_limit: bool = False
 
--- /dev/null
+++ b/src/coltsfootsail/_stream_origins.py
@@ -0,0 +1,242 @@
+"""The software version at which each stream began, known over all nodes.
+
+What servers of two software versions write does not fit together, so a
+stream goes on only at the version that wrote its first event.  A caller may
+take its stream up at any node, also after the first one has failed.  While a
+service has servers of several versions, the node at which a stream begins
+therefore tells some others, chosen by a hash of the request's id, and a node
+that does not know a stream asks them.
+"""
+
+import bisect
+import collections
+import dataclasses
+import functools
+import hashlib
+import itertools
+
+import trio
+
+from coltsfootsail import _wire
+
+COPIES = 3  # nodes that are told of a stream
+NODES_ASKED = 4  # one of those told may rank lower after a node was added
+KEEP_S = 60.0  # a caller takes a stream up within this time
+REPLY_TIMEOUT_S = 0.25
+RETELL_MAX = 1000  # streams told at once when a second version appears
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Origin:
+    """Where a stream began.
+
+    :param software: version of the software of the server that wrote its
+        first event.
+    """
+
+    service: str
+    software: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Entry:
+    origin: Origin
+    noted_s: float
+    is_own: bool
+
+
+def _position(text):
+    digest = hashlib.blake2b(text.encode(), digest_size=8).digest()
+    return int.from_bytes(digest)
+
+
+@functools.lru_cache(maxsize=4)
+def _ring(nodes):
+    """Order nodes by the hashes of their names.
+
+    :param nodes: tuple of names.
+    :returns: list of hashes, and list of names in the same order.
+    """
+    pairs = sorted((_position(node), node) for node in nodes)
+    return [pair[0] for pair in pairs], [pair[1] for pair in pairs]
+
+
+def choose_nodes(request_id, nodes, count):
+    """Choose nodes by consistent hashing of a request's id.
+
+    :param nodes: tuple of the names to choose from.
+    :param count: number of names to return, if there are as many.
+    :returns: list of names.
+    """
+    positions, names = _ring(nodes)
+    first = bisect.bisect(positions, _position(request_id))
+    return [
+        names[(first + offset) % len(names)]
+        for offset in range(min(count, len(names)))
+    ]
+
+
+class _Question:
+    """A question to other nodes, and the replies that are still due."""
+
+    def __init__(self, replies):
+        self._missing = replies
+        self.origin = None
+        self.event = trio.Event()
+
+    def resolve(self, origin):
+        self._missing -= 1
+        self.origin = self.origin or origin
+        if self.origin or self._missing <= 0:
+            self.event.set()
+
+
+class StreamOrigins:
+    """Where the streams of the last ``KEEP_S`` began, as far as known here.
+
+    :param view: a ``DeploymentView``.
+    :param mesh: a ``Mesh``.
+    :param now: closure that reads the clock.
+    """
+
+    def __init__(self, view, mesh, now):
+        self._view = view
+        self._mesh = mesh
+        self._now = now
+        self._started_s = now()
+        self._entries = {}
+        self._seen_s = collections.defaultdict(dict)
+        self._registered = set()
+        self._with_several = set()
+        self._numbers = itertools.count(1)
+        self._questions = {}
+
+    def _note(self, request_id, origin, is_own):
+        self._drop_old()
+        self._entries.pop(request_id, None)
+        self._entries[request_id] = _Entry(origin, self._now(), is_own)
+
+    def _drop_old(self):
+        oldest_s = self._now() - KEEP_S
+        while self._entries:
+            request_id = next(iter(self._entries))
+            if self._entries[request_id].noted_s >= oldest_s:
+                return
+            del self._entries[request_id]
+
+    def _get(self, request_id):
+        self._drop_old()
+        entry = self._entries.get(request_id)
+        return None if entry is None else entry.origin
+
+    def note_servers(self):
+        """Note the versions of the servers that are registered now.
+
+        When a service gets a second version, the streams that began here
+        before are told.
+        """
+        now_s = self._now()
+        before, self._registered = (
+            self._registered,
+            {
+                (server.service, server.software)
+                for server in self._view.servers.values()
+            },
+        )
+        # What was registered before has left only now.
+        for service, software in before | self._registered:
+            self._seen_s[service][software] = now_s
+        for service, seen_s in self._seen_s.items():
+            for software in [s for s in seen_s if seen_s[s] < now_s - KEEP_S]:
+                del seen_s[software]
+            if len(seen_s) <= 1:
+                self._with_several.discard(service)
+            elif service not in self._with_several:
+                self._with_several.add(service)
+                self._tell_own(service)
+
+    def _only_origin(self, service):
+        """Get where every recent stream of a service began, if there is one.
+
+        A node that has started lately relies on the store, which shows the
+        engines that have left.
+        """
+        versions = self._seen_s[service]
+        if len(versions) != 1:
+            return None
+        if self._now() - self._started_s < KEEP_S and any(
+            name not in self._view.servers
+            for name in self._view.previously_claimed()
+        ):
+            return None
+        return Origin(service, next(iter(versions)))
+
+    def note_begun(self, request_id, origin):
+        """Note that a stream began, or was taken up, at this node."""
+        self._note(request_id, origin, is_own=True)
+        if origin.service in self._with_several:
+            self._tell(request_id, origin)
+
+    def _tell_own(self, service):
+        own = [
+            (request_id, entry.origin)
+            for request_id, entry in self._entries.items()
+            if entry.is_own and entry.origin.service == service
+        ]
+        for request_id, origin in own[-RETELL_MAX:]:
+            self._tell(request_id, origin)
+
+    def _tell(self, request_id, origin):
+        msg = _wire.StreamBegun(request_id, origin.service, origin.software)
+        for node in self._nodes(request_id, COPIES):
+            self._mesh.send(node, msg)
+
+    def _nodes(self, request_id, count):
+        nodes = tuple(sorted(self._mesh.linked_nodes()))
+        return choose_nodes(request_id, nodes, count)
+
+    def learn(self, msg):
+        """Note a stream that began at another node."""
+        origin = Origin(msg.service, msg.software)
+        self._note(msg.request_id, origin, is_own=False)
+
+    def answer(self, msg):
+        """Make the reply to a ``StreamQuery``."""
+        origin = self._get(msg.request_id) or self._only_origin(msg.service)
+        if origin is None:
+            return _wire.StreamReply(msg.number, False, "", "")
+        return _wire.StreamReply(
+            msg.number, True, origin.service, origin.software
+        )
+
+    def handle_reply(self, msg):
+        """Handle a ``StreamReply``."""
+        question = self._questions.get(msg.number)
+        if question is not None:
+            origin = Origin(msg.service, msg.software) if msg.known else None
+            question.resolve(origin)
+
+    async def find(self, request_id, service):
+        """Find where a stream began.
+
+        :param request_id: id of the request whose answer brought its first
+            event, empty if the caller names none.
+        :param service: the service that it is sent to now.
+        :returns: an ``Origin``, or None if it is not known.
+        """
+        origin = self._get(request_id) or self._only_origin(service)
+        if origin is not None or not request_id:
+            return origin
+        nodes = self._nodes(request_id, NODES_ASKED)
+        number = next(self._numbers)
+        msg = _wire.StreamQuery(number, request_id, service)
+        asked = sum(self._mesh.send(node, msg) for node in nodes)
+        if not asked:
+            return None
+        question = self._questions[number] = _Question(asked)
+        try:
+            with trio.move_on_after(REPLY_TIMEOUT_S):
+                await question.event.wait()
+        finally:
+            del self._questions[number]
+        return question.origin
--- a/src/coltsfootsail/_streams.py
+++ b/src/coltsfootsail/_streams.py
@@ -15,6 +15,7 @@
 from coltsfootsail import _http
 from coltsfootsail import _logs
 from coltsfootsail import _request_context
+from coltsfootsail import _stream_origins
 from coltsfootsail import _upstream
 from coltsfootsail import exceptions
 from coltsfootsail.platform import messages
@@ -56,6 +57,8 @@
     :param resp: the response to the caller.
     :param extra_headers: closure that lists headers to add.
     :param now: closure that reads the clock.
+
+    ``before_events`` is called before events are written.
     """
 
     def __init__(self, resp, extra_headers, now):
@@ -64,6 +67,7 @@
         self._now = now
         self._last_write_s = None
         self.splitter = _upstream.EventSplitter()
+        self.before_events = lambda: None
         self.started = False
         self.first_event_s = None
         self.longest_pause_s = 0.0
@@ -89,6 +93,7 @@
         """Write the complete events; keep the rest until it is complete."""
         events = self.splitter.feed(data)
         if events:
+            self.before_events()
             self._note_time()
             with _caller_errors():
                 await self._resp.write(events)
@@ -131,6 +136,8 @@
     async def forward(self, context, resp):
         """Relay a stream to the caller until the request's deadline."""
         sink = _StreamSink(resp, self._gateway.closing_headers, self._now)
+        if context.meta.resumes or context.meta.last_event:
+            await self._bind_taken_up(context)
         with trio.move_on_after(context.until_s - self._now()):
             await self._run_attempts(context, sink, resp)
             self._observe_times(context, sink)
@@ -146,6 +153,27 @@
             context,
         )
 
+    async def _bind_taken_up(self, context):
+        """Bind a stream that a caller takes up to where it began.
+
+        :raises UnknownStream: if that is not known.
+        """
+        meta, route = context.meta, context.route
+        if meta.resumes:
+            context.service = route.choose_service(meta.resumes)
+        origin = await self._gateway.stream_origins.find(
+            meta.resumes, context.service
+        )
+        if origin is None:
+            raise exceptions.UnknownStream(
+                retry_after_s=_request_context.RETRY_AFTER_S
+            )
+        if origin.service not in {each.service for each in route.targets}:
+            raise exceptions.NoEndpoint(
+                retry_after_s=_request_context.RETRY_AFTER_S
+            )
+        context.service, context.software = origin.service, origin.software
+
     def _observe_times(self, context, sink):
         if sink.first_event_s is None:
             return
@@ -259,10 +287,8 @@
 
         Those that keep to a limit are not waited for.
         """
-        servers = self._gateway.view.available_servers(context.service)
-        return self._now() < context.owner_wait_until_s and any(
-            server.name not in context.limited for server in servers
-        )
+        has_engine = self._gateway.engine_selector.has_engine(context)
+        return has_engine and self._now() < context.owner_wait_until_s
 
     async def _choose_engine(self, context):
         """Choose an engine, waiting a while if none has a known owner.
@@ -315,6 +341,7 @@
             after_s=round(self._now() - context.received_s, 3),
             sends=context.sends,
         )
+        sink.before_events = lambda: self._note_origin(context, server)
         try:
             with contextlib.ExitStack() as stack:
                 stack.enter_context(context.sending_to(server))
@@ -360,6 +387,20 @@
             await sink.write(data)
         await sink.end()
 
+    def _note_origin(self, context, server):
+        """Bind a stream to the software version that begins it.
+
+        Other nodes are told before the caller has the first event.
+        """
+        if context.origin_noted:
+            return
+        context.origin_noted = True
+        context.software = server.software
+        origin = _stream_origins.Origin(context.service, server.software)
+        meta = context.meta
+        for request_id in {meta.request_id, meta.resumes} - {""}:
+            self._gateway.stream_origins.note_begun(request_id, origin)
+
     async def _relay_error_response(self, exchange, sink, resp):
         if sink.started:
             raise exceptions.AnswerTruncated("the stream was not resumed")
--- a/src/coltsfootsail/_wire.py
+++ b/src/coltsfootsail/_wire.py
@@ -280,6 +280,41 @@
     age_s: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StreamBegun:
+    """Tells at which software version of a service a stream began."""
+
+    request_id: str
+    service: str
+    software: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StreamQuery:
+    """Asks where a stream began.
+
+    :param number: identifies the question; chosen by the sender.
+    :param service: the service that the stream is sent to now.
+    """
+
+    number: int
+    request_id: str
+    service: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StreamReply:
+    """Tells where a stream began.
+
+    :param known: whether the sender knows it.
+    """
+
+    number: int
+    known: bool
+    service: str
+    software: str
+
+
 MESSAGES = (
     Hello,
     Heartbeat,
@@ -306,6 +341,9 @@
     Ping,
     Pong,
     ServerLimit,
+    StreamBegun,
+    StreamQuery,
+    StreamReply,
 )
 _TAGS = {message_type: tag for tag, message_type in enumerate(MESSAGES)}
 _FIELD_NAMES = {
--- a/src/coltsfootsail/exceptions.py
+++ b/src/coltsfootsail/exceptions.py
@@ -202,6 +202,12 @@
     status = 422
 
 
+class UnknownStream(Refusal):
+    """It is not known at which software version the stream began."""
+
+    code = "unknown_stream"
+
+
 class RetryBudgetSpent(Refusal):
     """The attempt did not run and the node's retry budget is spent."""
 
--- a/tests/test_engine_selection.py
+++ b/tests/test_engine_selection.py
@@ -74,6 +74,7 @@
             until_s=self.now_s + 10.0,
             avoided=set(),
             limited={},
+            software=None,
         )
         return self.selector.choose(call)[0].address
 
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -1,9 +1,13 @@
 """Streams that are taken up go on at the software version that began them."""
 
 import logging
+import types
 
+import pytest
 import trio
 
+from coltsfootsail import _stream_origins
+from coltsfootsail import _wire
 from coltsfootsail.platform import messages
 from tests import gateways
 
@@ -40,6 +44,7 @@
     async def scenario(fleet):
         _register_versions(fleet)
         await trio.sleep(2.0)
+        await fleet.call("/prints/1", adapter="base/a7", request_id="r0")
         await fleet.call(
             "/prints/1",
             adapter="base/a7",
@@ -48,11 +53,12 @@
 
     with caplog.at_level(logging.DEBUG, "coltsfootsail"):
         gateways.run(scenario)
-    (request,) = [r for r in caplog.records if r.message == "request"]
-    assert request.resumes == "r0"
-    (sent,) = [r for r in caplog.records if r.message == "sent"]
-    assert sent.software in ("v1", "v2")
-    assert sent.after_event == "2"
+    requests = [r for r in caplog.records if r.message == "request"]
+    assert [request.resumes for request in requests] == ["", "r0"]
+    first, second = [r for r in caplog.records if r.message == "sent"]
+    assert first.software == second.software
+    assert first.software in ("v1", "v2")
+    assert (first.after_event, second.after_event) == ("", "2")
     servers = [r for r in caplog.records if r.message == "server"]
     assert {r.software for r in servers} >= {"v1"}
 
@@ -175,3 +181,176 @@
         _check_attempts(fleet)
 
     gateways.run(scenario, nodes=4, engines=4)
+
+
+def test_stream_of_unknown_origin_is_refused_at_once_and_runs_nowhere():
+    async def scenario(fleet):
+        await _start_streams(fleet)
+        for resumes in ("never-seen", ""):
+            begun_s = trio.current_time()
+            reply = await _take_up(fleet, 1, "g0", resumes)
+            assert reply.status == 503
+            assert float(reply.headers["retry-after"]) > 0
+            assert trio.current_time() - begun_s <= 0.3
+        assert not _runs_by_request(fleet)
+
+    gateways.run(scenario, nodes=4, engines=4)
+
+
+def test_stream_whose_version_has_no_server_left_is_refused_at_once():
+    async def scenario(fleet):
+        await _start_streams(fleet)
+        for engine in fleet.engines:
+            engine.cut_after = 1
+        await _begin(fleet, 1, "g0")
+        (began,) = _runs_by_request(fleet)["first1"][:1]
+        for engine in fleet.engines:
+            if engine.software == began.software:
+                fleet.store.drop(f"servers/{engine.name}")
+        await trio.sleep(2.0)
+        begun_s = trio.current_time()
+        reply = await _take_up(fleet, 1, "g1")
+        assert reply.status == 503
+        assert trio.current_time() - begun_s <= 0.3
+        assert "second1" not in _runs_by_request(fleet)
+
+    gateways.run(scenario, nodes=4, engines=4)
+
+
+@pytest.mark.parametrize("resumes", ["never-seen", ""])
+def test_stream_of_a_service_with_one_version_goes_on(resumes):
+    async def scenario(fleet):
+        reply = await _take_up(fleet, 1, "g1", resumes)
+        assert reply.status == 200 and reply.whole
+
+    gateways.run(scenario, nodes=3)
+
+
+def test_stream_that_began_before_a_second_version_came_goes_on_at_the_first():
+    async def scenario(fleet):
+        for engine in fleet.engines:
+            engine.cut_after = 1
+        for number in range(8):
+            await _begin(fleet, number, "g0")
+        _register_versions(fleet)
+        fleet.engines[1].name += "b"
+        fleet.engines[3].name += "b"
+        fleet.store.drop("servers/i-e1")
+        fleet.store.drop("servers/i-e3")
+        for number in (1, 3):
+            fleet.engines[number].register()
+        await trio.sleep(2.0)
+        fleet.scopes["g0"].cancel()
+        await trio.sleep(15.0)  # until other nodes own its engines
+        for number in range(8):
+            await _take_up(fleet, number, fleet.names[1 + number % 3])
+        runs = _runs_by_request(fleet)
+        gone_on = [n for n in range(8) if f"second{n}" in runs]
+        assert len(gone_on) >= 4
+        for number in gone_on:
+            engines = runs[f"second{number}"]
+            assert {engine.software for engine in engines} == {"v1"}
+
+    gateways.run(scenario, nodes=4, engines=4)
+
+
+def test_stream_is_taken_up_again_and_again_by_the_name_of_its_first_attempt():
+    async def scenario(fleet):
+        await _start_streams(fleet)
+        for engine in fleet.engines:
+            engine.cut_after = 1
+        await _begin(fleet, 1, "g0")
+        for turn in range(4):
+            node = fleet.names[turn % 4]
+            await _take_up(fleet, 1, node)
+            fleet.scopes[node].cancel()
+            await fleet.start_gateway(node)
+            await trio.sleep(3.0)
+        runs = _runs_by_request(fleet)
+        engines = runs["first1"] + runs["second1"]
+        assert len(runs["second1"]) >= 4
+        assert len({engine.software for engine in engines}) == 1
+
+    gateways.run(scenario, nodes=4, engines=4)
+
+
+def test_stream_without_an_event_may_begin_at_another_version():
+    async def scenario(fleet):
+        await _start_streams(fleet)
+        for engine in fleet.engines[:3]:
+            engine.cut_after = -1
+        replies = []
+        for number in range(12):
+            reply = await fleet.call(
+                "/prints/1",
+                adapter=_adapter(number),
+                request_id=f"r{number}",
+            )
+            replies.append(reply.whole and reply.status == 200)
+        crossed = [
+            engines
+            for engines in _runs_by_request(fleet).values()
+            if len({engine.software for engine in engines}) > 1
+        ]
+        assert crossed and any(replies)
+
+    gateways.run(scenario, nodes=4, engines=4)
+
+
+def test_most_copies_are_found_again_after_nodes_came_and_went():
+    nodes = tuple(f"n{number}" for number in range(330))
+    later = tuple(sorted({*nodes[3:], "m1", "m2"}))
+    found = 0
+    for number in range(2000):
+        told = _stream_origins.choose_nodes(
+            f"r{number}", nodes, _stream_origins.COPIES
+        )
+        assert len(set(told)) == _stream_origins.COPIES
+        asked = _stream_origins.choose_nodes(
+            f"r{number}", later, _stream_origins.NODES_ASKED
+        )
+        found += bool(set(told) & set(asked))
+    assert found >= 0.99 * 2000
+
+
+def test_version_that_has_just_left_still_counts():
+    clock = types.SimpleNamespace(now_s=0.0)
+    view = types.SimpleNamespace(servers={}, previously_claimed=list)
+    origins = _stream_origins.StreamOrigins(view, None, lambda: clock.now_s)
+
+    def register(**software):
+        view.servers = {
+            name: types.SimpleNamespace(service="engines", software=version)
+            for name, version in software.items()
+        }
+        origins.note_servers()
+
+    def is_known():
+        msg = _wire.StreamQuery(1, "r1", "engines")
+        return origins.answer(msg).known
+
+    register(a="v1", b="v2")
+    assert not is_known()
+    clock.now_s = 300.0
+    register(a="v1")
+    assert not is_known()
+    clock.now_s += 1.5 * _stream_origins.KEEP_S
+    register(a="v1")
+    assert is_known()
+
+
+def test_node_that_has_started_relies_on_the_store_for_what_has_left():
+    clock = types.SimpleNamespace(now_s=0.0)
+    server = types.SimpleNamespace(service="engines", software="v1")
+    claimed = ["a"]
+    view = types.SimpleNamespace(
+        servers={"a": server}, previously_claimed=lambda: claimed
+    )
+    origins = _stream_origins.StreamOrigins(view, None, lambda: clock.now_s)
+    origins.note_servers()
+    msg = _wire.StreamQuery(1, "r1", "engines")
+    assert origins.answer(msg) == _wire.StreamReply(1, True, "engines", "v1")
+    claimed.append("gone")
+    assert not origins.answer(msg).known
+    clock.now_s = 1.5 * _stream_origins.KEEP_S
+    assert origins.answer(msg).known
