Ask other nodes for a stream's origin while the store is silent

What callers would get: streams of two versions from a node that is cut off from the store. Cause: it takes a service for one with a single version, since it has not seen the second one appear, and so does not ask where the stream began.

Now a node without word from the store for 4 s asks first, and a stream that another node tells of also shows its version. Evidence: the new test, a node of seven with a silent store while every other engine is replaced, failed before (two versions in one stream) and passes now.

--- a/src/coltsfootsail/_plain.py
+++ b/src/coltsfootsail/_plain.py
@@ -70,7 +70,8 @@
         candidates = [s for s in servers if s.name not in context.limited]
         server = gateway.balancer.choose(candidates, context.tried)
         if server is not None:
-            async with self._granted(context, server, GRANT_AT_ONCE_S):
+            until_s = self._now() + GRANT_AT_ONCE_S
+            async with self._granted(context, server, until_s):
                 return await self._send(context, server)
         if context.limited and not context.waited_for_limit:
             context.waited_for_limit = True
@@ -86,10 +87,10 @@
             return await self._send(context, server)
 
     @contextlib.asynccontextmanager
-    async def _granted(self, context, server, wait_max_s):
+    async def _granted(self, context, server, until_s):
         """Hold a grant if the server names a limit.
 
-        :param wait_max_s: how long to wait for it.
+        :param until_s: when the request for it expires.
         :raises TurnedAway: if there is no room for the request in time.
         :raises OwnerSilent: if the node that grants does not answer.
         """
@@ -105,7 +106,7 @@
             output_tokens=0,
             priority=context.route.priority,
             objective_s=context.received_s + context.route.objective_s,
-            until_s=min(context.until_s, self._now() + wait_max_s),
+            until_s=min(context.until_s, until_s),
         )
         owner = gateway.limited_servers.owner(server)
         try:
--- a/src/coltsfootsail/_stream_origins.py
+++ b/src/coltsfootsail/_stream_origins.py
@@ -23,6 +23,7 @@
 NODES_ASKED = 4  # one of those told may rank lower after a node was added
 KEEP_S = 60.0  # a caller takes a stream up within this time
 REPLY_TIMEOUT_S = 0.25
+CONTACT_MAX_S = 4.0  # without word from the store other nodes are asked
 RETELL_MAX = 1000  # streams told at once when a second version appears
 
 
@@ -161,7 +162,7 @@
         A node that has started lately relies on the store, which shows the
         engines that have left.
         """
-        versions = self._seen_s[service]
+        versions = self._seen_s.get(service, ())
         if len(versions) != 1:
             return None
         if self._now() - self._started_s < KEEP_S and any(
@@ -171,6 +172,12 @@
             return None
         return Origin(service, next(iter(versions)))
 
+    def _is_view_recent(self):
+        contact_s = self._view.last_contact_s
+        return contact_s is not None and (
+            self._now() - contact_s < CONTACT_MAX_S
+        )
+
     def note_begun(self, request_id, origin):
         """Note that a stream began, or was taken up, at this node."""
         self._note(request_id, origin, is_own=True)
@@ -199,6 +206,8 @@
         """Note a stream that began at another node."""
         origin = Origin(msg.service, msg.software)
         self._note(msg.request_id, origin, is_own=False)
+        # The sender may have seen servers that this node has not seen yet.
+        self._seen_s[msg.service][msg.software] = self._now()
 
     def answer(self, msg):
         """Make the reply to a ``StreamQuery``."""
@@ -224,7 +233,9 @@
         :param service: the service that it is sent to now.
         :returns: an ``Origin``, or None if it is not known.
         """
-        origin = self._get(request_id) or self._only_origin(service)
+        origin = self._get(request_id)
+        if origin is None and (self._is_view_recent() or not request_id):
+            origin = self._only_origin(service)
         if origin is not None or not request_id:
             return origin
         nodes = self._nodes(request_id, NODES_ASKED)
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -9,6 +9,7 @@
 from coltsfootsail import _stream_origins
 from coltsfootsail import _wire
 from coltsfootsail.platform import messages
+from coltsfootsail.standins import store as stores
 from tests import gateways
 
 
@@ -28,6 +29,15 @@
         engine.register()
 
 
+def _release(fleet):
+    """Replace every other engine by one of another software version."""
+    for engine in fleet.engines[1::2]:
+        fleet.store.drop(f"servers/{engine.name}")
+        engine.name += "b"
+        engine.software = "v2"
+        engine.register()
+
+
 def _runs_by_request(fleet):
     """Get the engines that ran each request.
 
@@ -232,13 +242,7 @@
             engine.cut_after = 1
         for number in range(8):
             await _begin(fleet, number, "g0")
-        _register_versions(fleet)
-        fleet.engines[1].name += "b"
-        fleet.engines[3].name += "b"
-        fleet.store.drop("servers/i-e1")
-        fleet.store.drop("servers/i-e3")
-        for number in (1, 3):
-            fleet.engines[number].register()
+        _release(fleet)
         await trio.sleep(2.0)
         fleet.scopes["g0"].cancel()
         await trio.sleep(15.0)  # until other nodes own its engines
@@ -315,7 +319,9 @@
 
 def test_version_that_has_just_left_still_counts():
     clock = types.SimpleNamespace(now_s=0.0)
-    view = types.SimpleNamespace(servers={}, previously_claimed=list)
+    view = types.SimpleNamespace(
+        servers={}, previously_claimed=list, last_contact_s=0.0
+    )
     origins = _stream_origins.StreamOrigins(view, None, lambda: clock.now_s)
 
     def register(**software):
@@ -354,3 +360,30 @@
     assert not origins.answer(msg).known
     clock.now_s = 1.5 * _stream_origins.KEEP_S
     assert origins.answer(msg).known
+
+
+def test_node_that_hears_nothing_from_the_store_asks_for_origins():
+    """A second version may have appeared that it has not seen."""
+
+    async def scenario(fleet):
+        fleet.store.faults["store-g3:1"] = stores.StoreFault.SILENT
+        await trio.sleep(5.0)
+        _release(fleet)
+        await trio.sleep(2.0)
+        for engine in fleet.engines:
+            engine.cut_after = 1
+        assert len(fleet.gateways["g3"].stream_origins._seen_s["engines"]) == 1
+
+        async def call(number):
+            await _begin(fleet, number, fleet.names[number % 3])
+            await trio.sleep(0.2)
+            await _take_up(fleet, number, "g3")
+
+        await _send_streams(fleet, call)
+        runs = _runs_by_request(fleet)
+        gone_on = [n for n in range(STREAMS) if f"second{n}" in runs]
+        for number in gone_on:
+            engines = runs[f"first{number}"] + runs[f"second{number}"]
+            assert len({engine.software for engine in engines}) == 1
+
+    gateways.run(scenario, nodes=7, engines=4)
