Soak: limits, software versions and streams that are taken up

Servers name limits of 0 to 2.5 a second for 8 to 12 s, four engines have two software versions, each event states its engine's, callers take streams up with Resumes and Last-Event-Id, and a new behaviour breaks off within an answer. The checker finds streams of two versions (ORDER) and servers with more requests than their limit allows (LIMIT); a node with a fault within the last 3 s does not count, nor does what a fault at the server held up.

Both checks are seen to fail: nodes that ignore limits and nodes that go on at any version are noticed (tests/test_soak.py).

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -21,6 +21,7 @@
 SERIES = 3
 CALLERS = 24
 CHECK_S = 2.0
+LIMIT_PAUSE_S = 15.0  # mean pause between the limits of a server
 SETTLE_S = 3.0  # without new faults, before the nodes are stopped
 
 
@@ -85,6 +86,7 @@
         options.seed,
         options.fault_share,
         options.only,
+        options.limit_pause_s,
         options.program,
     )
     async with trio.open_nursery() as nursery:
@@ -109,6 +111,9 @@
     parser.add_argument("--series", type=int, default=SERIES)
     parser.add_argument("--pause", type=float, default=0.3, dest="pause_s")
     parser.add_argument("--fault-share", type=float, default=0.3)
+    parser.add_argument(
+        "--limits", type=float, default=LIMIT_PAUSE_S, dest="limit_pause_s"
+    )
     names = list(answers.BEHAVIOURS)
     parser.add_argument("--only", nargs="+", default=names, choices=names)
     parser.add_argument("--faults", nargs="+", default=faults.NAMES)
--- a/tests/soak/answers.py
+++ b/tests/soak/answers.py
@@ -1,5 +1,6 @@
 """Good and bad answers of the servers of a soak, and records of their runs."""
 
+import math
 import time
 
 import trio
@@ -12,6 +13,8 @@
 from tests.soak import records
 
 STALL_S = (0.5, 3.2)  # during which a server's process does nothing
+LIMITS_PER_S = (0.0, 0.3, 1.0, 2.5)
+LIMITED_S = (8.0, 12.0)  # during which a server names a limit
 IDLE_TIMEOUTS_S = (0.15, 0.6, 2.0, 60.0)  # after which servers close
 
 
@@ -33,13 +36,46 @@
         self._rng = rng
         self._share = share
         self._runs = 0
+        self.limit_per_s = None
         self.running = set()
         self._extra = {}
         self._unwatched = set()
         self._stalling = set()
+        self._breaking = set()
         self.open_runs = 0
         self._behaviours = [BEHAVIOURS[each] for each in names]
 
+    def head(self, req):
+        """Get the headers that all answers to a request have."""
+        headers = protocol.echo(req)
+        if self.limit_per_s is not None:
+            headers.append((messages.SERVER_LIMIT, str(self.limit_per_s)))
+        return headers
+
+    async def name_limits(self, pause_s):
+        """Name a limit for a while, again and again.
+
+        :param pause_s: mean pause between limits.
+        """
+        while True:
+            await trio.sleep(self._rng.expovariate(1 / pause_s))
+            self._set_limit(self._rng.choice(LIMITS_PER_S))
+            await trio.sleep(self._rng.uniform(*LIMITED_S))
+            self._set_limit(None)
+
+    def _set_limit(self, per_s):
+        self.limit_per_s = per_s
+        record = records.Limit(records.now_s(), self._name, per_s)
+        self._writer.write(record)
+
+    def note_arrival(self, req):
+        """Record that a request has arrived while a limit is named."""
+        if self.limit_per_s is not None:
+            record = records.Arrival(
+                records.now_s(), self._name, req.header(messages.REQUEST_ID)
+            )
+            self._writer.write(record)
+
     async def answer(self, req, resp, work):
         """Answer a request by one of the behaviours."""
         extra = self._extra.pop(resp.stream, None)
@@ -64,6 +100,7 @@
         """
         unwatched = self._take(self._unwatched, resp.stream)
         stalls = self._take(self._stalling, resp.stream)
+        breaks = self._take(self._breaking, resp.stream)
         self._runs += 1
         run = f"{self._name}/{self._runs}"
         request_id = req.header(messages.REQUEST_ID)
@@ -93,8 +130,13 @@
 
                 how[0] = await _tasks.run_with_background(watch, work)
 
+        break_s = self._rng.uniform(0.05, 0.4) if breaks else math.inf
         try:
-            await work_until_hangup()
+            with trio.move_on_after(break_s) as scope:
+                await work_until_hangup()
+            if scope.cancelled_caught:
+                how[0] = "broken"
+                protocol.reset(resp.stream)
         finally:
             self.open_runs -= 1
             self.running.discard(request_id)
@@ -121,14 +163,14 @@
 
     async def refuse(self, req, resp, work=None):
         """Refuse a request and state that it was not run."""
-        headers = [*protocol.echo(req), (messages.NOT_RUN, "1")]
+        headers = [*self.head(req), (messages.NOT_RUN, "1")]
         await resp.reply(503, b"", headers)
 
     async def _refuse_and_repeat(self, req, resp, work):
         """Send the refusal again before the connection's next answer."""
         await self.refuse(req, resp)
         echo = "".join(
-            f"{name}: {value}\r\n" for name, value in protocol.echo(req)
+            f"{name}: {value}\r\n" for name, value in self.head(req)
         )
         self._extra[resp.stream] = (
             "HTTP/1.1 503 busy\r\n"
@@ -136,7 +178,7 @@
         ).encode()
 
     async def _refuse_and_close(self, req, resp, work):
-        headers = [*protocol.echo(req), (messages.NOT_RUN, "1")]
+        headers = [*self.head(req), (messages.NOT_RUN, "1")]
         await resp.reply(503, b"", [*headers, ("connection", "close")])
 
     async def _reset_unread(self, req, resp, work):
@@ -157,6 +199,11 @@
         self._stalling.add(resp.stream)
         await work(req, resp)
 
+    async def _run_and_break(self, req, resp, work):
+        """Reset the connection while the answer is written."""
+        self._breaking.add(resp.stream)
+        await work(req, resp)
+
     async def _run_and_reset(self, req, resp, work):
         async def end():
             await trio.sleep(self._rng.uniform(0.0, 0.1))
@@ -176,7 +223,7 @@
     def _run_and_state(status):
         async def behave(self, req, resp, work):
             async def end():
-                headers = [*protocol.echo(req), servers.STAMP_HEADER]
+                headers = [*self.head(req), servers.STAMP_HEADER]
                 await resp.reply(status, b"busy", headers)
                 return "done"
 
@@ -186,7 +233,7 @@
 
     async def _run_and_truncate(self, req, resp, work):
         async def end():
-            head = [*protocol.echo(req), servers.STAMP_HEADER]
+            head = [*self.head(req), servers.STAMP_HEADER]
             await resp.start(200, [*head, ("content-length", "999")])
             await resp.write(b"do")
             return "truncated"
@@ -203,7 +250,7 @@
     async def _answer_and_repeat(self, req, resp, work):
         """Send another answer before the connection's next one."""
         await work(req, resp)
-        request_id = self._rng.choice((*protocol.echo(req), ("x-none", "0")))
+        request_id = self._rng.choice((*self.head(req), ("x-none", "0")))
         self._extra[resp.stream] = (
             "HTTP/1.1 200 OK\r\n"
             f"{request_id[0]}: {request_id[1]}\r\n"
@@ -219,6 +266,7 @@
     "reset_unread": FaultyAnswers._reset_unread,
     "run_slowly": FaultyAnswers._run_slowly,
     "run_and_reset": FaultyAnswers._run_and_reset,
+    "run_and_break": FaultyAnswers._run_and_break,
     "run_and_close": FaultyAnswers._run_and_close,
     "run_and_408": FaultyAnswers._run_and_state(408),
     "run_and_429": FaultyAnswers._run_and_state(429),
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -61,13 +61,47 @@
         self.http = h11.Connection(h11.CLIENT)
 
 
+class _Stream:
+    """What a caller has of a stream, over all its attempts."""
+
+    def __init__(self):
+        self._events = b""
+        self._first_attempt = ""
+
+    def headers(self):
+        """Get the headers that take the stream up after its last event."""
+        if not self._events:
+            return []
+        last = self._events.count(b"\n\n") - 1
+        return [
+            (messages.RESUMES, self._first_attempt),
+            (messages.LAST_EVENT, str(last)),
+        ]
+
+    def add(self, attempt_id, answer):
+        """Add the events of an attempt's answer.
+
+        :returns: all that the caller has.
+        """
+        if not 200 <= answer.status < 300:
+            return self._events
+        body = self._events + answer.body
+        self._events = protocol.complete_events(body)
+        if self._events and not self._first_attempt:
+            self._first_attempt = attempt_id
+        return body
+
+
 @dataclasses.dataclass(slots=True)
 class _Answer:
     """What came of an attempt.
 
+    :param taken_up: the ``_Stream`` that it takes up, if that has begun.
     :param what: ``answer``, or how the attempt failed.
     """
 
+    taken_up: _Stream
+
     what: str = "timeout"
     status: int = 0
     body: bytes = b""
@@ -108,13 +142,14 @@
         self._number += 1
         content = f"{self._name}-{self._number}"
         until_s = records.now_s() + kind.deadline_s
+        stream = _Stream()
         failed = set()
         for attempt in range(ATTEMPTS_MAX):
             left_s = until_s - records.now_s()
             if left_s <= 0.1:
                 return
             answer, address = await self._attempt(
-                kind, content, attempt, left_s, failed
+                kind, content, attempt, left_s, failed, stream
             )
             if not self._may_retry(kind, answer):
                 return
@@ -132,9 +167,9 @@
             return self._trusts_resets
         return answer.status in checker.PROMISES or answer.what == "refused"
 
-    async def _attempt(self, kind, content, attempt, left_s, failed):
+    async def _attempt(self, kind, content, attempt, left_s, failed, taken_up):
         attempt_id = f"{self._rng.getrandbits(64):016x}"
-        answer = _Answer()
+        answer = _Answer(taken_up=taken_up)
         connection = None
         with trio.move_on_after(self._patience_s(left_s)) as scope:
             try:
@@ -148,6 +183,9 @@
         if scope.cancelled_caught:
             await self._drop_kept()
             answer.what = "left"
+        body = answer.body
+        if kind.name == "resumable":
+            body = taken_up.add(attempt_id, answer)
         result = records.Result(
             records.now_s(),
             kind.name,
@@ -155,9 +193,10 @@
             attempt_id,
             answer.status if answer.what == "answer" else 0,
             answer.what,
-            answer.body == _expected_body(kind, content),
+            _is_right(kind, content, body),
             self._nodes[connection.address] if connection else "",
             connection.sent_s if connection else 0.0,
+            protocol.stream_versions(body),
         )
         self._writer.write(result)
         return answer, connection.address if connection else ""
@@ -209,6 +248,7 @@
                 (messages.MODEL, adapter),
                 (messages.TOKENS, "400,80"),
                 (messages.PROMPT_PREFIX, "aa:100,bb:300"),
+                *answer.taken_up.headers(),
             ]
         events = (
             h11.Request(
@@ -261,12 +301,11 @@
     return "reset" if is_reset else "broken"
 
 
-def _expected_body(kind, content):
+def _is_right(kind, content, body):
+    """Tell whether a body is the whole answer to a content."""
     if kind.name in ("stream", "resumable"):
-        return b"".join(
-            protocol.event(content, number) for number in range(EVENTS)
-        )
-    return protocol.plain_body(content)
+        return protocol.is_whole_stream(body, content, EVENTS)
+    return body == protocol.plain_body(content)
 
 
 def make_callers(count, seed, nodes, writer, trusts_resets):
--- a/tests/soak/checker.py
+++ b/tests/soak/checker.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import math
 
 from tests.soak import records
 
@@ -16,6 +17,9 @@
 KILLS = frozenset({"kill", "drain"})  # faults that end a server's process
 PLANNED = frozenset({"terminate", "terminate_twice"})
 CONTACT_S = 3.0  # faults at a link or process excuse overlaps this long
+LIMIT_WINDOW_S = 4.0
+LIMIT_SHARE = 1.5  # of what a limit allows in a window
+LIMIT_EXTRA = 5  # requests beside
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -45,6 +49,8 @@
     fault about.
     ``MIXED``: a success had not the body of the content.
     ``NO_RUN``: a caller got a success for something that never ran.
+    ``ORDER``: a stream has events of two software versions.
+    ``LIMIT``: a server got more requests than the limit that it named.
 
     :param found: list of records, ordered by time.
     :returns: list of ``Violation``.
@@ -68,6 +74,8 @@
             begins, by_type[records.RunEnd], results, by_type[records.Fault]
         ),
         *_wrong_successes(begins, results),
+        *_two_versions(results),
+        *_over_limits(by_type),
     ]
 
 
@@ -196,6 +204,71 @@
             yield Violation("NO_RUN", (each,))
 
 
+def _two_versions(results):
+    for each in results:
+        if len(each.versions) > 1:
+            yield Violation("ORDER", (each,))
+
+
+def _over_limits(by_type):
+    faults = by_type[records.Fault]
+    nodes = {each.attempt: each.node for each in by_type[records.Result]}
+    arrivals = _group(by_type[records.Arrival], lambda each: each.server)
+    limits = _group(by_type[records.Limit], lambda each: each.server)
+    for server, named in limits.items():
+        counted = [
+            each
+            for each in arrivals[server]
+            if not _is_excused_arrival(each, nodes, faults)
+        ]
+        ends = [*named[1:], None]
+        for limit, end in zip(named, ends, strict=True):
+            if limit.per_s is None:
+                continue
+            until_s = math.inf if end is None else end.at_s
+            yield from _over_limit(limit, until_s, counted)
+
+
+def _over_limit(limit, until_s, arrivals):
+    allowed = LIMIT_SHARE * limit.per_s * LIMIT_WINDOW_S + LIMIT_EXTRA
+    times_s = [
+        each.at_s
+        for each in arrivals
+        if limit.at_s + CONTACT_S <= each.at_s <= until_s
+    ]
+    for start_s in times_s:
+        end_s = start_s + LIMIT_WINDOW_S
+        count = sum(start_s <= at_s < end_s for at_s in times_s)
+        if count > allowed:
+            within = [
+                each for each in arrivals if start_s <= each.at_s < end_s
+            ]
+            yield Violation("LIMIT", (limit, *within))
+            return
+
+
+def _is_excused_arrival(arrival, nodes, faults):
+    """Tell whether a fault may have kept a node from knowing the limit.
+
+    Requests that were held up on the way arrive together, so they do not
+    count either.
+    """
+    node = nodes.get(arrival.attempt)
+    if not node:
+        return True
+    for fault in faults:
+        _, _, last = fault.target.rpartition("/")
+        at_node = node in fault.target.split("/")
+        at_server = arrival.server == fault.target or last in (
+            arrival.server.split("-")
+        )
+        excused_s = CONTACT_S if at_node else DELAY_S
+        is_near = fault.at_s <= arrival.at_s <= fault.until_s + excused_s
+        if is_near and (at_node or at_server):
+            return True
+    return False
+
+
 def summary(found):
     """Count what callers were told and what servers ran.
 
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -1,9 +1,10 @@
 """The store and the servers of a soak, as processes of their own.
 
-``python -m tests.soak.processes ROLE NAME ADDRESS RECORDS SEED SHARE NAMES``
-runs one of them; ``ROLE`` is ``store``, ``engine`` or ``plain``, ``SHARE`` the
-share of requests that a server answers badly and ``NAMES`` the behaviours to
-choose from, separated by commas.
+``python -m tests.soak.processes ROLE NAME ADDRESS RECORDS SEED SHARE NAMES
+LIMIT_PAUSE_S`` runs one of them; ``ROLE`` is ``store``, ``engine`` or
+``plain``, ``SHARE`` the share of requests that a server answers badly and
+``NAMES`` the behaviours to choose from, separated by commas.  A server names
+a limit now and then, unless ``LIMIT_PAUSE_S``, the mean pause, is 0.
 """
 
 import collections
@@ -39,8 +40,9 @@
         await self._faulty_answers.serve(stream, self._handle)
 
     async def _handle(self, req, resp):
+        self._faulty_answers.note_arrival(req)
         if self._misdirected(req):
-            await resp.reply(421, b"", protocol.echo(req))
+            await resp.reply(421, b"", self._faulty_answers.head(req))
         elif self._faulty_answers.open_runs >= PLAIN_SLOTS:
             await self._faulty_answers.refuse(req, resp)
         else:
@@ -51,7 +53,9 @@
             await trio.sleep(self.work_s * factor)
             body = protocol.plain_body(req.header(protocol.CONTENT))
             await resp.reply(
-                200, body, [*protocol.echo(req), servers.STAMP_HEADER]
+                200,
+                body,
+                [*self._faulty_answers.head(req), servers.STAMP_HEADER],
             )
             return "done"
 
@@ -74,6 +78,7 @@
         self.running = faulty_answers.running
         self.events = 8
         self.event_s = 0.05
+        self.software = protocol.software(name.split("-")[1])
 
     async def serve(self, stream):
         """Serve one connection."""
@@ -85,12 +90,13 @@
         return super()._order(req)
 
     async def _run(self, req, resp):
+        self._faulty_answers.note_arrival(req)
         adapter = req.header(messages.MODEL).partition("/")[2]
         version = self.adapters.get(adapter, 0) if adapter else 1
         expected = req.header(messages.EXPECT_VERSION)
         other = expected and int(expected) != version
         if self._misdirected(req) or not version or other:
-            await resp.reply(421, b"", protocol.echo(req))
+            await resp.reply(421, b"", self._faulty_answers.head(req))
         else:
             await self._faulty_answers.answer(req, resp, self._work)
 
@@ -99,13 +105,14 @@
         content = req.header(protocol.CONTENT)
 
         async def work():
-            headers = [*protocol.echo(req), servers.STAMP_HEADER]
+            headers = [*self._faulty_answers.head(req), servers.STAMP_HEADER]
             await resp.start(
                 200, [*headers, ("content-type", "text/event-stream")]
             )
             for number in range(after + 1, self.events):
                 await trio.sleep(self.event_s * factor)
-                await resp.write(protocol.event(content, number))
+                event = protocol.event(content, number, self.software)
+                await resp.write(event)
             await resp.end()
             return "done"
 
@@ -135,16 +142,6 @@
                 await stand_in.restore(copy, rng.uniform(0.1, 1.0))
 
 
-def _make_handler(role, name, address, path, rng, share, names):
-    writer = records.Writer(path)
-    faulty_answers = answers.FaultyAnswers(
-        name, writer, rng, float(share), names.split(",")
-    )
-    if role == "engine":
-        return EngineProcess(name, address, faulty_answers).serve
-    return PlainProcess(name, faulty_answers).serve
-
-
 async def _serve(address, handler):
     async def handle(stream):
         try:
@@ -155,14 +152,35 @@
     await _net.tcp_network().serve(address, handle)
 
 
-def main(role, name, address, path, seed, share, names):
+async def _serve_requests(role, name, address, faulty_answers, limit_pause_s):
+    """Run a server of the service that is its role."""
+    if role == "engine":
+        server = EngineProcess(name, address, faulty_answers)
+    else:
+        server = PlainProcess(name, faulty_answers)
+    async with trio.open_nursery() as nursery:
+        if limit_pause_s:
+            nursery.start_soon(faulty_answers.name_limits, limit_pause_s)
+        await _serve(address, server.serve)
+
+
+def main(role, name, address, path, seed, share, names, limit_pause_s):
     """Run one process until it is killed."""
     rng = random.Random(f"{seed}/{name}")
     if role == "store":
         trio.run(_serve_store, address, rng)
         return
-    handler = _make_handler(role, name, address, path, rng, share, names)
-    trio.run(_serve, address, handler)
+    faulty_answers = answers.FaultyAnswers(
+        name, records.Writer(path), rng, float(share), names.split(",")
+    )
+    trio.run(
+        _serve_requests,
+        role,
+        name,
+        address,
+        faulty_answers,
+        float(limit_pause_s),
+    )
 
 
 if __name__ == "__main__":
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -44,6 +44,8 @@
     :param right: whether a success had the content's whole body.
     :param node: the node that it was sent to; empty if there was none.
     :param sent_s: when its last byte was sent.
+    :param versions: of the software that wrote the events that the caller
+        has, over all its attempts.
     """
 
     at_s: float
@@ -55,6 +57,7 @@
     right: bool = True
     node: str = ""
     sent_s: float = 0.0
+    versions: tuple = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -84,8 +87,30 @@
     fence: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Limit:
+    """A server has begun to name a limit.
+
+    :param per_s: requests a second, None for no limit any more.
+    """
+
+    at_s: float
+    server: str
+    per_s: float | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Arrival:
+    """A request has arrived at a server that names a limit."""
+
+    at_s: float
+    server: str
+    attempt: str
+
+
 _TYPES = {
-    each.__name__: each for each in (RunBegin, RunEnd, Result, Fault, Order)
+    each.__name__: each
+    for each in (RunBegin, RunEnd, Result, Fault, Order, Limit, Arrival)
 }
 
 
--- a/tests/soak/system.py
+++ b/tests/soak/system.py
@@ -14,11 +14,12 @@
 from coltsfootsail import _net
 from coltsfootsail.platform import messages
 from coltsfootsail.standins import users
+from tests.soak import protocol
 from tests.soak import proxy
 from tests.soak import records
 
 NODES = ("g0", "g1", "g2")
-ENGINES = ("e0", "e1")
+ENGINES = ("e0", "e1", "e2", "e3")
 SHOPS = ("s0", "s1", "s2")
 GRACE_S = 5.0
 READY_TIMEOUT_S = 300.0
@@ -64,15 +65,26 @@
     :param seed: seed of the servers' behaviour.
     :param fault_share: share of the requests that servers answer badly.
     :param behaviours: names of the ways in which they do.
+    :param limit_pause_s: mean pause between the limits of a server, 0 for
+        no limits.
     :param program: command that runs a node, without its settings.
     """
 
-    def __init__(self, directory, seed, fault_share, behaviours, program=()):
+    def __init__(
+        self,
+        directory,
+        seed,
+        fault_share,
+        behaviours,
+        limit_pause_s,
+        program=(),
+    ):
         self.directory = directory
         self.links = {}
         self._seed = seed
         self._fault_share = fault_share
         self._behaviours = behaviours
+        self._limit_pause_s = limit_pause_s
         self._program = program or (sys.executable, "-m", "coltsfootsail")
         self._processes = {}
         self._incarnations = dict.fromkeys((*ENGINES, *SHOPS), 0)
@@ -137,6 +149,7 @@
             str(self._seed),
             str(self._fault_share),
             ",".join(self._behaviours),
+            str(self._limit_pause_s),
         ]
 
     def _node_command(self, node):
@@ -182,6 +195,7 @@
         if server in ENGINES:
             models = [{"name": "base", "version": 1, "adapters": []}]
             entry |= {"service": "engines", "slots": 64, "models": models}
+            entry["version"] = protocol.software(server)
         key = f"servers/{self.instance(server)}"
         value = base64.b64encode(json.dumps(entry).encode()).decode()
         await self._write(writes=[{"key": key, "value": value}])
--- a/tests/soak/unsafe_node.py
+++ b/tests/soak/unsafe_node.py
@@ -3,6 +3,7 @@
 ``python -m tests.soak.unsafe_node NAME node --settings FILE``
 """
 
+import math
 import sys
 
 from coltsfootsail import __main__ as program
@@ -11,6 +12,9 @@
 from coltsfootsail import _http_client
 from coltsfootsail import _request_context
 from coltsfootsail import _request_handler
+from coltsfootsail import _server_limits
+from coltsfootsail import _stream_origins
+from coltsfootsail import _streams
 from coltsfootsail import _upstream
 from coltsfootsail import exceptions
 
@@ -50,7 +54,22 @@
     _gateway.Gateway.drain = drain
 
 
+def _ignore_limits():
+    _server_limits.ServerLimits.per_s = lambda self, name: math.inf
+
+
+def _go_on_at_any_version():
+    _streams.StreamForwarder._note_origin = lambda self, context, server: None
+    _stream_origins.StreamOrigins.find = _find_nothing_bound
+
+
+async def _find_nothing_bound(self, request_id, service):
+    return _stream_origins.Origin(service, None)
+
+
 REMOVALS = {
+    "ignore_limits": _ignore_limits,
+    "go_on_at_any_version": _go_on_at_any_version,
     "repeat_on_a_used_connection": _repeat_on_a_used_connection,
     "trust_every_status": _trust_every_status,
     "retry_every_failure": _retry_every_failure,
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,5 +1,6 @@
 """The soak's checker, and short runs of the soak with fixed seeds."""
 
+import dataclasses
 import sys
 
 import pytest
@@ -100,6 +101,45 @@
     assert _rules(_result(2, 200)) == ["NO_RUN"]
 
 
+def test_checker_finds_a_stream_of_two_software_versions():
+    result = _result(2, 200, kind="resumable")
+    for versions, broken in ((("v1",), False), (("v1", "v2"), True)):
+        rules = _rules(
+            _begin(1, kind="resumable"),
+            dataclasses.replace(result, versions=versions),
+        )
+        assert rules == (["ORDER"] if broken else [])
+
+
+@pytest.mark.parametrize(
+    ("count", "begin_s", "fault", "broken"),
+    [
+        (11, 4.0, None, False),
+        (12, 4.0, None, True),
+        (12, 2.0, None, False),
+        (12, 4.0, records.Fault(2.0, 3.5, "g0", "kill"), False),
+        (12, 4.0, records.Fault(2.0, 3.5, "g0/store", "split"), False),
+        (12, 4.0, records.Fault(2.0, 3.5, "g1", "kill"), True),
+        (12, 4.0, records.Fault(2.0, 5.9, "i-e0-1", "suspend"), False),
+    ],
+)
+def test_checker_finds_more_requests_than_a_limit_allows(
+    count, begin_s, fault, broken
+):
+    named = records.Limit(1.0, "i-e0-1", 1.0)
+    arrivals = [
+        records.Arrival(begin_s + 0.1 * n, "i-e0-1", f"x{n}")
+        for n in range(count)
+    ]
+    results = [
+        records.Result(9.0, "stream", "c", f"x{n}", 503, "answer", node="g0")
+        for n in range(count)
+    ]
+    extra = [] if fault is None else [fault]
+    rules = _rules(named, *arrivals, *results, *extra)
+    assert rules == (["LIMIT"] if broken else [])
+
+
 def _play(directory, seconds, *arguments):
     arguments = ["--seconds", seconds, *arguments]
     options = soak.make_parser().parse_args(arguments)
@@ -165,3 +205,32 @@
     ]
     violations, _ = _play(tmp_path, UNSAFE_SECONDS, *arguments)
     assert {violation.rule for violation in violations} & {"TWICE", "REFUSED"}
+
+
+@pytest.mark.parametrize(
+    ("name", "rule", "arguments"),
+    [
+        (
+            "ignore_limits",
+            "LIMIT",
+            ["--fault-share", "0", "--limits", "3"],
+        ),
+        (
+            "go_on_at_any_version",
+            "ORDER",
+            ["--limits", "0", "--only", "run_and_break"],
+        ),
+    ],
+)
+def test_soak_notices_a_node_that_ignores_what_servers_state(
+    name, rule, arguments, tmp_path
+):
+    program = f"{sys.executable} -m tests.soak.unsafe_node {name}"
+    violations, _ = _play(
+        tmp_path,
+        UNSAFE_SECONDS,
+        *["--faults", "kill", "--series", "1"],
+        *arguments,
+        *["--program", program],
+    )
+    assert rule in {violation.rule for violation in violations}
