Bound what a gateway reads of answers without end

Cause: each answer had a largest size, but not all answers of the process together, and informational answers and answers to other requests were read without any bound. The class: a bound on each item and none on their sum.

At most 16 informational answers and 4 answers to other requests, of 1 MB, are read before the answer. Of an answer that states that nothing ran 64 KB are read: its head says all. An endless answer was perhaps run and counts as a failure of its server, as before.

Not done of the issue: the soak's servers, the store's answers and peers' messages, event streams beyond the largest event.

--- a/src/coltsfootsail/_gateway.py
+++ b/src/coltsfootsail/_gateway.py
@@ -13,6 +13,7 @@
 
 import trio
 
+from coltsfootsail import _answer_memory
 from coltsfootsail import _claims
 from coltsfootsail import _connection_limits
 from coltsfootsail import _engine_controller
@@ -200,6 +201,7 @@
         self.upstream = _upstream.UpstreamClient(
             client, report_client, self.limits, self.now, self.metrics.count
         )
+        self.answer_memory = _answer_memory.AnswerMemory()
         self.strikes = _poison.Strikes(lambda fingerprint: 0, STRIKES_MAX)
         self.request_handler = _request_handler.RequestHandler(self)
 
--- a/src/coltsfootsail/_http.py
+++ b/src/coltsfootsail/_http.py
@@ -8,6 +8,7 @@
 HttpLimits = _http_messages.HttpLimits
 HttpRequest = _http_messages.HttpRequest
 Phase = _http_messages.Phase
+AnswerTooLarge = _http_messages.AnswerTooLarge
 Responder = _http_server.Responder
 serve_connection = _http_server.serve_connection
 error_json = _http_server.error_json
--- a/src/coltsfootsail/_http_client.py
+++ b/src/coltsfootsail/_http_client.py
@@ -13,11 +13,15 @@
 import h11
 import trio
 
+from coltsfootsail import _answer_memory
 from coltsfootsail import _http_messages
 from coltsfootsail import _tasks
 
 POOL_IDLE_MAX = 64
 POOL_IDLE_S = 20.0
+INFORMATIONAL_MAX = 16  # informational answers before the answer
+FOREIGN_ANSWERS_MAX = 4  # answers to other requests before the answer
+FOREIGN_BYTES_MAX = 1_048_576  # of their bodies
 CONNECTION_REQUESTS_MAX = 100  # bounds the ids that a connection remembers
 
 
@@ -88,10 +92,12 @@
 
         async def read():
             status = await self.read_head()
-            while not accept(self):
+            for _ in range(FOREIGN_ANSWERS_MAX):
+                if accept(self):
+                    return status
                 await self._discard_answer(method, target, headers, body)
                 status = await self.read_head()
-            return status
+            raise _http_messages.AnswerTooLarge("answers to other requests")
 
         return await _tasks.run_with_background(
             self._send_ignoring_errors, read, data
@@ -113,8 +119,7 @@
         A new protocol state then expects the answer to this request; bytes
         that were already received for it are kept.
         """
-        while self.phase is not _http_messages.Phase.DONE:
-            await self.read_some()
+        await self.read_body(FOREIGN_BYTES_MAX)
         received = self._conn.trailing_data[0]
         self._conn = h11.Connection(h11.CLIENT)
         _encode_request(self._conn, method, target, headers, body)
@@ -130,7 +135,11 @@
         :raises h11.RemoteProtocolError: if the connection ends first.
         """
         event = await _http_messages.next_event(self._conn, self._stream)
+        informational = 0
         while isinstance(event, h11.InformationalResponse):
+            informational += 1
+            if informational > INFORMATIONAL_MAX:
+                raise _http_messages.AnswerTooLarge("informational answers")
             event = await _http_messages.next_event(self._conn, self._stream)
         if not isinstance(event, h11.Response):
             raise h11.RemoteProtocolError("no answer")
@@ -163,11 +172,15 @@
             raise h11.RemoteProtocolError("answer broke off")
         return parts[0] if len(parts) == 1 else b"".join(parts)
 
-    async def read_body(self, limit_bytes):
+    async def read_body(self, limit_bytes, account=None):
         """Read the whole body.
 
         :param limit_bytes: the largest body to accept.
-        :raises h11.RemoteProtocolError: if the body is incomplete or larger.
+        :param account: an ``_answer_memory.Account`` from which the bytes
+            are taken, or None.
+        :raises AnswerTooLarge: if the body is larger, or the memory of all
+            answers is used up.
+        :raises h11.RemoteProtocolError: if the body is incomplete.
         """
         parts = []
         size = 0
@@ -175,7 +188,12 @@
             data = await self.read_some()
             size += len(data)
             if size > limit_bytes:
-                raise h11.RemoteProtocolError("answer too large")
+                raise _http_messages.AnswerTooLarge("body too large")
+            counted = account is not None and (
+                size > _answer_memory.UNCOUNTED_BYTES
+            )
+            if counted and not account.take(len(data)):
+                raise _http_messages.AnswerTooLarge("memory of all answers")
             parts.append(data)
         return b"".join(parts)
 
--- a/src/coltsfootsail/_http_messages.py
+++ b/src/coltsfootsail/_http_messages.py
@@ -79,6 +79,10 @@
         return value
 
 
+class AnswerTooLarge(h11.RemoteProtocolError):
+    """A server sends more than is read of an answer."""
+
+
 class Phase(enum.IntEnum):
     """Progress of an exchange with a server."""
 
--- a/src/coltsfootsail/_plain.py
+++ b/src/coltsfootsail/_plain.py
@@ -141,7 +141,7 @@
             )
             with context.sending_to(server):
                 response = await gateway.upstream.fetch(
-                    server, request, remaining_s
+                    server, request, remaining_s, context.account
                 )
                 failed = response.status >= 500
                 if not context.route.repeatable:
--- a/src/coltsfootsail/_request_context.py
+++ b/src/coltsfootsail/_request_context.py
@@ -45,6 +45,7 @@
     :param origin_noted: whether this answer has brought an event.
     :param limited: the wait in seconds at each server whose limit leaves
         no room for it.
+    :param account: the ``_answer_memory.Account`` of its answers.
     :param waited_for_limit: whether it has waited for such a server.
     """
 
@@ -66,6 +67,7 @@
     software: str | None = None
     origin_noted: bool = False
     limited: dict = dataclasses.field(default_factory=dict)
+    account: object = None
     waited_for_limit: bool = False
 
     @property
--- a/src/coltsfootsail/_request_handler.py
+++ b/src/coltsfootsail/_request_handler.py
@@ -78,12 +78,13 @@
         if context.route.kind is _fleet.RouteKind.STREAMING:
             await self._streams.forward(context, resp)
         else:
-            response = await self._plain.forward(context)
-            await resp.reply(
-                response.status,
-                response.body,
-                [*response.headers, *self._gateway.closing_headers()],
-            )
+            with self._gateway.answer_memory.hold() as context.account:
+                response = await self._plain.forward(context)
+                await resp.reply(
+                    response.status,
+                    response.body,
+                    [*response.headers, *self._gateway.closing_headers()],
+                )
         self._gateway.peers.clear_strikes(context.fingerprint)
         self._record_answered(context, resp.status)
 
--- a/src/coltsfootsail/_upstream.py
+++ b/src/coltsfootsail/_upstream.py
@@ -5,6 +5,7 @@
 same connection is dropped.
 """
 
+import contextlib
 import dataclasses
 
 import trio
@@ -16,6 +17,8 @@
 from coltsfootsail.platform import messages
 
 BODY_BYTES_MAX = 16_777_216
+ERROR_BODY_BYTES_MAX = 1_048_576  # where a stream was asked for
+NOT_RUN_BODY_BYTES_MAX = 65_536  # more is not read: the head says all
 KEEP_ALIVE_SHARE = 0.6  # of the keep-alive time that a server states
 KEEP_ALIVE_DEFAULT_S = 0.5  # where the server states none
 EVENT_BYTES_MAX = 1_048_576
@@ -90,6 +93,16 @@
     return accept
 
 
+async def _read_body(exchange, account):
+    """Read a body; give back what it took if it is not whole."""
+    held_bytes = account.held_bytes
+    try:
+        return await exchange.read_body(BODY_BYTES_MAX, account)
+    except BaseException:
+        account.give_back(account.held_bytes - held_bytes)
+        raise
+
+
 def _set_keep_alive(exchange):
     stated_s = messages.keep_alive_s(exchange)
     if stated_s is None:
@@ -164,9 +177,10 @@
         self._now = now
         self._count = count
 
-    async def fetch(self, server, request, timeout_s):
+    async def fetch(self, server, request, timeout_s, account):
         """Send a request and read the complete answer.
 
+        :param account: an ``_answer_memory.Account`` for its body.
         :returns: an ``UpstreamResponse``.
         :raises EndpointNotRun: if the server states that it did not run the
             request.
@@ -179,7 +193,7 @@
         responses = []
 
         async def on_response(exchange):
-            body = await exchange.read_body(BODY_BYTES_MAX)
+            body = await _read_body(exchange, account)
             headers = messages.answer_headers(exchange.headers)
             responses.append(
                 UpstreamResponse(exchange.status, tuple(headers), body)
@@ -231,7 +245,8 @@
             _set_keep_alive(exchange)
             self._note_limit(server, exchange, sent_s, trace)
             if messages.was_not_run(exchange):
-                await exchange.read_body(BODY_BYTES_MAX)
+                with contextlib.suppress(_http.AnswerTooLarge):
+                    await exchange.read_body(NOT_RUN_BODY_BYTES_MAX)
                 raise exceptions.EndpointNotRun(exchange.status)
             _check_response(exchange)
             await on_response(exchange)
--- a/src/coltsfootsail/platform/engines.py
+++ b/src/coltsfootsail/platform/engines.py
@@ -11,6 +11,8 @@
 EXPECT_INSTANCE = "coltsfootsail-expect-instance"
 ORDER_PATH = "/v1/order"
 REPORT_PATH = "/v1/report"
+REPORT_BYTES_MAX = 1_048_576
+ORDER_ANSWER_BYTES_MAX = 65_536
 
 
 class OrderAnswer(enum.Enum):
@@ -96,6 +98,7 @@
         ),
         body=encode_order(order),
         timeout_s=timeout_s,
+        limit_bytes=ORDER_ANSWER_BYTES_MAX,
     )
     return _ANSWERS.get(status, OrderAnswer.REFUSED)
 
@@ -152,6 +155,7 @@
         REPORT_PATH,
         headers=((EXPECT_INSTANCE, server.name),),
         timeout_s=timeout_s,
+        limit_bytes=REPORT_BYTES_MAX,
     )
     if status != 200:
         raise ConnectionError(f"report: status {status}")
--- a/src/coltsfootsail/standins/servers.py
+++ b/src/coltsfootsail/standins/servers.py
@@ -35,7 +35,8 @@
     with, or an exception to raise, which breaks the connection.
     With ``refuse`` set, requests get status 503 and are marked as not run.
     With ``limit`` set, all answers name that text as the server's limit.
-    ``arrived_s`` has the time of each request.
+    ``arrived_s`` has the time of each request.  ``body``, if set, replaces
+    the body of the answers.
     """
 
     def __init__(self, name, now=trio.current_time):
@@ -44,6 +45,7 @@
         self.arrived_s = []
         self.limit = None
         self.work_s = 0.05
+        self.body = b""
         self.answer = lambda req: 200
         self.refuse = False
         self.connections_max = 1000
@@ -94,7 +96,7 @@
         answer = self.answer(req)
         if not isinstance(answer, int):
             raise answer
-        body = b"done:" + req.body
+        body = self.body or b"done:" + req.body
         headers = [*self._base_headers(req), STAMP_HEADER]
         await resp.reply(answer, body, headers)
 
