Free the parts of a body that is left

Measured with a real gateway, one plain server and 20 requests at once: three kinds of endless bodies took the gateway to 112 or 113 MB, 81 above its start, though all answers together may hold 24 MB: the traceback of each error kept the parts of its body after they had been given back.

Now they are freed with the error.

--- a/src/coltsfootsail/_http_client.py
+++ b/src/coltsfootsail/_http_client.py
@@ -183,6 +183,14 @@
         :raises h11.RemoteProtocolError: if the body is incomplete.
         """
         parts = []
+        try:
+            await self._read_parts(parts, limit_bytes, account)
+            return b"".join(parts)
+        finally:
+            # The traceback of an error would keep them.
+            parts.clear()
+
+    async def _read_parts(self, parts, limit_bytes, account):
         size = 0
         while self.phase is not _http_messages.Phase.DONE:
             data = await self.read_some()
@@ -195,7 +203,6 @@
             if counted and not account.take(len(data)):
                 raise _http_messages.AnswerTooLarge("memory of all answers")
             parts.append(data)
-        return b"".join(parts)
 
     def connection(self):
         """Get the stream, its protocol state and history, for the pool."""
