Use limited engines up to their limit, also for adapters that they lack

What callers saw in a trial: with two of five engines limited to 1.7 a second and 16 requests a second of 24 adapters, 62 of 400 were refused, while the limited engines got 2 requests each in 25 s, of the 42 that they take.

Now the order of engines stays, and a limit counts by the wait that it causes, like any backlog.

--- a/src/coltsfootsail/_engine_selection.py
+++ b/src/coltsfootsail/_engine_selection.py
@@ -150,12 +150,10 @@
 
     def _is_eligible(self, context, server):
         refused = self._down_until_s.get(server.name, 0.0) > self._now()
-        avoided = server.name in context.avoided
-        return (
-            not refused
-            and not avoided
-            and (server.name not in context.limited)
+        left_out = (
+            server.name in context.avoided or server.name in context.limited
         )
+        return not refused and not left_out
 
     def note_owner(self, server_name, node, fence):
         """Note the owner that the former owner of an engine named."""
@@ -225,7 +223,6 @@
         request = self.grant_request(context)
         ranked = self._rank_engines(context, request)
         load_penalty_s = self._load_cost_s(request.adapter)
-        home = next((s for s in ranked if not self._is_limited(s.name)), None)
         best = None
         for rank, server in enumerate(ranked):
             owner = self.owner(server)
@@ -233,8 +230,7 @@
             is_limited = self._is_limited(server.name)
             if owner is None and (is_limited or not is_loaded):
                 continue
-            is_home = server is home
-            load_cost_s = 0.0 if is_loaded or is_home else load_penalty_s
+            load_cost_s = 0.0 if is_loaded or not rank else load_penalty_s
             cost = self._backlog(server.name) + load_cost_s
             cost += RANK_COST_S * rank
             if best is None or cost < best[0]:
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -303,3 +303,29 @@
         assert not fleet.gateways["g2"].limits.is_limited("i-s0")
 
     gateways.run(scenario, nodes=3)
+
+
+def test_limited_engines_are_used_up_to_their_limit_under_load():
+    limit_per_s, seconds = 1.7, 20.0
+
+    async def scenario(fleet):
+        for engine in fleet.engines:
+            engine.adapter_slots = 8
+        limited = fleet.engines[:2]
+        for engine in limited:
+            engine.limit = str(limit_per_s)
+        replies = []
+        await _send_calls(
+            fleet,
+            "/notes/1",
+            seconds,
+            replies,
+            16.0,
+            adapter=lambda number: f"base/a{number * 7 % 24}",
+        )
+        for engine in limited:
+            assert engine.arrivals >= 0.5 * limit_per_s * seconds
+        served = sum(reply.status == 200 for reply, _ in replies)
+        assert served >= 0.95 * len(replies)
+
+    gateways.run(scenario, nodes=4, engines=5)
