Tell all nodes when the value of a limit changes

Cause: a changed value was told only to the node that grants at that moment; one that took its place kept the value before, since no other node saw a change any more.

Now each change goes to all nodes, as the beginning and the end of a limit do. The new test failed before and passes now.

--- a/src/coltsfootsail/_gateway.py
+++ b/src/coltsfootsail/_gateway.py
@@ -102,7 +102,6 @@
             self.now,
             self.metrics.count,
             self.mesh.broadcast,
-            self._tell_granting_node,
         )
         self.limited_servers = _limited_servers.LimitedServers(
             self._name,
@@ -215,17 +214,6 @@
         self.owned_engines.record_backlog(server_name, backlog_s)
         self.limited_servers.record_wait(server_name, backlog_s)
 
-    def _tell_granting_node(self, server_name, msg):
-        """Send a message to the node that grants the starts at a server."""
-        server = self.view.servers.get(server_name)
-        if server is None:
-            return
-        is_engine = self.view.engine_spec(server) is not None
-        owners = self.engine_selector if is_engine else self.limited_servers
-        node = owners.owner(server)
-        if node not in (None, self._name):
-            self.mesh.send(node, msg)
-
     def _node_count(self):
         """Count the nodes that share limits.
 
--- a/src/coltsfootsail/_server_limits.py
+++ b/src/coltsfootsail/_server_limits.py
@@ -5,10 +5,9 @@
 several observations of a server the latest by these times is kept, so that
 the answer to an earlier request never ends a limit that was named later.
 
-Nodes tell each other what they observe, as soon as the head of an answer is
-read: all nodes that a limit was named or has ended, the node that grants the
-starts at the server also that its value changed.  Nodes that get a new link
-tell each other all that they know.
+Nodes tell each other of each change that they observe, as soon as the head of
+an answer is read, so that whichever grants the starts at the server knows it.
+Nodes that get a new link tell each other all that they know.
 """
 
 import dataclasses
@@ -18,7 +17,6 @@
 from coltsfootsail import _wire
 
 UNLIMITED = math.inf
-NAMED, CHANGED, ENDED = "named", "changed", "ended"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -39,15 +37,12 @@
     :param now: closure that reads the clock.
     :param count: ``(counter, reason)``.
     :param tell_all: ``(message)``, sends to all nodes.
-    :param tell_owner: ``(server name, message)``, sends to the node that
-        grants the starts at a server.
     """
 
-    def __init__(self, now, count, tell_all, tell_owner):
+    def __init__(self, now, count, tell_all):
         self._now = now
         self._count = count
         self._tell_all = tell_all
-        self._tell_owner = tell_owner
         self._observations = {}
 
     def per_s(self, server_name):
@@ -78,10 +73,7 @@
             observation = Observation(UNLIMITED, sent_s)
         else:
             return
-        change = self._note(server_name, observation, "")
-        if change == CHANGED:
-            self._tell_owner(server_name, self._message(server_name))
-        elif change is not None:
+        if self._note(server_name, observation, ""):
             self._tell_all(self._message(server_name))
 
     def learn(self, msg, node):
@@ -106,15 +98,15 @@
         """Keep an observation unless a later one is known.
 
         :param node: the node that told it, empty for this one.
-        :returns: ``NAMED``, ``CHANGED``, ``ENDED`` or None.
+        :returns: whether the limit is another one than before.
         """
         known = self._observations.get(server_name)
         if known is not None and known.at_s > observation.at_s:
-            return None
+            return False
         self._observations[server_name] = observation
         before_per_s = UNLIMITED if known is None else known.per_s
         if observation.per_s == before_per_s:
-            return None
+            return False
         is_named = observation.per_s < UNLIMITED
         was_named = before_per_s < UNLIMITED
         change = _CHANGES[was_named, is_named]
@@ -127,11 +119,11 @@
             before_per_s=before_per_s if was_named else None,
             told_by=node,
         )
-        return change
+        return True
 
 
 _CHANGES = {
-    (False, True): NAMED,
-    (True, True): CHANGED,
-    (True, False): ENDED,
+    (False, True): "named",
+    (True, True): "changed",
+    (True, False): "ended",
 }
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -47,7 +47,6 @@
         lambda: clock.now_s,
         lambda counter, reason: None,
         lambda msg: None,
-        lambda name, msg: None,
     )
 
 
@@ -329,3 +328,26 @@
         assert served >= 0.95 * len(replies)
 
     gateways.run(scenario, nodes=4, engines=5)
+
+
+def test_lower_limit_is_kept_by_a_new_granting_node_that_never_sent():
+    async def scenario(fleet):
+        fleet.store.drop("servers/i-s1")
+        await trio.sleep(2.0)
+        shop = fleet.shop_servers[0]
+        shop.limit = "20"
+        await _send_calls(fleet, "/stock/9", 3.0, [])
+        owner = _granting_node(fleet, shop.name)
+        others = [name for name in fleet.names if name != owner]
+        shop.limit = "1"
+        for number in range(4):
+            await fleet.call("/stock/9", others[0], request_id=f"x{number}")
+            await trio.sleep(1.0)
+        fleet.scopes[owner].cancel()
+        await trio.sleep(1.0)
+        since_s = trio.current_time()
+        fleet.names = others[:1]
+        await _send_calls(fleet, "/stock/9", 12.0, [])
+        _check_limited([shop], since_s, 1.0)
+
+    gateways.run(scenario, nodes=4)
