Ask for a stream's origin before concluding it from the versions seen

Found in reading the whole change. What a caller might get: a stream of two versions from a node whose watch has not yet brought the first server of a second version, up to two seconds after it registered. Cause: a node that has seen one version only did not ask where the stream began.

A reply tells what a node knows from what it only concludes.

--- a/src/coltsfootsail/_stream_origins.py
+++ b/src/coltsfootsail/_stream_origins.py
@@ -78,17 +78,32 @@
 
 
 class _Question:
-    """A question to other nodes, and the replies that are still due."""
+    """A question to other nodes, and the replies that are still due.
+
+    ``known`` is the origin that a node knows, ``only`` the only one that is
+    possible as far as a node has seen.
+    """
 
     def __init__(self, replies):
         self._missing = replies
-        self.origin = None
+        self.known = None
+        self.only = None
         self.event = trio.Event()
 
-    def resolve(self, origin):
+        if not replies:
+            self.event.set()
+
+    def resolve(self, msg):
+        if msg.known:
+            self.known = Origin(msg.service, msg.software)
+            self.event.set()
+        elif msg.service:
+            self.only = Origin(msg.service, msg.software)
+        self.note_reply()
+
+    def note_reply(self):
         self._missing -= 1
-        self.origin = self.origin or origin
-        if self.origin or self._missing <= 0:
+        if not self._missing:
             self.event.set()
 
 
@@ -211,43 +226,56 @@
 
     def answer(self, msg):
         """Make the reply to a ``StreamQuery``."""
-        origin = self._get(msg.request_id) or self._only_origin(msg.service)
-        if origin is None:
-            return _wire.StreamReply(msg.number, False, "", "")
+        known = self._get(msg.request_id)
+        origin = known or self._only_origin(msg.service) or Origin("", "")
         return _wire.StreamReply(
-            msg.number, True, origin.service, origin.software
+            msg.number, known is not None, origin.service, origin.software
         )
 
     def handle_reply(self, msg):
         """Handle a ``StreamReply``."""
         question = self._questions.get(msg.number)
         if question is not None:
-            origin = Origin(msg.service, msg.software) if msg.known else None
-            question.resolve(origin)
+            question.resolve(msg)
 
     async def find(self, request_id, service):
         """Find where a stream began.
 
+        A node that has not yet seen a service's second version may know of
+        only one that is possible, so others are asked first.
+
         :param request_id: id of the request whose answer brought its first
             event, empty if the caller names none.
         :param service: the service that it is sent to now.
         :returns: an ``Origin``, or None if it is not known.
         """
         origin = self._get(request_id)
-        if origin is None and (self._is_view_recent() or not request_id):
-            origin = self._only_origin(service)
-        if origin is not None or not request_id:
+        if origin is not None:
             return origin
-        nodes = self._nodes(request_id, NODES_ASKED)
+        if not request_id:
+            return self._only_origin(service)
+        question = await self._ask(request_id, service)
+        if question.known is not None:
+            return question.known
+        if self._is_view_recent():
+            return self._only_origin(service)
+        return question.only
+
+    async def _ask(self, request_id, service):
+        """Ask other nodes where a stream began.
+
+        :returns: the ``_Question``, with what they replied in time.
+        """
         number = next(self._numbers)
         msg = _wire.StreamQuery(number, request_id, service)
-        asked = sum(self._mesh.send(node, msg) for node in nodes)
-        if not asked:
-            return None
-        question = self._questions[number] = _Question(asked)
+        nodes = self._nodes(request_id, NODES_ASKED)
+        question = self._questions[number] = _Question(len(nodes))
         try:
+            for node in nodes:
+                if not self._mesh.send(node, msg):
+                    question.note_reply()
             with trio.move_on_after(REPLY_TIMEOUT_S):
                 await question.event.wait()
         finally:
             del self._questions[number]
-        return question.origin
+        return question
--- a/src/coltsfootsail/_wire.py
+++ b/src/coltsfootsail/_wire.py
@@ -306,7 +306,8 @@
 class StreamReply:
     """Tells where a stream began.
 
-    :param known: whether the sender knows it.
+    :param known: whether the sender knows it.  Otherwise service and software
+        are the only ones possible as far as it has seen, or empty.
     """
 
     number: int
