Answer a request whose wait for a grant can't end

Cause: a node that waits for a reply notices that the link is gone by looking every 0.2 s. A peer that is back sooner gets a new link, which replaces the old one without a word, and its new run knows nothing of the wait. The same gap left grants of the former run of a peer counted as running at the owner for ever.

Now a link that is replaced counts as down first, a link that is down ends the waits for its node's replies, and a plain request waits for a grant until it expires at most. The test of replaced nodes, and a new one in which no reply ever comes, failed before and pass now.

--- a/src/coltsfootsail/_grants.py
+++ b/src/coltsfootsail/_grants.py
@@ -247,8 +247,9 @@
 class _PendingGrant:
     """A request of this node that waits for the owner's reply."""
 
-    def __init__(self, server_name):
+    def __init__(self, server_name, owner=""):
         self.server = server_name
+        self.owner = owner
         self.event = trio.Event()
         self.reply = None
 
@@ -289,6 +290,12 @@
                 self._on_owner(pending.server, msg.owner, msg.fence)
             pending.resolve(msg)
 
+    def drop_node(self, node):
+        """End the waits for replies of a node whose link is down."""
+        for pending in self._pending.values():
+            if pending.owner == node:
+                pending.resolve(None)
+
     @contextlib.asynccontextmanager
     async def acquire(self, owner, server_name, request):
         """Hold a grant for an engine.
@@ -346,7 +353,8 @@
             msg = _wire.GrantEnd(number, str(use.outcome), use.first_event_s)
             self._mesh.send(owner, msg)
 
-        pending = self._pending[number] = _PendingGrant(server_name)
+        pending = _PendingGrant(server_name, owner)
+        self._pending[number] = pending
         try:
             if not self._mesh.send(owner, msg):
                 raise exceptions.OwnerSilent(retry_after_s=0.2)
@@ -357,6 +365,8 @@
             raise
         finally:
             del self._pending[number]
+        if pending.reply is None:
+            raise exceptions.OwnerSilent(retry_after_s=0.2)
         if not pending.reply.granted:
             raise exceptions.TurnedAway(
                 pending.reply.reason, pending.reply.retry_after_s
--- a/src/coltsfootsail/_mesh.py
+++ b/src/coltsfootsail/_mesh.py
@@ -215,6 +215,9 @@
         with trio.CancelScope() as scope:
             link = _Link(node, messages, send_channel, scope)
             link.last_heard_s = self._network.now()
+            if node in self._links:
+                # What the peer's former run was sent or had sent is lost.
+                self._callbacks.on_link_down(node)
             self._links[node] = link
             self._callbacks.on_link_up(node)
             try:
--- a/src/coltsfootsail/_peers.py
+++ b/src/coltsfootsail/_peers.py
@@ -75,6 +75,7 @@
     def _on_link_down(self, node):
         self._count("peer_links", "down")
         self._gateway.grant_server.drop_node(node)
+        self._gateway.grant_client.drop_node(node)
 
     def _on_message(self, node, msg):
         handler = _HANDLERS.get(type(msg))
--- a/src/coltsfootsail/_plain.py
+++ b/src/coltsfootsail/_plain.py
@@ -6,6 +6,8 @@
 
 import contextlib
 
+import trio
+
 from coltsfootsail import _grants
 from coltsfootsail import _logs
 from coltsfootsail import _request_context
@@ -109,14 +111,21 @@
             until_s=min(context.until_s, until_s),
         )
         owner = gateway.limited_servers.owner(server)
-        try:
-            async with gateway.grant_client.acquire(
-                owner, server.name, request
-            ):
-                yield
-        except (exceptions.TurnedAway, exceptions.OwnerSilent) as exc:
-            context.limited[server.name] = exc.retry_after_s
-            raise
+        grant = gateway.grant_client.acquire(owner, server.name, request)
+        async with contextlib.AsyncExitStack() as stack:
+            try:
+                with trio.fail_after(self._left_s(request.until_s)):
+                    await stack.enter_async_context(grant)
+            except trio.TooSlowError as exc:
+                context.limited[server.name] = _request_context.RETRY_AFTER_S
+                raise exceptions.OwnerSilent() from exc
+            except (exceptions.TurnedAway, exceptions.OwnerSilent) as exc:
+                context.limited[server.name] = exc.retry_after_s
+                raise
+            yield
+
+    def _left_s(self, until_s):
+        return max(0.0, until_s - self._now())
 
     async def _send(self, context, server):
         gateway = self._gateway
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -126,15 +126,18 @@
     async def send(number):
         node = fleet.names[number % len(fleet.names)]
         begun_s = trio.current_time()
+        gateway = fleet.gateways[node]
         # A node that is killed leaves its caller without an answer.
         reply = gateways.Reply(0, {}, b"", False)
-        with trio.move_on_after(CALL_TIMEOUT_S):
+        with trio.move_on_after(CALL_TIMEOUT_S) as scope:
             reply = await fleet.call(
                 path,
                 node,
                 request_id=f"r{number}",
                 **{key: make(number) for key, make in fields.items()},
             )
+        is_killed = fleet.gateways[node] is not gateway
+        assert is_killed or not scope.cancelled_caught
         replies.append((reply, trio.current_time() - begun_s))
 
     async with trio.open_nursery() as nursery:
@@ -351,3 +354,18 @@
         _check_limited([shop], since_s, 1.0)
 
     gateways.run(scenario, nodes=4)
+
+
+def test_request_is_answered_though_no_grant_is_ever_replied_to():
+    async def scenario(fleet):
+        for shop in fleet.shop_servers:
+            shop.limit = "1"
+        await _send_calls(fleet, "/stock/9", 2.0, [])
+        for gateway in fleet.gateways.values():
+            gateway.grant_client.handle_reply = lambda msg: None
+        replies = []
+        await _send_calls(fleet, "/stock/9", 2.0, replies)
+        assert all(after_s <= 3.0 for _, after_s in replies)
+        assert any(reply.status == 503 for reply, _ in replies)
+
+    gateways.run(scenario, nodes=4)
