Take the longest silence of an owner from the engines' selection

Found in reading the whole change: the bound after which a node is not asked for grants stood again in the module of limited servers, with the same value and meaning. Behaviour is the same; the tests of limits, selection, gateway and software versions pass.

--- a/src/coltsfootsail/_limited_servers.py
+++ b/src/coltsfootsail/_limited_servers.py
@@ -12,11 +12,10 @@
 import trio
 
 from coltsfootsail import _admission
+from coltsfootsail import _engine_selection
 from coltsfootsail import _placement
 
 IDLE_WAIT_S = 1.0  # longest pause of the loop
-# A node that leaves a ping unanswered for longer is not asked for grants.
-OWNER_SILENCE_MAX_S = 0.5
 
 
 class LimitController:
@@ -128,7 +127,8 @@
             node
             for node, heartbeat in self._mesh.heartbeats().items()
             if heartbeat.ready
-            and self._mesh.unanswered_ping_s(node) <= OWNER_SILENCE_MAX_S
+            and self._mesh.unanswered_ping_s(node)
+            <= _engine_selection.OWNER_SILENCE_MAX_S
         ]
         if self._is_ready() or not nodes:
             nodes.append(self._node)
