--- a/src/coltsfootsail/_gateway.py
+++ b/src/coltsfootsail/_gateway.py
@@ -303,14 +303,12 @@
             self.metrics.count("refusals", "internal_error")
             _logs.failure("connection_failed", exc)
 
-    def check_for_crash(self, server, fingerprint):
+    def check_for_crash(self, server, context):
         """Check in the background whether a request crashed its server.
 
-        :param fingerprint: of the request's content.
+        :param context: the request's ``RequestContext``.
         """
-        self._nursery.start_soon(
-            self.peers.check_for_crash, server, fingerprint
-        )
+        self._nursery.start_soon(self.peers.check_for_crash, server, context)
 
     def _on_view_change(self, changed):
         self.balancer.keep(self.view.servers)
--- a/src/coltsfootsail/_peers.py
+++ b/src/coltsfootsail/_peers.py
@@ -165,18 +165,20 @@
     def _on_strike(self, node, msg):
         self._gateway.strikes.learn(msg.fingerprint, msg.count)
 
-    async def check_for_crash(self, server, fingerprint):
+    async def check_for_crash(self, server, context):
         """Count a strike against a content if its server has crashed.
 
         :param server: the ``Server`` that ran the request.
-        :param fingerprint: of the request's content.
+        :param context: the request's ``RequestContext``.
         """
+        fingerprint = context.fingerprint
         try:
             stream = await self._network.open_stream(server.address)
         except OSError as exc:
             count = self._gateway.strikes.add(fingerprint)
             _logs.state(
                 "strike",
+                id=context.meta.request_id,
                 server=server.name,
                 content=fingerprint,
                 count=count,
@@ -185,6 +187,9 @@
             self._count("strikes", "crash")
             self.mesh.broadcast(_wire.Strike(fingerprint, count))
             return
+        _logs.detail(
+            "no_crash", id=context.meta.request_id, server=server.name
+        )
         await trio.aclose_forcefully(stream)
 
     def clear_strikes(self, fingerprint):
--- a/src/coltsfootsail/_request_context.py
+++ b/src/coltsfootsail/_request_context.py
@@ -211,7 +211,7 @@
     def check_for_crash(self, context, server, exc):
         """Check whether a server that interrupted a request has crashed."""
         if isinstance(exc, _INTERRUPTION_ERRORS):
-            self._gateway.check_for_crash(server, context.fingerprint)
+            self._gateway.check_for_crash(server, context)
 
 
 def correct_outcome(exc, context):
--- a/src/coltsfootsail/_request_handler.py
+++ b/src/coltsfootsail/_request_handler.py
@@ -21,6 +21,7 @@
 
 DEFAULT_DEADLINE_S = 30.0  # of requests that state none
 CONFIGURATION_WAIT_S = 0.8  # a starting node reads the store in this time
+LOGGED_PARTS_MAX = 16  # of one prompt
 
 
 class RequestHandler:
@@ -98,6 +99,7 @@
             route=context.route.name,
             service=context.service,
             adapter=prompt.adapter if prompt else "",
+            parts=describe_parts(prompt),
             version=self._gateway.view.deployment.version,
             repeatable=context.route.repeatable,
             resumes=context.meta.resumes,
@@ -177,6 +179,16 @@
         )
 
 
+def describe_parts(prompt):
+    """List the ids of a prompt's parts, for the log.
+
+    :param prompt: a ``Prompt``, or None.
+    :returns: text.
+    """
+    parts = prompt.parts if prompt else ()
+    return " ".join(part_id for part_id, _ in parts[:LOGGED_PARTS_MAX])
+
+
 def error_status(exc):
     """Get the status that states an error's outcome to the caller."""
     not_run = exc.outcome is _request_context.NOT_RUN
--- a/src/coltsfootsail/standins/batch.py
+++ b/src/coltsfootsail/standins/batch.py
@@ -149,15 +149,9 @@
             return 202
         return super()._unload(adapter)
 
-    def restart(self):
-        """Clear all state in memory, as a crash does.
-
-        Adapters loaded before stay on the local disk and load fast.
-        """
-        self.sequence = 0
-        self.models = {}
-        self.adapters.clear()
-        self.pending.clear()
+    def restart(self, name=None):
+        """Start again; adapters loaded before stay on the local disk."""
+        super().restart(name)
         self._prefix_cache.clear()
 
     def _jobs(self):
--- a/src/coltsfootsail/standins/servers.py
+++ b/src/coltsfootsail/standins/servers.py
@@ -28,6 +28,12 @@
     headers: tuple
 
 
+def prompt_parts(req):
+    """List the ids of the parts of a request's prompt."""
+    items = req.header(messages.PROMPT_PREFIX).split(",")
+    return [item.partition(":")[0] for item in items]
+
+
 class PlainServer:
     """A server of a plain service that records the requests it ran.
 
@@ -39,7 +45,9 @@
     ``busy`` set, requests are refused and told that text as a retry time;
     ``refused_s`` has the time of each refusal.
     ``arrived_s`` has the time of each request.  ``body``, if set, replaces
-    the body of the answers.
+    the body of the answers.  A request with a prompt part of ``crash_parts``,
+    other than the last one, makes the server call ``crash`` as it begins to
+    answer.
     """
 
     def __init__(self, name, now=trio.current_time):
@@ -54,6 +62,8 @@
         self.body = b""
         self.answer = lambda req: 200
         self.refuse = False
+        self.crash_parts = frozenset()
+        self.crash = lambda: None
         self.connections_max = 1000
         self.connections = 0
         self.resets = 0
@@ -101,6 +111,21 @@
         await resp.reply(503, b"", headers)
         return True
 
+    def restart(self, name=None):
+        """Start again, as after a crash.
+
+        :param name: name of the new start, None for the name of before.
+        """
+        self.name = name or self.name
+
+    def _is_poisoned(self, req):
+        """Tell whether a part of a request's prompt crashes this server."""
+        return not self.crash_parts.isdisjoint(prompt_parts(req)[:-1])
+
+    def _crash(self):
+        self.crash()
+        raise trio.BrokenResourceError
+
     def _misdirected(self, req):
         expected = req.header(messages.EXPECT_INSTANCE)
         return bool(expected) and expected != self.name
@@ -119,6 +144,8 @@
         request_id = req.header(messages.REQUEST_ID)
         self.runs.append(Run(request_id, "", 0, self._now(), req.headers))
         await trio.sleep(self.work_s)
+        if self._is_poisoned(req):
+            self._crash()
         answer = self.answer(req)
         if not isinstance(answer, int):
             raise answer
@@ -168,6 +195,14 @@
         self.software = "v1"
         self._store = store
 
+    def restart(self, name=None):
+        """Start again, with no model in memory."""
+        super().restart(name)
+        self.sequence = 0
+        self.models = {}
+        self.adapters.clear()
+        self.pending.clear()
+
     def register(self):
         """Write the server's registration to the store."""
         self._store.put(
@@ -307,6 +342,9 @@
             ("content-type", "text/event-stream"),
         ]
         await resp.start(200, headers)
+        if self._is_poisoned(req):
+            await trio.sleep(self.event_s)
+            self._crash()
         async with contextlib.aclosing(
             self._event_numbers(run, after)
         ) as numbers:
--- a/tests/gateways.py
+++ b/tests/gateways.py
@@ -21,6 +21,7 @@
 
 HOST = users.HOST
 ENGINE = users.ENGINE
+RESTART_S = 4.0  # from a server's crash until it listens again
 route = users.route
 configuration = users.configuration
 
@@ -105,23 +106,47 @@
         """Let a shop server listen, unless it already does."""
         name = f"s{number}"
         scope = self.scopes.get(name)
-        if scope is not None and not scope.cancel_called:
-            return
-        scope = self.scopes[name] = trio.CancelScope()
+        if scope is None or scope.cancel_called:
+            await self.listen(f"{name}:80", self.shop_servers[number].serve)
+
+    async def listen(self, address, handler):
+        """Listen on an address, from the host that it names."""
+        host = address.rpartition(":")[0]
+        scope = self.scopes[host] = trio.CancelScope()
 
         async def serve(task_status=trio.TASK_STATUS_IGNORED):
-            network = self.net.network(name)
             with scope:
-                await network.serve(
-                    f"{name}:80", self.shop_servers[number].serve, task_status
+                await self.net.network(host).serve(
+                    address, handler, task_status
                 )
 
         await self.nursery.start(serve)
 
-    async def listen(self, address, handler):
-        """Listen on an address, from the host that it names."""
-        network = self.net.network(address.rpartition(":")[0])
-        await self.nursery.start(network.serve, address, handler)
+    def crash(self, server):
+        """End a server, and start it again empty under another name."""
+        host = self.host_of(server)
+        self.scopes[host].cancel()
+        self.net.break_host(host)
+        self.nursery.start_soon(self._start_again, server)
+
+    def host_of(self, server):
+        """Get the host of an engine or a shop server."""
+        if server in self.engines:
+            return f"e{self.engines.index(server)}"
+        return f"s{self.shop_servers.index(server)}"
+
+    async def _start_again(self, server):
+        host = self.host_of(server)
+        await trio.sleep(RESTART_S)
+        self.store.drop(f"servers/{server.name}")
+        server.restart(f"{server.name}+")
+        await self.listen(f"{host}:80", server.serve)
+        if server in self.engines:
+            server.register()
+        else:
+            self.store.put(
+                f"servers/{server.name}", users.plain_entry(f"{host}:80")
+            )
 
     async def start_gateway(self, name):
         """Start a gateway, or kill it and start it again."""
@@ -154,8 +179,8 @@
         """Send one request as a caller.
 
         :param node: name of the gateway.
-        :param extra: ``adapter``, ``request_id``, ``deadline_ms`` or
-            ``headers``.
+        :param extra: ``adapter``, ``request_id``, ``deadline_ms``,
+            ``headers`` or ``parts``, the ids of the parts of the prompt.
         :returns: a ``Reply``.
         """
         network = self.net.network("caller")
@@ -173,8 +198,11 @@
                 fields += [
                     (messages.MODEL, extra["adapter"]),
                     (messages.TOKENS, "400,80"),
-                    (messages.PROMPT_PREFIX, "aa:100,bb:300"),
                 ]
+            if "adapter" in extra or "parts" in extra:
+                parts = extra.get("parts", ("aa", "bb"))
+                prefix = ",".join(f"{each}:200" for each in parts)
+                fields.append((messages.PROMPT_PREFIX, prefix))
             req = h11.Request(method=method, target=path, headers=fields)
             parts = [req, h11.Data(data=body), h11.EndOfMessage()]
             await stream.send_all(b"".join(map(conn.send, parts)))
