--- a/tests/gateways.py
+++ b/tests/gateways.py
@@ -77,6 +77,7 @@
         self.shop_servers = [servers.PlainServer(f"i-s{n}") for n in range(2)]
         self.gateways = {}
         self.scopes = {}
+        self.crashed_s = []
         self.names = [f"g{n}" for n in range(nodes)]
 
     async def start(self, ready=True):
@@ -124,6 +125,7 @@
 
     def crash(self, server):
         """End a server, and start it again empty under another name."""
+        self.crashed_s.append(trio.current_time())
         host = self.host_of(server)
         self.scopes[host].cancel()
         self.net.break_host(host)
