Let only a successful run clear strikes against a content

Any answer cleared them, also a server's own failure, so that a content that crashed two servers and made a third one fail was given a clean start. The test failed before: 0 strikes instead of 2.

--- a/src/coltsfootsail/_request_handler.py
+++ b/src/coltsfootsail/_request_handler.py
@@ -86,7 +86,8 @@
                     response.body,
                     [*response.headers, *self._gateway.closing_headers()],
                 )
-        self._gateway.peers.clear_strikes(context.fingerprint)
+        if resp.status < 300:
+            self._gateway.peers.clear_strikes(context.fingerprint)
         self._record_answered(context, resp.status)
 
     def _record_request(self, context):
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -8,6 +8,7 @@
 from coltsfootsail import _http
 from coltsfootsail import _mesh
 from coltsfootsail import _placement
+from coltsfootsail import _poison
 from coltsfootsail import _request_handler
 from coltsfootsail import _view
 from coltsfootsail import exceptions
@@ -568,6 +569,19 @@
     gateways.run(scenario)
 
 
+def test_failed_run_does_not_clear_the_strikes_of_a_request():
+    async def scenario(fleet):
+        for shop in fleet.shop_servers:
+            shop.answer = lambda req: 500
+        content = _poison.fingerprint(f"{gateways.HOST}/orders/9", b"x")
+        strikes = fleet.gateways["g0"].strikes
+        strikes.note(content, 2)
+        assert (await fleet.call("/orders/9")).status == 500
+        assert strikes.count(content) == 2
+
+    gateways.run(scenario)
+
+
 def test_extra_answer_in_the_same_read_closes_the_connection():
     connections = []
 
