Refuse requests with a part of a prompt that crashes servers

Callers saw whole services down: requests of one kind crashed engine after engine, since no two had the same content and strikes count against contents.

Each crash is now kept with the parts of the prompts that ran, as far as no run with them has completed lately; nodes tell each other. A part under which three servers crashed, in two contents or more, is refused for a minute, twice as long with each further crash. The part that most crashes have in common takes the blame, and these crashes count against no other. The store keeps the blame for nodes that start. Both contents and parts are checked before each send, and a request is sent again only once the check of its last server has ended.

A node that can't reach a server asked nobody else before it counted a crash. With parts that would blame what all requests share whenever one node is cut off, so it now asks two others, which must reach some server themselves.

--- a/src/coltsfootsail/_gateway.py
+++ b/src/coltsfootsail/_gateway.py
@@ -17,6 +17,8 @@
 from coltsfootsail import _claims
 from coltsfootsail import _clock_steps
 from coltsfootsail import _connection_limits
+from coltsfootsail import _crash_checks
+from coltsfootsail import _crashes
 from coltsfootsail import _engine_controller
 from coltsfootsail import _engine_selection
 from coltsfootsail import _grants
@@ -211,16 +213,28 @@
             network, None, IDLE_CONNECTIONS_MAX, limits.limit
         )
         report_client = _http.HttpClient(network, idle_max=0)
+        self.crash_checks = _crash_checks.CrashChecks(
+            self.view, self.mesh, report_client.is_accepting, self.now
+        )
         self.upstream = _upstream.UpstreamClient(
             client,
             report_client,
             self.limits,
             self.states,
+            self.crash_checks.note_contact,
             self.now,
             self.metrics.count,
         )
         self.answer_memory = _answer_memory.AnswerMemory()
-        self.strikes = _poison.Strikes(lambda fingerprint: 0, STRIKES_MAX)
+        self.crashes = _crashes.CrashTracker(
+            _poison.Strikes(lambda fingerprint: 0, STRIKES_MAX),
+            self.crash_checks,
+            self.view,
+            self.kv,
+            self.now,
+            self.metrics.count,
+            self.mesh.broadcast,
+        )
         self.request_handler = _request_handler.RequestHandler(self)
 
     def _grant_controller(self, server_name):
@@ -303,19 +317,13 @@
             self.metrics.count("refusals", "internal_error")
             _logs.failure("connection_failed", exc)
 
-    def check_for_crash(self, server, context):
-        """Check in the background whether a request crashed its server.
-
-        :param context: the request's ``RequestContext``.
-        """
-        self._nursery.start_soon(self.peers.check_for_crash, server, context)
-
     def _on_view_change(self, changed):
         self.balancer.keep(self.view.servers)
         self.stream_origins.note_servers()
         self.states.note_servers()
         self.limits.keep(self.view.servers)
         self.limited_servers.keep(self.view.servers)
+        self.crash_checks.keep(self.view.servers)
         self.owned_engines.turn_away_from_unavailable()
         if changed is None:
             self.mesh.dial_now()
@@ -430,6 +438,7 @@
             nursery.start_soon(self.claims.run)
             nursery.start_soon(self.owned_engines.run)
             await nursery.start(self.limited_servers.run)
+            await nursery.start(self.crashes.run)
             nursery.start_soon(self._run_sweep)
             nursery.start_soon(self._watch_clock)
             _logs.state(
--- a/src/coltsfootsail/_keys.py
+++ b/src/coltsfootsail/_keys.py
@@ -4,6 +4,8 @@
 when needed.
 """
 
+import hashlib
+
 STATE = "/coltsfootsail/state/"
 DATA = "/coltsfootsail/data/"
 MEMBERS = STATE + "members/"
@@ -11,6 +13,7 @@
 INTENTS = STATE + "intents/"
 WAITS = STATE + "waits/"
 STRIKES = STATE + "strikes/"
+BLAMED_PARTS = STATE + "blamed-parts/"
 ERA = STATE + "era"
 CONFIG_ROOT = STATE + "config"
 CHUNKS = DATA + "chunks/"
@@ -43,6 +46,12 @@
     return STRIKES + fingerprint
 
 
+def blamed_part(part):
+    """Key of the blame of a prompt's part, attached to a lease of its own."""
+    digest = hashlib.blake2b(part.encode(), digest_size=16)
+    return BLAMED_PARTS + digest.hexdigest()
+
+
 def chunk(digest):
     """Key of a configuration chunk, by its hash in hex."""
     return CHUNKS + digest
--- a/src/coltsfootsail/_peers.py
+++ b/src/coltsfootsail/_peers.py
@@ -2,8 +2,7 @@
 
 Heartbeats carry the sender's configuration version, its readiness and the
 engine backlogs that changed.  A peer with an older configuration is sent
-the newer one.  When a server crashes, a strike is counted on every node
-against the content of the request that it was running.
+the newer one.
 """
 
 import trio
@@ -48,6 +47,7 @@
         self._skipping = set()
         self.mesh = _mesh.Mesh(hello, network, callbacks, MESH_PACE)
         self._catch_up_from_s = 0.0
+        self._nursery = None
 
     def _make_heartbeat(self, sent_backlogs):
         changed = tuple(
@@ -89,8 +89,8 @@
         """Tell a node what was told to all nodes before it had a link."""
         for msg in self._gateway.limits.messages():
             self.mesh.send(node, msg)
-        for content, count in self._gateway.strikes.counts():
-            self.mesh.send(node, _wire.Strike(content, count))
+        for msg in self._gateway.crashes.messages():
+            self.mesh.send(node, msg)
         for server in self._gateway.states.stated_leaving():
             self.mesh.send(node, _wire.ServerLeaving(server))
 
@@ -163,39 +163,22 @@
         self._gateway.stream_origins.handle_reply(msg)
 
     def _on_strike(self, node, msg):
-        self._gateway.strikes.learn(msg.fingerprint, msg.count)
+        self._gateway.crashes.learn_strike(msg)
 
-    async def check_for_crash(self, server, context):
-        """Count a strike against a content if its server has crashed.
+    def _on_crashed_run(self, node, msg):
+        self._gateway.crashes.learn_run(msg, node)
 
-        :param server: the ``Server`` that ran the request.
-        :param context: the request's ``RequestContext``.
-        """
-        fingerprint = context.fingerprint
-        try:
-            stream = await self._network.open_stream(server.address)
-        except OSError as exc:
-            count = self._gateway.strikes.add(fingerprint)
-            _logs.state(
-                "strike",
-                id=context.meta.request_id,
-                server=server.name,
-                content=fingerprint,
-                count=count,
-                reason=repr(exc),
-            )
-            self._count("strikes", "crash")
-            self.mesh.broadcast(_wire.Strike(fingerprint, count))
-            return
-        _logs.detail(
-            "no_crash", id=context.meta.request_id, server=server.name
-        )
-        await trio.aclose_forcefully(stream)
+    def _on_parts_cleared(self, node, msg):
+        self._gateway.crashes.learn_cleared(msg, node)
+
+    def _on_server_check(self, node, msg):
+        self._nursery.start_soon(self._answer_check, node, msg)
+
+    async def _answer_check(self, node, msg):
+        self.mesh.send(node, await self._gateway.crash_checks.answer(msg))
 
-    def clear_strikes(self, fingerprint):
-        """Clear the strikes against a content that was run to its end."""
-        if self._gateway.strikes.clear(fingerprint):
-            self.mesh.broadcast(_wire.Strike(fingerprint, 0))
+    def _on_server_check_reply(self, node, msg):
+        self._gateway.crash_checks.handle_reply(msg)
 
     def _peer_addresses(self):
         """List the other nodes of the region.
@@ -231,7 +214,9 @@
 
     async def run(self):
         """Keep links to all peers until cancelled."""
-        await self.mesh.run(self._peer_addresses, self._is_registered)
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            await self.mesh.run(self._peer_addresses, self._is_registered)
 
 
 _HANDLERS = {
@@ -248,4 +233,8 @@
     _wire.StreamQuery: PeerHandler._on_stream_query,
     _wire.StreamReply: PeerHandler._on_stream_reply,
     _wire.Strike: PeerHandler._on_strike,
+    _wire.CrashedRun: PeerHandler._on_crashed_run,
+    _wire.PartsCleared: PeerHandler._on_parts_cleared,
+    _wire.ServerCheck: PeerHandler._on_server_check,
+    _wire.ServerCheckReply: PeerHandler._on_server_check_reply,
 }
--- a/src/coltsfootsail/_plain.py
+++ b/src/coltsfootsail/_plain.py
@@ -18,6 +18,11 @@
 FIRST_ATTEMPT_SHARE = 0.5
 # For a grant at a limited server while others may take the request.
 GRANT_AT_ONCE_S = 0.05
+_FINAL_ERRORS = (
+    exceptions.NoEndpoint,
+    exceptions.Poisoned,
+    exceptions.PoisonedPart,
+)
 
 
 class PlainServiceForwarder:
@@ -56,8 +61,9 @@
                 self._count("retries", exc.code, labels=context.labels)
                 if not context.may_retry(exc):
                     break
-                if isinstance(exc, exceptions.NoEndpoint):
+                if isinstance(exc, _FINAL_ERRORS):
                     break
+                await self._gateway.crashes.wait_until_checked(context)
                 continue
             response = latest
             if not context.route.repeatable or latest.status < 500:
--- a/src/coltsfootsail/_records.py
+++ b/src/coltsfootsail/_records.py
@@ -120,6 +120,13 @@
     count: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class BlamedPart:
+    """Number of servers that crashed under a part of a prompt."""
+
+    crashes: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Operation:
     """Sets or deletes one entry of the configuration.
--- a/src/coltsfootsail/_request_context.py
+++ b/src/coltsfootsail/_request_context.py
@@ -51,6 +51,8 @@
     :param limited: the wait in seconds at each server that has no room for
         it, because of a limit or because it is busy for all nodes.
     :param account: the ``_answer_memory.Account`` of its answers.
+    :param crash_checked: set when it is known whether the server that
+        interrupted it last has crashed, None if none did.
     :param waited_for_limit: whether it has waited for such a server.
     """
 
@@ -74,6 +76,7 @@
     limited: dict = dataclasses.field(default_factory=dict)
     account: object = None
     waited_for_limit: bool = False
+    crash_checked: object = None
 
     @property
     def labels(self):
@@ -183,11 +186,14 @@
         """Count a send to a server, or refuse it.
 
         :raises RetryBudgetSpent: if it would exceed a limit on retries.
+        :raises Poisoned: if it would crash the server.
+        :raises PoisonedPart: if a part of its prompt would.
         :raises EndpointLeaving: if the server has started to leave since it
             was chosen.
         :raises EndpointBusy: if it has asked for a pause since then.
         """
         states = self._gateway.states
+        self._gateway.crashes.check_allowed(context)
         if states.is_unavailable(server.name):
             raise exceptions.EndpointLeaving(states.state(server.name).value)
         if not states.takes_requests(server.name):
@@ -211,7 +217,7 @@
     def check_for_crash(self, context, server, exc):
         """Check whether a server that interrupted a request has crashed."""
         if isinstance(exc, _INTERRUPTION_ERRORS):
-            self._gateway.check_for_crash(server, context)
+            self._gateway.crashes.interrupted(server, context)
 
 
 def correct_outcome(exc, context):
--- a/src/coltsfootsail/_request_handler.py
+++ b/src/coltsfootsail/_request_handler.py
@@ -87,7 +87,7 @@
                     [*response.headers, *self._gateway.closing_headers()],
                 )
         if resp.status < 300:
-            self._gateway.peers.clear_strikes(context.fingerprint)
+            self._gateway.crashes.completed(context)
         self._record_answered(context, resp.status)
 
     def _record_request(self, context):
@@ -164,11 +164,8 @@
         deadline_s = meta.deadline_s
         deadline_s = DEFAULT_DEADLINE_S if deadline_s is None else deadline_s
         fingerprint = _poison.fingerprint(f"{host}{req.target}", req.body)
-        if gateway.strikes.refused(fingerprint):
-            raise exceptions.Poisoned()
         service = route.choose_service(meta.request_id)
-        gateway.retry_budget.request(service)
-        return _request_context.RequestContext(
+        context = _request_context.RequestContext(
             req=req,
             meta=meta,
             route=route,
@@ -178,6 +175,9 @@
             owner_wait_until_s=now_s + _streams.OWNER_WAIT_S,
             fingerprint=fingerprint,
         )
+        gateway.crashes.check_allowed(context)
+        gateway.retry_budget.request(service)
+        return context
 
 
 def describe_parts(prompt):
--- a/src/coltsfootsail/_streams.py
+++ b/src/coltsfootsail/_streams.py
@@ -213,6 +213,7 @@
                     sends=context.sends,
                 )
                 self._raise_if_final(context, sink, exc)
+                await self._gateway.crashes.wait_until_checked(context)
                 sink.discard_partial_event()
 
     def _raise_if_final(self, context, sink, exc):
@@ -227,7 +228,9 @@
             | exceptions.DeadlineExceeded
             | exceptions.NoEndpoint
             | exceptions.CallerGone
-            | exceptions.EndpointStillRuns,
+            | exceptions.EndpointStillRuns
+            | exceptions.Poisoned
+            | exceptions.PoisonedPart,
         )
         overload = (
             isinstance(exc, exceptions.TurnedAway)
--- a/src/coltsfootsail/_timeline.py
+++ b/src/coltsfootsail/_timeline.py
@@ -26,6 +26,8 @@
     "store_back",
     "lease",
     "strike",
+    "part_blamed",
+    "parts_cleared",
     "clock_step",
 )
 
--- a/src/coltsfootsail/_upstream.py
+++ b/src/coltsfootsail/_upstream.py
@@ -167,15 +167,19 @@
     :param report_client: an ``HttpClient`` that keeps no connections.
     :param limits: the node's ``ServerLimits``.
     :param states: the node's ``ServerStates``.
+    :param note_contact: ``(server name)``, called when a server answers.
     :param now: closure that reads the clock.
     :param count: ``(counter, reason)``.
     """
 
-    def __init__(self, client, report_client, limits, states, now, count):
+    def __init__(
+        self, client, report_client, limits, states, note_contact, now, count
+    ):
         self._client = client
         self._report_client = report_client
         self._limits = limits
         self._states = states
+        self._note_contact = note_contact
         self._now = now
         self._count = count
 
@@ -255,6 +259,7 @@
             trace.conclusion = "answered"
 
     def _note_statements(self, server, exchange, sent_s, trace):
+        self._note_contact(server.name)
         statements = messages.read_statements(exchange)
         trace.limit_per_s = statements.limit_per_s
         self._states.note_answer(server.name, statements, exchange.status)
--- a/src/coltsfootsail/_view.py
+++ b/src/coltsfootsail/_view.py
@@ -42,6 +42,7 @@
     (_keys.INTENTS, _records.Holder),
     (_keys.WAITS, _records.Wait),
     (_keys.ERA, _records.SettledEra),
+    (_keys.BLAMED_PARTS, _records.BlamedPart),
 )
 _NO_SETTLED_ERA = (_records.SettledEra(_eras.FIRST_ERA), 0)
 
@@ -146,6 +147,11 @@
         """
         return self._records[_keys.WAITS].get(_keys.wait(server), (None, 0))
 
+    def is_part_blamed(self, part):
+        """Tell whether the store has a blame of a part of a prompt."""
+        blamed = self._records[_keys.BLAMED_PARTS]
+        return bool(blamed) and _keys.blamed_part(part) in blamed
+
     def settled_era(self):
         """Get the era in which no holder of an earlier one can order.
 
--- a/src/coltsfootsail/_wire.py
+++ b/src/coltsfootsail/_wire.py
@@ -22,7 +22,7 @@
 MESSAGE_BYTES_MAX = 4_194_304
 RECEIVE_BYTES = 65536
 READ_BYTES = 4096
-PROTOCOL = 2
+PROTOCOL = 3
 UNANNOUNCED_PROTOCOL = 1
 _PROTOCOL_MARK = "+"  # between the incarnation and the protocol
 
@@ -365,6 +365,51 @@
     for_s: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServerCheck:
+    """Asks whether the receiver can connect to a server.
+
+    :param number: identifies the question; chosen by the sender.
+    """
+
+    number: int
+    server: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServerCheckReply:
+    """Tells whether the sender can connect to a server.
+
+    :param finding: value of a ``_crash_checks.Finding``.
+    """
+
+    number: int
+    finding: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CrashedRun:
+    """Tells of a request that ran when its server crashed.
+
+    :param content: fingerprint of the request.
+    :param parts: pairs of the id of a suspected part of its prompt and the
+        part's place there.
+    :param age_s: time since the crash was found.
+    """
+
+    server: str
+    content: str
+    parts: tuple
+    age_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PartsCleared:
+    """Tells of suspected parts with which a run was completed."""
+
+    parts: tuple
+
+
 MESSAGES = (
     Hello,
     Heartbeat,
@@ -397,6 +442,10 @@
     ServerLeaving,
     PeerSilent,
     ServerBusy,
+    ServerCheck,
+    ServerCheckReply,
+    CrashedRun,
+    PartsCleared,
 )
 _TAGS = {message_type: tag for tag, message_type in enumerate(MESSAGES)}
 _FIELD_NAMES = {
@@ -428,10 +477,23 @@
     for age, group in enumerate(_LATER_MESSAGES, 1)
     for message_type in group
 }
-_PROTOCOL_2_AGE = len(_LATER_MESSAGES) + 1
-_AGES |= dict.fromkeys(
-    (ServerLeaving, PeerSilent, ServerBusy), _PROTOCOL_2_AGE
-)
+# The messages that came with each later protocol.
+_PROTOCOL_MESSAGES = {
+    2: (ServerLeaving, PeerSilent, ServerBusy),
+    3: (ServerCheck, ServerCheckReply, CrashedRun, PartsCleared),
+}
+
+
+def _protocol_age(protocol):
+    """Get the age of the messages that came with a protocol."""
+    return len(_LATER_MESSAGES) + protocol - UNANNOUNCED_PROTOCOL
+
+
+_AGES |= {
+    message_type: _protocol_age(protocol)
+    for protocol, group in _PROTOCOL_MESSAGES.items()
+    for message_type in group
+}
 
 
 class PeerVocabulary:
@@ -446,8 +508,8 @@
 
     def announce(self, protocol):
         """Note the protocol that the peer announces."""
-        if protocol >= PROTOCOL:
-            self._age = _PROTOCOL_2_AGE
+        if protocol > UNANNOUNCED_PROTOCOL:
+            self._age = max(self._age, _protocol_age(protocol))
 
     def heard(self, msg):
         """Note a message of the peer.
--- a/src/coltsfootsail/exceptions.py
+++ b/src/coltsfootsail/exceptions.py
@@ -202,6 +202,12 @@
     status = 422
 
 
+class PoisonedPart(Refusal):
+    """Requests with a part of this prompt crash endpoints."""
+
+    code = "poisoned_part"
+
+
 class UnknownStream(Refusal):
     """It is not known at which software version the stream began."""
 
--- a/src/coltsfootsail/platform/messages.py
+++ b/src/coltsfootsail/platform/messages.py
@@ -90,6 +90,8 @@
     :param last_event: id of the last event that the caller received.
     :param resumes: id of the request whose answer brought the first event
         of the stream that the caller takes up.
+    :param shared_parts: ids of the parts of its prompt that other requests
+        may have too: all but the last.
     """
 
     request_id: str
@@ -97,6 +99,7 @@
     prompt: Prompt | None
     last_event: str
     resumes: str
+    shared_parts: tuple = ()
 
 
 def _parse_number(text):
@@ -116,7 +119,7 @@
     return tuple(parts)
 
 
-def _parse_prompt(req):
+def _parse_prompt(req, parts):
     model_name = req.header(MODEL)
     if not model_name:
         return None
@@ -131,7 +134,7 @@
         adapter=model_name,
         prompt_tokens=int(prompt_tokens),
         output_tokens=int(output_tokens),
-        parts=_parse_parts(req.header(PROMPT_PREFIX)),
+        parts=parts,
     )
 
 
@@ -144,12 +147,14 @@
     :returns: a ``RequestMetadata``.
     """
     deadline_ms = _parse_number(req.header(DEADLINE))
+    parts = _parse_parts(req.header(PROMPT_PREFIX))
     return RequestMetadata(
         request_id=req.header(REQUEST_ID),
         deadline_s=None if deadline_ms is None else deadline_ms / 1000,
-        prompt=_parse_prompt(req),
+        prompt=_parse_prompt(req, parts),
         last_event=req.header(LAST_EVENT),
         resumes=req.header(RESUMES),
+        shared_parts=tuple(part_id for part_id, _ in parts[:-1]),
     )
 
 
--- a/src/coltsfootsail/standins/network.py
+++ b/src/coltsfootsail/standins/network.py
@@ -220,6 +220,14 @@
                 pipe.broken = True
         self._wake_all()
 
+    def break_between(self, source, target):
+        """Break the open connections between two hosts."""
+        ends = {source, target}
+        for pipe in self._pipes:
+            if {pipe.source, pipe.target} == ends:
+                pipe.broken = True
+        self._wake_all()
+
     async def _open(self, host, address):
         await trio.lowlevel.checkpoint()
         target = address.rpartition(":")[0]
--- a/tests/builds/test_formats.py
+++ b/tests/builds/test_formats.py
@@ -146,3 +146,10 @@
     assert peer.heard(_wire.StreamBegun("r", "s", "v"))
     assert peer.knows(_wire.StreamQuery)
     assert not peer.knows(_wire.ServerLeaving)
+
+
+def test_peer_is_told_only_what_its_protocol_has():
+    peer = _wire.PeerVocabulary(2)
+    assert peer.knows(_wire.ServerBusy) and peer.knows(_wire.StreamQuery)
+    assert not peer.knows(_wire.ServerCheck)
+    assert _wire.PeerVocabulary(_wire.PROTOCOL + 1).knows(_wire.ServerCheck)
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -7,6 +7,7 @@
 import trio
 
 from coltsfootsail.platform import messages
+from coltsfootsail.standins import network as memory
 from tests import gateways
 
 CALLS_PER_S = 12
@@ -49,7 +50,8 @@
 
     with caplog.at_level(logging.DEBUG, "coltsfootsail"):
         gateways.run(scenario)
-    assert [each.id for each in _records(caplog, "no_crash")] == ["r1"]
+    checks = _records(caplog, "crash_checked")
+    assert [(each.id, each.finding) for each in checks] == [("r1", "reached")]
     assert not _records(caplog, "strike")
 
 
@@ -137,3 +139,126 @@
         assert served >= SERVED_SHARE_MIN * _served_share(calm)
 
     gateways.run(scenario, nodes=4, engines=engines)
+
+
+def _is_blamed(gateway, part):
+    now_s = trio.current_time()
+    is_known = gateway.crashes._evidence.refused_until_s((part,)) > now_s
+    return is_known or gateway.view.is_part_blamed(part)
+
+
+async def _get_blamed(fleet, part="bad"):
+    """Let requests with a part crash engines until all nodes blame it."""
+    for engine in fleet.engines:
+        engine.adapter_slots = 8
+    _set_crashing_part(fleet, fleet.engines, part)
+    await _send_mix(fleet, "/notes/1", 8.0, 1, True)
+    await trio.sleep(8.0)
+    assert all(_is_blamed(g, part) for g in fleet.gateways.values())
+
+
+async def _send_bad(fleet, number, node, parts=("shared", "bad", "own")):
+    return await fleet.call(
+        "/notes/1",
+        node,
+        adapter="base/a1",
+        parts=parts,
+        request_id=f"x{number}",
+        body=b"bad %d" % number,
+    )
+
+
+def test_requests_with_a_blamed_part_are_refused_as_not_run():
+    async def scenario(fleet):
+        await _get_blamed(fleet)
+        before = len(_sent_with(fleet.engines, "bad"))
+        for number, node in enumerate(fleet.names):
+            reply = await _send_bad(fleet, number, node)
+            assert reply.status == 503
+            assert float(reply.headers["retry-after"]) > 10.0
+            own = ("shared", "sound", "bad")
+            assert (await _send_bad(fleet, -number, node, own)).status == 200
+        # As the last part of a prompt it belongs to one request alone.
+        assert len(_sent_with(fleet.engines, "bad")) == before + 4
+
+    gateways.run(scenario, nodes=4, engines=4)
+
+
+def test_node_that_starts_again_keeps_blamed_parts_from_servers():
+    async def scenario(fleet):
+        await _get_blamed(fleet)
+        crashes = len(fleet.crashed_s)
+        await fleet.start_gateway("g1")
+        await trio.sleep(3.0)
+        assert (await _send_bad(fleet, 0, "g1")).status == 503
+        assert len(fleet.crashed_s) == crashes
+
+    gateways.run(scenario, nodes=3, engines=4)
+
+
+def test_nodes_that_all_start_again_learn_blamed_parts_from_the_store():
+    async def scenario(fleet):
+        await _get_blamed(fleet)
+        crashes = len(fleet.crashed_s)
+        for name in fleet.names:
+            fleet.scopes[name].cancel()
+        await trio.sleep(1.0)
+        for name in fleet.names:
+            await fleet.start_gateway(name)
+        await trio.sleep(12.0)
+        for number, node in enumerate(fleet.names):
+            assert (await _send_bad(fleet, number, node)).status == 503
+        assert len(fleet.crashed_s) == crashes
+
+    gateways.run(scenario, nodes=3, engines=4)
+
+
+def test_part_is_used_again_once_its_blame_has_ended():
+    async def scenario(fleet):
+        await _get_blamed(fleet)
+        _set_crashing_part(fleet, fleet.engines, "other")
+        await trio.sleep(600.0)
+        for name, gateway in fleet.gateways.items():
+            assert not _is_blamed(gateway, "bad")
+            assert (await _send_bad(fleet, 0, name)).status == 200
+
+    gateways.run(scenario, nodes=3, engines=4)
+
+
+@pytest.mark.parametrize(
+    "fault", [memory.LinkFault.REFUSED, memory.LinkFault.SILENT]
+)
+@pytest.mark.parametrize("cut", [("g0",), ("g0", "g1"), ("g0", "g1", "g2")])
+def test_parts_are_not_blamed_by_nodes_that_are_cut_off_from_servers(
+    cut, fault
+):
+    async def scenario(fleet):
+        for engine in fleet.engines:
+            engine.adapter_slots = 8
+            engine.events, engine.event_s = 30, 0.05
+
+        async def cut_off():
+            for _ in range(4):
+                await trio.sleep(3.0)
+                for node in cut:
+                    for host in ("e0", "e1", "e2", "e3", "s0", "s1"):
+                        fleet.net.cut(node, host, fault)
+                        fleet.net.break_between(node, host)
+                await trio.sleep(3.0)
+                fleet.net.heal()
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(cut_off)
+            await _send_mix(fleet, "/prints/1", 26.0, None, True)
+        for gateway in fleet.gateways.values():
+            assert not gateway.crashes._evidence.runs()
+
+    gateways.run(scenario, nodes=4, engines=4)
+
+
+def test_single_node_blames_a_crashing_part():
+    async def scenario(fleet):
+        await _get_blamed(fleet)
+        assert (await _send_bad(fleet, 0, "g0")).status == 503
+
+    gateways.run(scenario, nodes=1, engines=4)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -549,22 +549,25 @@
 def test_node_that_starts_again_learns_the_strikes_from_its_peers():
     async def scenario(fleet):
         for name in fleet.names:
-            fleet.gateways[name].strikes.note("c1", 3)
-            fleet.gateways[name].strikes.note("c2", 1)
+            fleet.gateways[name].crashes.strikes.note("c1", 3)
+            fleet.gateways[name].crashes.strikes.note("c2", 1)
         await fleet.start_gateway("g1")
         await trio.sleep(3.0)
-        assert fleet.gateways["g1"].strikes.refused("c1")
-        assert fleet.gateways["g1"].strikes.suspect("c2")
+        assert fleet.gateways["g1"].crashes.strikes.refused("c1")
+        assert fleet.gateways["g1"].crashes.strikes.suspect("c2")
 
     gateways.run(scenario, nodes=3)
 
 
 def test_completed_run_clears_the_strikes_of_a_request():
     async def scenario(fleet):
-        gateway = fleet.gateways["g0"]
-        gateway.strikes.note("c1", 2)
-        gateway.peers.clear_strikes("c1")
-        assert not gateway.strikes.count("c1")
+        content = _poison.fingerprint(f"{gateways.HOST}/orders/9", b"x")
+        for gateway in fleet.gateways.values():
+            gateway.crashes.strikes.note(content, 2)
+        assert (await fleet.call("/orders/9")).status == 200
+        await trio.sleep(0.1)
+        for gateway in fleet.gateways.values():
+            assert not gateway.crashes.strikes.count(content)
 
     gateways.run(scenario)
 
@@ -574,7 +577,7 @@
         for shop in fleet.shop_servers:
             shop.answer = lambda req: 500
         content = _poison.fingerprint(f"{gateways.HOST}/orders/9", b"x")
-        strikes = fleet.gateways["g0"].strikes
+        strikes = fleet.gateways["g0"].crashes.strikes
         strikes.note(content, 2)
         assert (await fleet.call("/orders/9")).status == 500
         assert strikes.count(content) == 2
