Soak: prompts with a part that crashes engines

Engines end when a request has the part, and start again; the checker's rule CRASHES counts what reaches engines later than 3 s after the fifth crash. A node without the evidence against parts is noticed. Servers are then registered without their proxies, which accept connections for servers that are down.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -34,7 +34,12 @@
     nodes = system.caller_addresses(direct)
     async with trio.open_nursery() as nursery:
         for caller in callers.make_callers(
-            options.callers, options.seed, nodes, writer, direct
+            options.callers,
+            options.seed,
+            nodes,
+            writer,
+            direct,
+            options.poison_share,
         ):
             nursery.start_soon(caller.run, options.pause_s)
         await _play_faults(system, options, rng, writer)
@@ -51,6 +56,7 @@
     with trio.move_on_after(options.seconds):
         async with trio.open_nursery() as nursery:
             busy = set()
+            nursery.start_soon(faults.restart_crashed, system, writer, busy)
             for _ in range(options.series):
                 series_rng = random.Random(rng.random())
                 nursery.start_soon(
@@ -90,6 +96,7 @@
         options.limit_pause_s,
         options.program,
         _package_paths(directory, options.build),
+        has_proxies=not options.poison_share,
     )
     async with trio.open_nursery() as nursery:
         nursery.start_soon(_end_on_sigterm)
@@ -128,6 +135,13 @@
     names = list(answers.BEHAVIOURS)
     parser.add_argument("--only", nargs="+", default=names, choices=names)
     parser.add_argument("--faults", nargs="+", default=faults.NAMES)
+    parser.add_argument(
+        "--poison",
+        type=float,
+        default=0.0,
+        dest="poison_share",
+        help="share of the requests to engines that crash them",
+    )
     parser.add_argument("--keep", action="store_true")
     parser.add_argument(
         "--build", default="", help="commit that nodes may run as well"
--- a/tests/soak/answers.py
+++ b/tests/soak/answers.py
@@ -1,6 +1,7 @@
 """Good and bad answers of the servers of a soak, and records of their runs."""
 
 import math
+import os
 import time
 
 import trio
@@ -94,6 +95,15 @@
         record = records.Limit(records.now_s(), self._name, per_s)
         self._writer.write(record)
 
+    def crash(self, req):
+        """Record that a request ends this process, and end it."""
+        self._writer.write(
+            records.Crash(
+                records.now_s(), self._name, req.header(messages.REQUEST_ID)
+            )
+        )
+        os._exit(1)
+
     def note_arrival(self, req):
         """Record that a request has arrived."""
         record = records.Arrival(
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -23,6 +23,7 @@
 ATTEMPTS_MAX = 3
 CONNECT_TIMEOUT_S = 1.0
 ADAPTERS = 24
+MIDDLE_PARTS = 12
 KEEP_SHARE = 0.6  # of the requests that use a kept connection
 GIVE_UP_SHARE = 0.04  # of the attempts that are left early
 READ_BYTES = 65536
@@ -118,14 +119,17 @@
     :param writer: a ``records.Writer``.
     :param trusts_resets: whether a reset proves that a request was not
         read; a proxy between caller and node may reset at any moment.
+    :param poison_share: share of the attempts at engines that have a part
+        which crashes them.
     """
 
-    def __init__(self, name, rng, nodes, writer, trusts_resets):
+    def __init__(self, name, rng, nodes, writer, trusts_resets, poison_share):
         self._name = name
         self._rng = rng
         self._nodes = nodes
         self._writer = writer
         self._trusts_resets = trusts_resets
+        self._poison_share = poison_share
         self._kept = None
         self._number = 0
 
@@ -247,7 +251,7 @@
             fields += [
                 (messages.MODEL, adapter),
                 (messages.TOKENS, "400,80"),
-                (messages.PROMPT_PREFIX, "aa:100,bb:300"),
+                (messages.PROMPT_PREFIX, self._choose_parts(content)),
                 *answer.taken_up.headers(),
             ]
         events = (
@@ -265,6 +269,13 @@
         else:
             await self._drop_kept()
 
+    def _choose_parts(self, content):
+        """Choose the parts of a prompt, the last of which is its own."""
+        middle = f"b{self._rng.randrange(MIDDLE_PARTS)}"
+        if self._rng.random() < self._poison_share:
+            middle = protocol.CRASHING_PART
+        return f"aa:100,{middle}:200,{content}:100"
+
 
 async def _read_answer(http, stream, answer):
     while True:
@@ -308,7 +319,7 @@
     return body == protocol.plain_body(content)
 
 
-def make_callers(count, seed, nodes, writer, trusts_resets):
+def make_callers(count, seed, nodes, writer, trusts_resets, poison_share=0.0):
     """Create callers with randomness of their own."""
     return [
         Caller(
@@ -317,6 +328,7 @@
             nodes,
             writer,
             trusts_resets,
+            poison_share,
         )
         for number in range(count)
     ]
--- a/tests/soak/checker.py
+++ b/tests/soak/checker.py
@@ -22,6 +22,8 @@
 DRAIN_S = 2.0  # after which a server that leaves gets no new requests
 BUSY_FROM_S = 0.5  # after which a busy server gets none
 BUSY_REQUESTS = 2  # of one node in the time that a busy server asked for
+CRASHES_MAX = 5  # under one part, before its requests must reach no server
+LATE_CRASHES_MAX = 3  # later than ``CONTACT_S`` after that
 LIMIT_WINDOW_S = 4.0
 LIMIT_SHARE = 1.5  # of what a limit allows in a window
 LIMIT_EXTRA = 5  # requests beside
@@ -59,6 +61,8 @@
     ``DRAIN``: a node passed on that a server leaves, and sent it a later
     request.
     ``BUSY``: a node sent requests to a server that had asked for a pause.
+    ``CRASHES``: requests with a part that had crashed several servers went on
+    to reach servers.
 
     :param found: list of records, ordered by time.
     :returns: list of ``Violation``.
@@ -85,6 +89,7 @@
         *_two_versions(results),
         *_over_limits(by_type),
         *_after_statements(by_type),
+        *_after_crashes(by_type),
     ]
 
 
@@ -327,6 +332,29 @@
         yield Violation("BUSY", (told, *within))
 
 
+def _after_crashes(by_type):
+    """Find crashes of nodes that should have known what causes them."""
+    results = {each.attempt: each for each in by_type[records.Result]}
+    crashes = by_type[records.Crash]
+    if len(crashes) < CRASHES_MAX:
+        return
+    known_s = crashes[CRASHES_MAX - 1].at_s + CONTACT_S
+    late = [
+        crash
+        for crash in crashes
+        if crash.at_s > known_s
+        and crash.attempt in results
+        and not _was_disturbed(
+            (results[crash.attempt].node,),
+            crash.at_s - CONTACT_S,
+            crash.at_s,
+            by_type,
+        )
+    ]
+    if len(late) > LATE_CRASHES_MAX:
+        yield Violation("CRASHES", tuple(late))
+
+
 def _was_disturbed(parties, since_s, until_s, by_type):
     """Tell whether a process or one of its links had a fault."""
     return any(
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -13,6 +13,8 @@
 from tests.soak import system as systems
 
 RESTART_S = 0.3
+CRASH_CHECK_S = 0.1
+CRASH_RESTART_S = 1.0
 EXIT_S = systems.GRACE_S + 1.0  # a node that has not ended is then killed
 RESTORE_S = 2.5  # until the store has come back from a copy
 DRAIN_S = 3.0  # a server ends this long after it began to drain
@@ -170,6 +172,30 @@
     return choices
 
 
+async def restart_crashed(system, writer, busy):
+    """Start servers again that have ended by themselves, until cancelled.
+
+    :param busy: as for ``run_series``.
+    """
+    while True:
+        await trio.sleep(CRASH_CHECK_S)
+        for server in (*systems.ENGINES, *systems.SHOPS):
+            if server in busy or not system.has_ended(server):
+                continue
+            busy.add(server)
+            fault = records.Fault(
+                records.now_s(),
+                records.now_s(),
+                _subject(system, server),
+                "kill",
+            )
+            writer.write(fault)
+            await trio.sleep(CRASH_RESTART_S)
+            await system.deregister(server)
+            await system.start_server(server)
+            busy.discard(server)
+
+
 async def run_series(system, rng, writer, busy, names):
     """Apply one fault after the other until cancelled.
 
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -98,6 +98,10 @@
         other = expected and int(expected) != version
         if self._misdirected(req) or not version or other:
             await resp.reply(421, b"", self._faulty_answers.head(req))
+        elif protocol.CRASHING_PART in servers.prompt_parts(req)[:-1]:
+            headers = [*self._faulty_answers.head(req), servers.STAMP_HEADER]
+            await resp.start(200, headers)
+            self._faulty_answers.crash(req)
         else:
             await self._faulty_answers.answer(req, resp, self._work)
 
--- a/tests/soak/protocol.py
+++ b/tests/soak/protocol.py
@@ -7,6 +7,7 @@
 
 CONTENT = "x-content"  # header with the id of a request's content
 KIND = "x-kind"
+CRASHING_PART = "crashes"  # part of a prompt that ends the server's process
 LINGER_RESET = struct.pack("ii", 1, 0)  # makes a close reset the connection
 
 
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -123,6 +123,15 @@
     attempt: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Crash:
+    """A server was ended by a part of a request's prompt."""
+
+    at_s: float
+    server: str
+    attempt: str
+
+
 _TYPES = {
     each.__name__: each
     for each in (
@@ -134,6 +143,7 @@
         Limit,
         Statement,
         Arrival,
+        Crash,
     )
 }
 
--- a/tests/soak/system.py
+++ b/tests/soak/system.py
@@ -72,6 +72,8 @@
     :param program: command that runs a node, without its settings.
     :param package_paths: directories of packages, one of which a node runs
         from each of its starts on; None stands for the installed one.
+    :param has_proxies: whether nodes reach servers through proxies, which
+        accept connections also while their server is down.
     """
 
     def __init__(
@@ -83,6 +85,7 @@
         limit_pause_s,
         program=(),
         package_paths=(None,),
+        has_proxies=True,
     ):
         self.directory = directory
         self.links = {}
@@ -92,6 +95,7 @@
         self._limit_pause_s = limit_pause_s
         self._program = program or (sys.executable, "-m", "coltsfootsail")
         self._package_paths = package_paths
+        self._server_address = "nodes/{}" if has_proxies else "{}"
         self._package_rng = random.Random(f"{seed}/packages")
         self._processes = {}
         self._incarnations = dict.fromkeys((*ENGINES, *SHOPS), 0)
@@ -209,7 +213,8 @@
 
     async def register(self, server, state="ready"):
         """Write a server's entry to the store."""
-        entry = users.plain_entry(self.addresses[f"nodes/{server}"], state)
+        address = self.addresses[self._server_address.format(server)]
+        entry = users.plain_entry(address, state)
         if server in ENGINES:
             models = [{"name": "base", "version": 1, "adapters": []}]
             entry |= {"service": "engines", "slots": 64, "models": models}
@@ -257,6 +262,11 @@
         self.signal(name, signal.SIGKILL)
         await running.wait()
 
+    def has_ended(self, name):
+        """Tell whether a process has ended by itself or was killed."""
+        running = self._processes[name].running
+        return running is not None and running.poll() is not None
+
     async def restart_node(self, node):
         """Start a node that has ended."""
         await self._launch(node)
--- a/tests/soak/unsafe_node.py
+++ b/tests/soak/unsafe_node.py
@@ -11,6 +11,7 @@
 from coltsfootsail import _claims
 from coltsfootsail import _gateway
 from coltsfootsail import _http_client
+from coltsfootsail import _poison_parts
 from coltsfootsail import _request_context
 from coltsfootsail import _request_handler
 from coltsfootsail import _server_limits
@@ -88,7 +89,12 @@
     _ignore_statements(retry_after_s=None)
 
 
+def _forget_crashes():
+    _poison_parts.PartEvidence.add = lambda self, run: ()
+
+
 REMOVALS = {
+    "forget_crashes": _forget_crashes,
     "ignore_leaving": _ignore_leaving,
     "ignore_busy": _ignore_busy,
     "ignore_limits": _ignore_limits,
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -170,6 +170,14 @@
     assert not violations, "\n".join(map(str, violations))
 
 
+def test_soak_of_requests_that_crash_engines_breaks_no_promise(tmp_path):
+    violations, summary = _play(
+        tmp_path, "20", "--poison", "0.1", "--limits", "0"
+    )
+    assert summary["result 200"] and summary["Crash"]
+    assert not violations, "\n".join(map(str, violations))
+
+
 PLANNED_STOPS = [
     "--faults",
     "terminate",
@@ -242,6 +250,11 @@
             "DRAIN",
             ["--fault-share", "0", "--limits", "0", "--faults", "leave"],
         ),
+        (
+            "forget_crashes",
+            "CRASHES",
+            ["--fault-share", "0", "--limits", "0", "--poison", "0.1"],
+        ),
         (
             "go_on_at_any_version",
             "ORDER",
