Find a crash right after a check that reached the server

A check that had reached a server was taken for the result of others within the next second, and an earlier contact with other servers for a proof that a node is connected. Where several servers crashed in quick succession, the crash of each second one was taken for a cut. Only a found crash is remembered now, and up to eight other servers are tried at once. The test failed before.

--- a/src/coltsfootsail/_crash_checks.py
+++ b/src/coltsfootsail/_crash_checks.py
@@ -8,6 +8,7 @@
 import enum
 import itertools
 import math
+import random
 
 import trio
 
@@ -16,10 +17,10 @@
 
 CONNECT_TIMEOUT_S = 0.5
 REPLY_TIMEOUT_S = 1.2  # two connection attempts of the witness, and the way
-RESULT_VALID_S = 1.0
-CONTACT_VALID_S = 2.0  # a server that answered counts as reached for this long
+CRASH_VALID_S = 1.0  # a crash that was found is not checked again
+CONTACT_VALID_S = 0.3  # a server that answered counts as reached for this long
 WITNESSES_MAX = 2
-OTHERS_MAX = 2  # servers that are tried to prove a node's own connectivity
+OTHERS_MAX = 8  # servers that are tried to prove a node's own connectivity
 
 
 class Finding(enum.StrEnum):
@@ -41,7 +42,7 @@
     def __init__(self):
         self.done = trio.Event()
         self.finding = Finding.UNKNOWN
-        self.ended_s = None
+        self.valid_until_s = math.inf
 
 
 class CrashChecks:
@@ -84,20 +85,22 @@
         return await self._share(self._checks, server, self._check)
 
     async def _share(self, checks, server, run):
-        """Let several tasks share one check of a server."""
+        """Let several tasks share one check of a server.
+
+        Only a crash is remembered: a server that was reached may have
+        crashed since.
+        """
         check = checks.get(server.name)
-        is_old = check is not None and (
-            check.ended_s is not None
-            and self._now() - check.ended_s > RESULT_VALID_S
-        )
-        if check is not None and not is_old:
+        if check is not None and self._now() < check.valid_until_s:
             await check.done.wait()
             return check.finding
         check = checks[server.name] = _Check()
         try:
             check.finding = await run(server)
         finally:
-            check.ended_s = self._now()
+            check.valid_until_s = self._now()
+            if check.finding is Finding.CRASHED:
+                check.valid_until_s += CRASH_VALID_S
             check.done.set()
         return check.finding
 
@@ -133,11 +136,17 @@
             for each in others
         ):
             return True
-        others.sort(key=lambda each: -self._contacts_s.get(each.name, 0.0))
-        for other in others[:OTHERS_MAX]:
-            if await self._probe(other) is Finding.REACHED:
-                return True
-        return False
+        reached = []
+
+        async def try_to_reach(other):
+            if await self._connect(other) is Finding.REACHED:
+                reached.append(other)
+                nursery.cancel_scope.cancel()
+
+        async with trio.open_nursery() as nursery:
+            for other in random.sample(others, min(OTHERS_MAX, len(others))):
+                nursery.start_soon(try_to_reach, other)
+        return bool(reached)
 
     def _witnesses(self, server):
         """Choose the nodes to ask about a server."""
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -161,7 +161,7 @@
     return await fleet.call(
         "/notes/1",
         node,
-        adapter="base/a1",
+        adapter=f"base/a{number % 5}",
         parts=parts,
         request_id=f"x{number}",
         body=b"bad %d" % number,
@@ -262,3 +262,22 @@
         assert (await _send_bad(fleet, 0, "g0")).status == 503
 
     gateways.run(scenario, nodes=1, engines=4)
+
+
+async def _check_twice(fleet, node, server):
+    """Check a server before and right after it has crashed."""
+    gateway = fleet.gateways[node]
+    registered = gateway.view.servers[server.name]
+    before = await gateway.crash_checks.check(registered)
+    fleet.crash(server)
+    await trio.sleep(0.01)
+    return before, await gateway.crash_checks.check(registered)
+
+
+def test_crash_right_after_a_check_that_reached_the_server_is_found():
+    async def scenario(fleet):
+        for engine in fleet.engines:
+            found = await _check_twice(fleet, "g0", engine)
+            assert found == ("reached", "crashed")
+
+    gateways.run(scenario, nodes=3, engines=4)
