Blame no part that has run to its end at some node lately

A node that has just started has seen no run complete, and told all others of parts that every request of a route shares. A node that has seen a part complete now keeps no such accusation, and tells its sender, which takes it back. The test failed before.

--- a/src/coltsfootsail/_crashes.py
+++ b/src/coltsfootsail/_crashes.py
@@ -34,9 +34,10 @@
     :param now: closure that reads the clock.
     :param count: ``(counter, reason)``.
     :param tell_all: ``(message)``, sends to all nodes.
+    :param tell: ``(node, message)``, sends to one node.
     """
 
-    def __init__(self, strikes, checks, view, kv, now, count, tell_all):
+    def __init__(self, strikes, checks, view, kv, now, count, tell_all, tell):
         self.strikes = strikes
         self._checks = checks
         self._view = view
@@ -44,6 +45,7 @@
         self._now = now
         self._count = count
         self._tell_all = tell_all
+        self._tell = tell
         self._nursery = None
         self._evidence = _poison_parts.PartEvidence()
 
@@ -161,17 +163,33 @@
         if self.strikes.clear(context.fingerprint):
             self._tell_all(_wire.Strike(context.fingerprint, 0))
         parts = context.meta.shared_parts
-        cleared = self._evidence.clear(parts, self._now())
-        if cleared:
-            self._log_cleared(cleared, "")
-            self._tell_all(_wire.PartsCleared(cleared))
+        self._clear(parts, "")
         for part in parts:
             if self._view.is_part_blamed(part):
                 self._nursery.start_soon(self._remove_blame, part)
 
-    def _log_cleared(self, parts, node):
+    def _clear(self, parts, node):
+        """Clear parts, and tell all nodes if this one has accused them.
+
+        :param node: the node that told of it, empty for this one.
+        """
+        is_accuser = not node or self._has_accused(parts)
+        cleared = self._evidence.clear(parts, self._now())
+        if not cleared:
+            return
         self._count("poisoned_parts", "cleared")
-        _logs.state("parts_cleared", parts=" ".join(parts), told_by=node)
+        _logs.state("parts_cleared", parts=" ".join(cleared), told_by=node)
+        if is_accuser:
+            self._tell_all(_wire.PartsCleared(cleared))
+
+    def _has_accused(self, parts):
+        """Tell whether this node has told others of runs with some parts."""
+        return any(
+            part in parts
+            for run in self._evidence.runs()
+            if not run.told_by
+            for part, _ in run.parts
+        )
 
     async def _remove_blame(self, part):
         try:
@@ -188,11 +206,22 @@
     def learn_run(self, msg, node):
         """Add a run that another node saw crash its server.
 
+        The node is told of the parts that are known here to be sound.
+
         :param msg: a ``_wire.CrashedRun``.
         """
-        at_s = self._now() - msg.age_s
-        parts = tuple((str(part), int(place)) for part, place in msg.parts)
-        run = _poison_parts.CrashedRun(msg.server, msg.content, parts, at_s)
+        now_s = self._now()
+        at_s = now_s - msg.age_s
+        told = tuple((str(part), int(place)) for part, place in msg.parts)
+        sound = tuple(p for p, _ in told if self._evidence.is_sound(p, now_s))
+        if sound:
+            self._tell(node, _wire.PartsCleared(sound))
+        parts = tuple(pair for pair in told if pair[0] not in sound)
+        if not parts:
+            return
+        run = _poison_parts.CrashedRun(
+            msg.server, msg.content, parts, at_s, node
+        )
         self._note_run(run, node)
 
     def learn_cleared(self, msg, node):
@@ -200,9 +229,7 @@
 
         :param msg: a ``PartsCleared``.
         """
-        cleared = self._evidence.clear(msg.parts, self._now())
-        if cleared:
-            self._log_cleared(cleared, node)
+        self._clear(msg.parts, node)
 
     def messages(self):
         """Make the messages that tell another node all that is known."""
--- a/src/coltsfootsail/_gateway.py
+++ b/src/coltsfootsail/_gateway.py
@@ -234,6 +234,7 @@
             self.now,
             self.metrics.count,
             self.mesh.broadcast,
+            self.mesh.send,
         )
         self.request_handler = _request_handler.RequestHandler(self)
 
--- a/src/coltsfootsail/_poison_parts.py
+++ b/src/coltsfootsail/_poison_parts.py
@@ -43,12 +43,14 @@
     :param content: fingerprint of the request.
     :param parts: pairs of a part's id and its place in the prompt.
     :param at_s: when the crash was found.
+    :param told_by: the node that told of it, empty for this one.
     """
 
     server: str
     content: str
     parts: tuple
     at_s: float
+    told_by: str = ""
 
 
 @dataclasses.dataclass(slots=True)
@@ -75,13 +77,17 @@
         :param parts: ids in the order of the prompt.
         :returns: tuple of pairs of id and place.
         """
-        oldest_s = now_s - SOUND_S
         return tuple(
             (part, place)
             for place, part in enumerate(parts)
-            if self._completed_s.get(part, oldest_s) <= oldest_s
+            if not self.is_sound(part, now_s)
         )
 
+    def is_sound(self, part, now_s):
+        """Tell whether a run with a part has completed recently."""
+        completed_s = self._completed_s.get(part)
+        return completed_s is not None and now_s < completed_s + SOUND_S
+
     def add(self, run):
         """Add a run to the evidence.
 
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -1,5 +1,6 @@
 """Requests that crash the servers that run them."""
 
+import functools
 import logging
 import random
 
@@ -264,6 +265,30 @@
     gateways.run(scenario, nodes=1, engines=4)
 
 
+def test_shared_part_is_not_blamed_by_a_node_that_has_just_started():
+    async def scenario(fleet):
+        for engine in fleet.engines:
+            engine.adapter_slots = 8
+        await _send_mix(fleet, "/notes/1", 5.0, None, True)
+        await fleet.start_gateway("g1")
+        await trio.sleep(3.0)
+        for engine in fleet.engines:
+            engine.events, engine.event_s = 100, 0.05
+        async with trio.open_nursery() as nursery:
+            for number in range(20):
+                parts = ("shared", f"n{number}", "own")
+                send = functools.partial(_send_bad, parts=parts)
+                nursery.start_soon(send, fleet, number, "g1")
+            await trio.sleep(2.0)
+            for engine in fleet.engines:
+                fleet.crash(engine)
+                await trio.sleep(0.2)
+        for gateway in fleet.gateways.values():
+            assert not _is_blamed(gateway, "shared")
+
+    gateways.run(scenario, nodes=3, engines=4)
+
+
 async def _check_twice(fleet, node, server):
     """Check a server before and right after it has crashed."""
     gateway = fleet.gateways[node]
