End the blame of a part by trials, and take over blames from the store

A part that was blamed by mistake stayed refused for a minute or more at all nodes, also if every request of a route has it, and a stored blame outlived a clearing that came before it was written. A blamed part is now refused for 10 s, 40 s, 160 s and so on after its last crash; then one node, which changes every 5 s, lets one request at a time try it. A completed run clears it everywhere and in the store; another crash adds to the count. Nodes that start take the count from the store.

--- a/src/coltsfootsail/_crashes.py
+++ b/src/coltsfootsail/_crashes.py
@@ -3,8 +3,7 @@
 When a server ends while it runs a request, the node that sent the request
 checks whether the server has crashed, and tells all other nodes what spoke
 for it.  Nodes with the same evidence blame the same parts.  What they blame
-is also kept in the store until it expires, for nodes that start or that have
-no link.
+is also kept in the store, for nodes that start or that have no link.
 """
 
 import trio
@@ -13,6 +12,7 @@
 from coltsfootsail import _keys
 from coltsfootsail import _kv
 from coltsfootsail import _logs
+from coltsfootsail import _placement
 from coltsfootsail import _poison_parts
 from coltsfootsail import _records
 from coltsfootsail import _wire
@@ -21,33 +21,36 @@
 # A request is sent again only after its server's check, or after this time.
 CHECK_WAIT_S = 0.3
 STORE_TIMEOUT_S = 10.0
-STORED_RETRY_S = 10.0  # for a part of whose crashes only the store tells
+TRIAL_TURN_S = 5.0  # in which one node may try a blamed part
+TRIAL_RETRY_S = 1.0  # for callers of other nodes meanwhile
 
 
 class CrashTracker:
     """What one node knows of requests that crash servers.
 
+    :param node: this node's name.
     :param strikes: ``Strikes`` against whole contents.
     :param checks: the node's ``CrashChecks``.
     :param view: a ``DeploymentView``.
+    :param mesh: a ``Mesh``.
     :param kv: a ``StoreClient``.
     :param now: closure that reads the clock.
     :param count: ``(counter, reason)``.
-    :param tell_all: ``(message)``, sends to all nodes.
-    :param tell: ``(node, message)``, sends to one node.
     """
 
-    def __init__(self, strikes, checks, view, kv, now, count, tell_all, tell):
+    def __init__(self, node, strikes, checks, view, mesh, kv, now, count):
         self.strikes = strikes
+        self._node = node
         self._checks = checks
         self._view = view
+        self._mesh = mesh
         self._kv = kv
         self._now = now
         self._count = count
-        self._tell_all = tell_all
-        self._tell = tell
         self._nursery = None
         self._evidence = _poison_parts.PartEvidence()
+        self._trials = {}
+        self._stored_revisions = {}
 
     def check_allowed(self, context):
         """Refuse a request that would crash its server.
@@ -58,12 +61,47 @@
         """
         if self.strikes.refused(context.fingerprint):
             raise exceptions.Poisoned()
-        parts = context.meta.shared_parts
-        left_s = self._evidence.refused_until_s(parts) - self._now()
+        now_s = self._now()
+        for part in context.meta.shared_parts:
+            verdict = self._evidence.verdict(part)
+            if verdict is not None and not verdict.is_over(now_s):
+                self._check_trial(part, verdict, now_s, context)
+
+    def _check_trial(self, part, verdict, now_s, context):
+        """Let a request try a blamed part, or refuse it."""
+        left_s = verdict.refused_until_s - now_s
         if left_s > 0.0:
             raise exceptions.PoisonedPart(retry_after_s=left_s)
-        if any(self._view.is_part_blamed(part) for part in parts):
-            raise exceptions.PoisonedPart(retry_after_s=STORED_RETRY_S)
+        turn = int(-left_s / TRIAL_TURN_S)
+        if self._trials.get(part) is context:
+            return
+        if part in self._trials or not self._is_in_turn(part, turn):
+            raise exceptions.PoisonedPart(retry_after_s=TRIAL_RETRY_S)
+        self._trials[part] = context
+        _logs.state("part_tried", id=context.meta.request_id, part=part)
+
+    def _is_in_turn(self, part, turn):
+        nodes = [
+            node
+            for node, heartbeat in self._mesh.heartbeats().items()
+            if heartbeat.ready
+        ]
+        ranked = _placement.rendezvous_ranking(
+            f"{part}/{turn}", tuple(sorted({*nodes, self._node})), 1
+        )
+        return ranked[0] == self._node
+
+    def end_trials(self, context):
+        """End the trials of a request once it is known how they ended."""
+        parts = [p for p, each in self._trials.items() if each is context]
+        if parts:
+            self._nursery.start_soon(self._end_trials, context, parts)
+
+    async def _end_trials(self, context, parts):
+        if context.crash_checked is not None:
+            await context.crash_checked.wait()
+        for part in parts:
+            del self._trials[part]
 
     def interrupted(self, server, context):
         """Check in the background whether a request crashed its server.
@@ -105,7 +143,7 @@
             count=count,
         )
         self._count("strikes", "crash")
-        self._tell_all(_wire.Strike(context.fingerprint, count))
+        self._mesh.broadcast(_wire.Strike(context.fingerprint, count))
 
     def _add_evidence(self, server, context):
         now_s = self._now()
@@ -115,58 +153,88 @@
         run = _poison_parts.CrashedRun(
             server.name, context.fingerprint, parts, now_s
         )
-        for part in self._note_run(run, ""):
+        for part in self._note_run(run):
             self._nursery.start_soon(self._store_blame, part)
-        self._tell_all(self._message(run))
+        self._mesh.broadcast(self._message(run))
 
     def _message(self, run):
         return _wire.CrashedRun(
             run.server, run.content, run.parts, float(self._now() - run.at_s)
         )
 
-    def _note_run(self, run, node):
-        """Add a run to the evidence, and log the parts that get blamed.
+    def _note_run(self, run):
+        """Add a run to the evidence.
 
-        :param node: the node that told of it, empty for this one.
-        :returns: these parts.
+        :returns: the parts that are blamed for more crashes than before.
         """
         blamed = self._evidence.add(run)
         for part in blamed:
-            verdict = self._evidence.verdict(part)
-            self._count("poisoned_parts", "blamed")
-            _logs.state(
-                "part_blamed",
-                part=part,
-                crashes=verdict.crashes,
-                for_s=round(verdict.until_s - self._now(), 1),
-                told_by=node,
-            )
+            self._record_blame(part, run.told_by)
         return blamed
 
+    def _record_blame(self, part, source):
+        """Count and log the blame of a part.
+
+        :param source: node that told of the last crash, ``store``, or empty.
+        """
+        verdict = self._evidence.verdict(part)
+        self._count("poisoned_parts", "blamed")
+        _logs.state(
+            "part_blamed",
+            part=part,
+            crashes=verdict.crashes,
+            for_s=round(verdict.refused_until_s - self._now(), 1),
+            told_by=source,
+        )
+
     async def _store_blame(self, part):
-        """Keep a part's blame in the store until it expires."""
+        """Keep a part's blame in the store until its trial is over."""
         verdict = self._evidence.verdict(part)
         if verdict is None:
             return
-        left_s = max(1.0, verdict.until_s - self._now())
-        record = _records.dumps(_records.BlamedPart(verdict.crashes))
+        left_s = verdict.refused_until_s - self._now() + _poison_parts.TRIAL_S
+        record = _records.BlamedPart(part, verdict.crashes)
         try:
             with trio.fail_after(STORE_TIMEOUT_S):
                 lease = await self._kv.lease_grant(left_s)
                 key = _keys.blamed_part(part)
-                await self._kv.txn([], [_kv.Put(key, record, lease)])
+                put = _kv.Put(key, _records.dumps(record), lease)
+                await self._kv.txn([], [put])
         except (exceptions.KvError, trio.TooSlowError) as exc:
             _logs.state("part_not_stored", part=part, reason=repr(exc))
+            return
+        if self._evidence.verdict(part) is None:
+            await self._remove_blame(part)
+
+    async def _remove_blame(self, part):
+        try:
+            with trio.fail_after(STORE_TIMEOUT_S):
+                operation = _kv.Delete(_keys.blamed_part(part))
+                await self._kv.txn([], [operation])
+        except (exceptions.KvError, trio.TooSlowError) as exc:
+            _logs.state("part_not_removed", part=part, reason=repr(exc))
+
+    def note_stored(self):
+        """Take over the blames in the store that are not known here."""
+        now_s = self._now()
+        stored = self._view.blamed_parts()
+        for record, revision in stored:
+            is_known = self._stored_revisions.get(record.part) == revision
+            self._stored_revisions[record.part] = revision
+            if is_known or self._evidence.is_sound(record.part, now_s):
+                continue
+            if self._evidence.verdict(record.part) is None:
+                self._evidence.adopt(record.part, record.crashes, now_s)
+                self._record_blame(record.part, "store")
+        parts = {record.part for record, _ in stored}
+        for part in self._stored_revisions.keys() - parts:
+            del self._stored_revisions[part]
 
     def completed(self, context):
         """Clear a request's content and parts after a successful run."""
         if self.strikes.clear(context.fingerprint):
-            self._tell_all(_wire.Strike(context.fingerprint, 0))
-        parts = context.meta.shared_parts
-        self._clear(parts, "")
-        for part in parts:
-            if self._view.is_part_blamed(part):
-                self._nursery.start_soon(self._remove_blame, part)
+            self._mesh.broadcast(_wire.Strike(context.fingerprint, 0))
+        self._clear(context.meta.shared_parts, "")
 
     def _clear(self, parts, node):
         """Clear parts, and tell all nodes if this one has accused them.
@@ -174,13 +242,16 @@
         :param node: the node that told of it, empty for this one.
         """
         is_accuser = not node or self._has_accused(parts)
+        blamed = [part for part in parts if self._evidence.verdict(part)]
         cleared = self._evidence.clear(parts, self._now())
         if not cleared:
             return
         self._count("poisoned_parts", "cleared")
         _logs.state("parts_cleared", parts=" ".join(cleared), told_by=node)
         if is_accuser:
-            self._tell_all(_wire.PartsCleared(cleared))
+            self._mesh.broadcast(_wire.PartsCleared(cleared))
+            for part in blamed:
+                self._nursery.start_soon(self._remove_blame, part)
 
     def _has_accused(self, parts):
         """Tell whether this node has told others of runs with some parts."""
@@ -191,14 +262,6 @@
             for part, _ in run.parts
         )
 
-    async def _remove_blame(self, part):
-        try:
-            with trio.fail_after(STORE_TIMEOUT_S):
-                operation = _kv.Delete(_keys.blamed_part(part))
-                await self._kv.txn([], [operation])
-        except (exceptions.KvError, trio.TooSlowError) as exc:
-            _logs.state("part_not_removed", part=part, reason=repr(exc))
-
     def learn_strike(self, msg):
         """Apply another node's ``Strike``."""
         self.strikes.learn(msg.fingerprint, msg.count)
@@ -211,18 +274,17 @@
         :param msg: a ``_wire.CrashedRun``.
         """
         now_s = self._now()
-        at_s = now_s - msg.age_s
         told = tuple((str(part), int(place)) for part, place in msg.parts)
         sound = tuple(p for p, _ in told if self._evidence.is_sound(p, now_s))
         if sound:
-            self._tell(node, _wire.PartsCleared(sound))
+            self._mesh.send(node, _wire.PartsCleared(sound))
         parts = tuple(pair for pair in told if pair[0] not in sound)
         if not parts:
             return
         run = _poison_parts.CrashedRun(
-            msg.server, msg.content, parts, at_s, node
+            msg.server, msg.content, parts, now_s - msg.age_s, node
         )
-        self._note_run(run, node)
+        self._note_run(run)
 
     def learn_cleared(self, msg, node):
         """Clear parts with which another node saw a run completed.
--- a/src/coltsfootsail/_gateway.py
+++ b/src/coltsfootsail/_gateway.py
@@ -227,14 +227,14 @@
         )
         self.answer_memory = _answer_memory.AnswerMemory()
         self.crashes = _crashes.CrashTracker(
+            self._name,
             _poison.Strikes(lambda fingerprint: 0, STRIKES_MAX),
             self.crash_checks,
             self.view,
+            self.mesh,
             self.kv,
             self.now,
             self.metrics.count,
-            self.mesh.broadcast,
-            self.mesh.send,
         )
         self.request_handler = _request_handler.RequestHandler(self)
 
@@ -325,6 +325,7 @@
         self.limits.keep(self.view.servers)
         self.limited_servers.keep(self.view.servers)
         self.crash_checks.keep(self.view.servers)
+        self.crashes.note_stored()
         self.owned_engines.turn_away_from_unavailable()
         if changed is None:
             self.mesh.dial_now()
--- a/src/coltsfootsail/_poison_parts.py
+++ b/src/coltsfootsail/_poison_parts.py
@@ -7,6 +7,10 @@
 part: what merely ran beside it is cleared.  A completed run clears its parts
 in any case.
 
+Requests with a blamed part are refused for a while.  Then it is on trial: one
+request at a time may run, which either clears it or gets it blamed for one
+more crash and refused for longer.
+
 The code does no I/O and has no clock.
 """
 
@@ -15,8 +19,10 @@
 
 CRASHES_MIN = 3  # of servers under one part, to blame it
 CONTENTS_MIN = 2  # different requests among them
-REFUSED_S = 60.0  # after the last crash; doubles with each further one
+REFUSED_S = 10.0  # after the last crash
+REFUSED_FACTOR = 4.0  # on this time, for each further crash
 REFUSED_MAX_S = 600.0
+TRIAL_S = 60.0  # without a crash, after which any request may run
 CRASHES_KEPT = 64
 FORGET_AFTER_S = 3600.0
 COMPLETED_KEPT = 5000  # parts
@@ -29,11 +35,15 @@
     """The blame of a part.
 
     :param crashes: number of servers that crashed under it.
-    :param until_s: until when requests with it are refused.
+    :param refused_until_s: until when all requests with it are refused.
     """
 
     crashes: int
-    until_s: float
+    refused_until_s: float
+
+    def is_over(self, now_s):
+        """Tell whether requests with it may run without a trial."""
+        return now_s >= self.refused_until_s + TRIAL_S
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -70,6 +80,7 @@
         self._crashes = {}
         self._completed_s = {}
         self._verdicts = {}
+        self._adopted = {}
 
     def suspects(self, parts, now_s):
         """Select the parts that no recent run has completed with.
@@ -111,16 +122,27 @@
             self._completed_s[part] = now_s
         while len(self._completed_s) > COMPLETED_KEPT:
             del self._completed_s[next(iter(self._completed_s))]
-        if not self._crashes:
+        if not (self._crashes or self._adopted):
             return ()
-        suspected = set().union(*(c.parts() for c in self._crashes.values()))
+        suspected = {*self._adopted}
+        suspected.update(*(c.parts() for c in self._crashes.values()))
         cleared = suspected.intersection(parts)
         if cleared:
             self._remove(cleared)
             self._judge()
         return tuple(sorted(cleared))
 
+    def adopt(self, part, crashes, now_s):
+        """Take over a blame whose evidence this node does not have.
+
+        :param crashes: number of servers that crashed under the part.
+        """
+        self._adopted[part] = crashes, now_s
+        self._judge()
+
     def _remove(self, cleared):
+        for part in cleared:
+            self._adopted.pop(part, None)
         for crash in self._crashes.values():
             for content, run in crash.runs.items():
                 left = tuple(p for p in run.parts if p[0] not in cleared)
@@ -133,6 +155,12 @@
             if crash.at_s < now_s - FORGET_AFTER_S
         ]:
             del self._crashes[server]
+        for part in [
+            part
+            for part, (_, adopted_s) in self._adopted.items()
+            if adopted_s < now_s - FORGET_AFTER_S
+        ]:
+            del self._adopted[part]
         while len(self._crashes) >= CRASHES_KEPT:
             del self._crashes[next(iter(self._crashes))]
 
@@ -145,22 +173,6 @@
             if run.parts
         ]
 
-    def refused_until_s(self, parts):
-        """Get the time until which requests with any of the parts are refused.
-
-        :returns: a time, 0.0 if no part is blamed.
-        """
-        if not self._verdicts:
-            return 0.0
-        return max(
-            (
-                self._verdicts[part].until_s
-                for part in parts
-                if part in self._verdicts
-            ),
-            default=0.0,
-        )
-
     def verdict(self, part):
         """Get the ``Verdict`` on a part, None if it is not blamed."""
         return self._verdicts.get(part)
@@ -178,7 +190,14 @@
                 break
             explained = [c for c in unexplained if found in c.parts()]
             unexplained = [c for c in unexplained if found not in c.parts()]
-            verdicts[found] = _make_verdict(explained)
+            last_s = max(crash.at_s for crash in explained)
+            verdicts[found] = _make_verdict(len(explained), last_s)
+        for part, (crashes, adopted_s) in self._adopted.items():
+            if part not in verdicts:
+                own_s = [c.at_s for c in unexplained if part in c.parts()]
+                verdicts[part] = _make_verdict(
+                    crashes + len(own_s), max([adopted_s, *own_s])
+                )
         before, self._verdicts = self._verdicts, verdicts
         return tuple(
             part
@@ -217,8 +236,10 @@
     )
 
 
-def _make_verdict(crashes):
-    """Blame a part for some crashes."""
-    refused_s = REFUSED_S * 2 ** (len(crashes) - CRASHES_MIN)
-    last_s = max(crash.at_s for crash in crashes)
-    return Verdict(len(crashes), last_s + min(REFUSED_MAX_S, refused_s))
+def _make_verdict(crashes, last_s):
+    """Blame a part for some crashes.
+
+    :param last_s: when the last of them was found.
+    """
+    refused_s = REFUSED_S * REFUSED_FACTOR ** max(0, crashes - CRASHES_MIN)
+    return Verdict(crashes, last_s + min(REFUSED_MAX_S, refused_s))
--- a/src/coltsfootsail/_records.py
+++ b/src/coltsfootsail/_records.py
@@ -124,6 +124,7 @@
 class BlamedPart:
     """Number of servers that crashed under a part of a prompt."""
 
+    part: str
     crashes: int
 
 
--- a/src/coltsfootsail/_request_handler.py
+++ b/src/coltsfootsail/_request_handler.py
@@ -62,19 +62,25 @@
         scope.cancel()
 
     async def _respond(self, req, resp):
+        gateway = self._gateway
         meta = messages.read_metadata(req)
         labels = _metrics.NO_LABELS
         try:
             await self._wait_for_configuration()
             context = self._create_context(req, meta)
             labels = context.labels
-            await self._forward(context, resp)
+            try:
+                gateway.crashes.check_allowed(context)
+                await self._forward(context, resp)
+            finally:
+                gateway.crashes.end_trials(context)
         except exceptions.ColtsfootsailError as exc:
             self._record_refused(meta, exc, resp, labels)
             if resp.status is None:
                 await self._send_error(exc, resp)
 
     async def _forward(self, context, resp):
+        self._gateway.retry_budget.request(context.service)
         self._record_request(context)
         if context.route.kind is _fleet.RouteKind.STREAMING:
             await self._streams.forward(context, resp)
@@ -165,7 +171,7 @@
         deadline_s = DEFAULT_DEADLINE_S if deadline_s is None else deadline_s
         fingerprint = _poison.fingerprint(f"{host}{req.target}", req.body)
         service = route.choose_service(meta.request_id)
-        context = _request_context.RequestContext(
+        return _request_context.RequestContext(
             req=req,
             meta=meta,
             route=route,
@@ -175,9 +181,6 @@
             owner_wait_until_s=now_s + _streams.OWNER_WAIT_S,
             fingerprint=fingerprint,
         )
-        gateway.crashes.check_allowed(context)
-        gateway.retry_budget.request(service)
-        return context
 
 
 def describe_parts(prompt):
--- a/src/coltsfootsail/_timeline.py
+++ b/src/coltsfootsail/_timeline.py
@@ -27,6 +27,7 @@
     "lease",
     "strike",
     "part_blamed",
+    "part_tried",
     "parts_cleared",
     "clock_step",
 )
--- a/src/coltsfootsail/_view.py
+++ b/src/coltsfootsail/_view.py
@@ -147,10 +147,12 @@
         """
         return self._records[_keys.WAITS].get(_keys.wait(server), (None, 0))
 
-    def is_part_blamed(self, part):
-        """Tell whether the store has a blame of a part of a prompt."""
-        blamed = self._records[_keys.BLAMED_PARTS]
-        return bool(blamed) and _keys.blamed_part(part) in blamed
+    def blamed_parts(self):
+        """List the parts of prompts that are blamed for crashes.
+
+        :returns: tuples of ``BlamedPart`` and its revision.
+        """
+        return list(self._records[_keys.BLAMED_PARTS].values())
 
     def settled_era(self):
         """Get the era in which no holder of an earlier one can order.
