--- a/src/coltsfootsail/_engine_controller.py
+++ b/src/coltsfootsail/_engine_controller.py
@@ -214,7 +214,7 @@
         if use.outcome is _grants.GrantOutcome.ABSENT:
             self.note_adapter_absent(grant_request.adapter)
         elif use.outcome is _grants.GrantOutcome.UNREACHABLE:
-            self.note_unreachable()
+            self.note_unreachable("request", use.node)
         self._replies.pop(number, None)
         was_running = number in self.queue.running
         request = self.queue.withdraw(
@@ -232,10 +232,19 @@
         self.adapter_slots.note_missing(adapter, self._now())
         self._orders_wake.set()
 
-    def note_unreachable(self):
-        """Record that the engine refused a connection."""
+    def note_unreachable(self, source, node=""):
+        """Record that the engine refused a connection.
+
+        :param source: what the connection was for.
+        :param node: the other node that reported it, empty for this one.
+        """
         if not self.is_down():
-            _logs.state("engine_down", server=self.server.name)
+            _logs.state(
+                "engine_down",
+                server=self.server.name,
+                source=source,
+                told_by=node,
+            )
         self._down_until_s = self._now() + DOWN_PERIOD_S
         self.adapter_slots.sequence = None
         self.turn_away_waiting("engine down")
@@ -354,7 +363,7 @@
                 "report_failed", server=self.server.name, reason=repr(exc)
             )
             if isinstance(exc, ConnectionRefusedError):
-                self.note_unreachable()
+                self.note_unreachable("report")
             return False
         self._claims.note_answer(self.server.name)
         self.adapter_slots.apply_report(report, self._now())
@@ -417,7 +426,7 @@
             return
         self.adapter_slots.sequence = None
         if isinstance(exc, ConnectionRefusedError):
-            self.note_unreachable()
+            self.note_unreachable("order")
 
     def _on_accepted(self, plan):
         now_s = self._now()
--- a/src/coltsfootsail/_grants.py
+++ b/src/coltsfootsail/_grants.py
@@ -46,10 +46,12 @@
 
     :param first_event_s: time from the grant's use to the first event; 0.0
         if there was none.
+    :param node: the other node that used it, empty for this one.
     """
 
     outcome: GrantOutcome = GrantOutcome.DONE
     first_event_s: float = 0.0
+    node: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -243,7 +245,8 @@
         """Handle a ``GrantEnd`` of another node."""
         end = self._remote_grants.pop((node, msg.number), None)
         if end is not None and msg.outcome in set(GrantOutcome):
-            end(GrantUse(GrantOutcome(msg.outcome), msg.first_event_s))
+            outcome = GrantOutcome(msg.outcome)
+            end(GrantUse(outcome, msg.first_event_s, node))
 
     def drop_node(self, node):
         """End all grants and requests of a node whose link is down."""
