A failing test of gateways that are cut off from servers

Four gateways in virtual time, one to three of them cut off from all servers: connections hang, are reset, or live on while new ones are refused. All nine cases fail.

--- a/tests/test_cuts.py
+++ b/tests/test_cuts.py
@@ -1,12 +1,28 @@
 """Gateways that are cut off from servers, but from nothing else."""
 
 import logging
+import random
 
+import pytest
 import trio
 
 from coltsfootsail.standins import network as memory
 from tests import gateways
 
+CALLS_PER_S = 12
+CONTACT_S = 3.0  # after which a node knows what others have seen
+CUT_S = 12.0
+SERVED_SHARE_MIN = 2 / 3  # of first tries at cut nodes, against the others
+FAILED_MAX = 10  # beside a share of all first tries
+FAILED_SHARE_MAX = 1 / 50
+UNHARMED_SHARE_MIN = 0.95  # of first tries at other nodes
+PATHS = ("/notes/1", "/prints/1", "/orders/9", "/stock/9")
+CUTS = {
+    "hang": (memory.LinkFault.SILENT, False),
+    "reset": (memory.LinkFault.REFUSED, True),
+    "live-on": (memory.LinkFault.REFUSED, False),
+}
+
 
 def _servers(fleet):
     """List the hosts of all servers."""
@@ -28,6 +44,81 @@
                 fleet.net.break_between(node, server)
 
 
+async def _send_calls(fleet, seconds, make_node, calls_per_s=CALLS_PER_S):
+    """Send requests of all kinds, each to one node.
+
+    :param make_node: ``()``, chooses the node.
+    :returns: list of the time, the node and whether it was served.
+    """
+    replies = []
+    rng = random.Random(3)
+
+    async def send(number, node):
+        path = PATHS[number % len(PATHS)]
+        sent_s = trio.current_time()
+        fields = {}
+        if path in ("/notes/1", "/prints/1"):
+            fields["adapter"] = f"base/a{rng.randrange(12)}"
+        reply = await fleet.call(
+            path, node, request_id=f"r{sent_s}-{number}", **fields
+        )
+        replies.append((sent_s, node, reply.status == 200 and reply.whole))
+
+    async with trio.open_nursery() as nursery:
+        for number in range(int(seconds * calls_per_s)):
+            nursery.start_soon(send, number, make_node(rng))
+            await trio.sleep(1 / calls_per_s)
+    return replies
+
+
+def _served(replies, nodes, since_s=0.0):
+    """List whether each call to some nodes was served."""
+    return [
+        served
+        for sent_s, node, served in replies
+        if node in nodes and sent_s >= since_s
+    ]
+
+
+def _share(served):
+    return sum(served) / len(served)
+
+
+def _check_first_tries(replies, cut, others, since_s):
+    at_cut = _served(replies, cut, since_s)
+    elsewhere = _served(replies, others, since_s)
+    assert _share(elsewhere) >= UNHARMED_SHARE_MIN
+    failed_max = FAILED_MAX + FAILED_SHARE_MAX * len(at_cut + elsewhere)
+    if at_cut.count(False) > failed_max:
+        assert _share(at_cut) >= SERVED_SHARE_MIN * _share(elsewhere)
+
+
+@pytest.mark.parametrize("mode", CUTS)
+@pytest.mark.parametrize(
+    "cut", [("g0",), ("g1", "g3"), ("g0", "g1", "g2")], ids=len
+)
+def test_callers_are_not_served_while_gateways_are_cut_off_from_servers(
+    cut, mode
+):
+    async def scenario(fleet):
+        for engine in fleet.engines:
+            engine.adapter_slots = 8
+        others = [name for name in fleet.names if name not in cut]
+        choose = lambda rng: rng.choice(fleet.names)  # noqa: E731
+        calm = await _send_calls(fleet, 10.0, choose)
+        assert _share(_served(calm, fleet.names)) >= UNHARMED_SHARE_MIN
+        begun_s = trio.current_time()
+        _cut(fleet, cut, *CUTS[mode])
+        replies = await _send_calls(fleet, CUT_S, choose)
+        _check_first_tries(replies, cut, others, begun_s + CONTACT_S)
+        fleet.net.heal()
+        await trio.sleep(CONTACT_S)
+        after = await _send_calls(fleet, 10.0, choose)
+        assert _share(_served(after, fleet.names)) >= UNHARMED_SHARE_MIN
+
+    gateways.run(scenario, nodes=4, engines=4)
+
+
 def test_log_tells_who_found_an_engine_down(caplog):
     async def scenario(fleet):
         _cut(fleet, ["g0", "g1"], memory.LinkFault.REFUSED)
