Hand engines over whose owner is cut off from them

Callers of sound gateways were refused with "no orders yet" and "engine down" for the whole cut: the claim of an owner that the store and its peers reach is sticky, and it can load nothing while it does not reach its engine. An owner that is cut off from an engine which others reach now deletes its claim, and neither it nor other cut nodes take it. The wait of the successor is the one of each takeover. The test failed before: the claims stayed for the whole cut.

--- a/src/coltsfootsail/_claims.py
+++ b/src/coltsfootsail/_claims.py
@@ -103,11 +103,22 @@
     :param now: closure that reads the clock.
     :param request_release: ``(node, server, fence)``, asks a former
         holder when it gave its last order.
-    :param on_taken: called after a claim was taken.
+    :param on_change: called after a claim was taken or given up.
+    :param is_cut_off: ``(server, node) -> bool``, whether a node is cut off
+        from a server that others reach.
     """
 
     def __init__(
-        self, identity, kv, lease, view, rules, now, request_release, on_taken
+        self,
+        identity,
+        kv,
+        lease,
+        view,
+        rules,
+        now,
+        request_release,
+        on_change,
+        is_cut_off,
     ):
         self._node, self._incarnation = identity
         self._kv = kv
@@ -116,7 +127,8 @@
         self._rules = rules
         self._now = now
         self._request_release = request_release
-        self._on_taken = on_taken
+        self._on_change = on_change
+        self._is_cut_off = is_cut_off
         self._started_s = now()
         self._unclaimed_since_s = {}
         self._last_order_s = {}
@@ -302,7 +314,11 @@
                 if self._now() < self._started_s + STARTUP_DELAY_S:
                     continue
                 chosen = choose_claimant(
-                    server.address, nodes, claim_counts, cap, turn
+                    server.address,
+                    self._reaching(name, nodes),
+                    claim_counts,
+                    cap,
+                    turn,
                 )
                 if chosen == self._node:
                     claim_counts[chosen] = claim_counts.get(chosen, 0) + 1
@@ -310,7 +326,7 @@
                 continue
             self._unclaimed_since_s.pop(name, None)
             claim, revision = stored
-            if claim.node == self._node:
+            if claim.node == self._node and not self._should_give_up(name):
                 yield name, revision
 
     def _candidates(self):
@@ -322,6 +338,25 @@
         ]
         return tuple(sorted({*nodes, self._node}))
 
+    def _reaching(self, server, nodes):
+        """Select the nodes that are not cut off from a server, if any."""
+        reaching = [n for n in nodes if not self._is_cut_off(server, n)]
+        return tuple(reaching) or nodes
+
+    def _should_give_up(self, server):
+        """Tell whether another node can reach a server and this one can't."""
+        if not self._is_cut_off(server, self._node):
+            return False
+        return self._node not in self._reaching(server, self._candidates())
+
+    async def _give_up_claims(self):
+        """Release the claims on servers that only other nodes reach."""
+        for server in [s for s in self.held if self._should_give_up(s)]:
+            claim = self.held[server]
+            self._drop_claim(server, "cut off")
+            self._on_change()
+            await self._delete_claim(server, claim)
+
     async def _take_claim(self, server, revision):
         """Take a claim if the store is as the view shows it.
 
@@ -366,7 +401,7 @@
             former=",".join(former),
             wait_s=round(self._orders_wait_s(server), 2),
         )
-        self._on_taken()
+        self._on_change()
         return True
 
     def _record_holders(self, server, former):
@@ -411,6 +446,7 @@
             self._ask_former_holders()
             view_is_current = self._view.era == self._kv.era
             if view_is_current and self._lease.valid():
+                await self._give_up_claims()
                 await self._take_claims()
                 await self._delete_past_waits()
                 await self._settle_era()
@@ -522,11 +558,14 @@
         self.may_take_claims = False
         held, self.held = self.held, {}
         for server, claim in held.items():
-            if claim.era != self._kv.era:
-                continue
-            compare = _kv.Compare(_keys.claim(server), "mod", claim.revision)
-            deletion = _kv.Delete(_keys.claim(server))
-            try:
-                await self._kv.txn([compare], [deletion])
-            except exceptions.KvError as exc:
-                _logs.state("release_failed", reason=exc.detail)
+            if claim.era == self._kv.era:
+                await self._delete_claim(server, claim)
+
+    async def _delete_claim(self, server, claim):
+        """Delete a claim from the store, unless another has replaced it."""
+        compare = _kv.Compare(_keys.claim(server), "mod", claim.revision)
+        deletion = _kv.Delete(_keys.claim(server))
+        try:
+            await self._kv.txn([compare], [deletion])
+        except exceptions.KvError as exc:
+            _logs.state("release_failed", reason=exc.detail)
--- a/src/coltsfootsail/_gateway.py
+++ b/src/coltsfootsail/_gateway.py
@@ -160,6 +160,7 @@
                 node, _wire.ReleaseRequest(server, fence)
             ),
             lambda: self.owned_engines.sync_with_claims(),
+            self.reach.is_cut_off,
         )
         self._popularity = _popularity.Popularity(
             POPULARITY_HALF_LIFE_S, prior_s=2.0
--- a/tests/test_cuts.py
+++ b/tests/test_cuts.py
@@ -1,5 +1,6 @@
 """Gateways that are cut off from servers, but from nothing else."""
 
+import itertools
 import logging
 import random
 
@@ -12,6 +13,7 @@
 CALLS_PER_S = 12
 CONTACT_S = 3.0  # after which a node knows what others have seen
 CUT_S = 12.0
+TURN_S = 3.0  # least time between the orders of two nodes
 SERVED_SHARE_MIN = 2 / 3  # of first tries at cut nodes, against the others
 FAILED_MAX = 10  # beside a share of all first tries
 FAILED_SHARE_MAX = 1 / 50
@@ -155,3 +157,27 @@
         gateways.run(scenario, nodes=2, engines=1)
     (found,) = [r for r in caplog.records if r.message == "engine_down"]
     assert found.source == "request" and found.told_by in ("g0", "g1")
+
+
+@pytest.mark.parametrize("mode", CUTS)
+def test_cut_off_owner_hands_its_engines_over(mode):
+    async def scenario(fleet):
+        cut = [n for n, g in fleet.gateways.items() if g.claims.held][:2]
+        names = {s for n in cut for s in fleet.gateways[n].claims.held}
+        _cut(fleet, cut, *CUTS[mode])
+        await _send_calls(fleet, CONTACT_S, lambda rng: rng.choice(cut))
+        await trio.sleep(CONTACT_S)
+        others = [g for n, g in fleet.gateways.items() if n not in cut]
+        assert names <= {s for g in others for s in g.claims.held}
+        await trio.sleep(CONTACT_S)
+        for gateway in others:
+            for server in names & gateway.claims.held.keys():
+                assert gateway.claims.may_order(server)
+        for engine in fleet.engines:
+            for (last_s, last), (at_s, order) in itertools.pairwise(
+                engine.orders
+            ):
+                if last["holder"] != order["holder"]:
+                    assert at_s - last_s >= TURN_S
+
+    gateways.run(scenario, nodes=4, engines=4)
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -165,6 +165,7 @@
             trio.current_time,
             lambda node, server, fence: None,
             lambda: None,
+            lambda server, node: False,
         )
         view.synced.set()
         with trio.move_on_after(10.0):
