Let a successor grant loaded adapters while it waits to order

Callers were refused with "no model yet" for as long as a new owner waited for the former one's orders, 3.3 to 9.3 s: it read the engine's state only once it might give orders. It reads a report at once now, which is no order, and again before its first order, since the former owner may have given some. The test failed before.

--- a/src/coltsfootsail/_engine_controller.py
+++ b/src/coltsfootsail/_engine_controller.py
@@ -95,6 +95,7 @@
         self._numbers = itertools.count(1)
         self._replies = {}
         self._has_ordered = False
+        self._is_read_early = False
         self._answer_times = _answer_times.AnswerTimes(ORDER_TIMEOUT_MAX_S)
         self._down_until_s = 0.0
         self._admission_wake = trio.Event()
@@ -330,7 +331,7 @@
     async def _run_orders(self):
         while True:
             may_continue = False
-            if self._may_send_order():
+            if self._is_open():
                 may_continue = await self._send_next_order()
             if may_continue:
                 continue
@@ -339,19 +340,27 @@
             with trio.move_on_after(pause_s):
                 await self._orders_wake.wait()
 
-    def _may_send_order(self):
-        name = self.server.name
-        is_open = self._takes_requests(name) and not self.is_down()
-        return is_open and self._claims.may_order(name)
+    def _is_open(self):
+        return self._takes_requests(self.server.name) and not self.is_down()
 
     async def _send_next_order(self):
         """Send the next order, or read a report where one is needed first.
 
+        The state is read before this node may give orders, so that requests
+        for loaded adapters need not wait, and again once it may, since the
+        former owner may have given some.
+
         :returns: whether another order may be due at once.
         """
+        may_order = self._claims.may_order(self.server.name)
+        if may_order and self._is_read_early:
+            self.adapter_slots.sequence = None
+        self._is_read_early = not may_order
         # Without a sequence number the engine's state is not known.
         if self.adapter_slots.sequence is None:
             return await self._refresh_slots()
+        if not may_order:
+            return False
         if self.adapter_slots.model_pending or self.adapter_slots.blocked(
             self._now()
         ):
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -177,3 +177,23 @@
         assert len(calls) == 2
 
     virtual(main)
+
+
+def test_successor_grants_loaded_adapters_before_it_may_order():
+    async def scenario(fleet):
+        for number in range(3):
+            await fleet.call("/notes/1", "g1", adapter=f"base/a{number}")
+        former = _holder(fleet)
+        fleet.scopes[former].cancel()
+        gateway = fleet.gateways[await _wait_for_successor(fleet, former)]
+        await trio.sleep(1.0)
+        (server,) = gateway.claims.held
+        assert not gateway.claims.may_order(server)
+        controller = gateway.owned_engines.controllers[server]
+        for number in range(3):
+            request = types.SimpleNamespace(
+                adapter=f"base/a{number}", version=1, may_move=False
+            )
+            controller.check_grantable(request)
+
+    gateways.run(scenario, nodes=3, engines=1)
