Serve callers of a gateway that is cut off from servers through another

Callers of a gateway that had lost its links to the servers were refused, all of them: it had no other way to a server. It now sends each request on through a gateway that reaches the server, on a connection of its own between the two; the answer or the typed error comes back with what is known of the outcome. The node between heeds what the server states, drops the request when the caller leaves, and never sends it on to a third node, so that no request goes in a circle.

--- a/src/coltsfootsail/_engine_selection.py
+++ b/src/coltsfootsail/_engine_selection.py
@@ -37,15 +37,18 @@
     :param backlog: ``(server name) -> float``, last known backlog in
         seconds.
     :param states: the node's ``ServerStates``.
+    :param is_usable: ``(server name) -> bool``, whether requests can be sent
+        there from this node in some way.
     :param now: closure that reads the clock.
     """
 
-    def __init__(self, node, view, mesh, backlog, states, now):
+    def __init__(self, node, view, mesh, backlog, states, is_usable, now):
         self._node = node
         self._view = view
         self._mesh = mesh
         self._backlog = backlog
         self._states = states
+        self._is_usable = is_usable
         self._now = now
         self._down_until_s = {}
         self._named_owners = {}
@@ -157,7 +160,9 @@
             server.name in context.avoided or server.name in context.limited
         )
         is_busy = self._states.busy_s(server.name) > 0.0
-        return not (refused or left_out or is_busy)
+        if refused or left_out or is_busy:
+            return False
+        return self._is_usable(server.name)
 
     def note_owner(self, server_name, node, fence):
         """Note the owner that the former owner of an engine named."""
--- a/src/coltsfootsail/_forward.py
+++ b/src/coltsfootsail/_forward.py
@@ -206,7 +206,7 @@
             try:
                 await serve_request(msg.endpoint, request, sink)
             except exceptions.ColtsfootsailError as exc:
-                await messages.send(_to_answer_error(exc))
+                await messages.send(to_answer_error(exc))
         nursery.cancel_scope.cancel()
 
 
@@ -217,7 +217,8 @@
             await messages.send(_wire.Heartbeat(0, True, ()))
 
 
-def _to_answer_error(exc):
+def to_answer_error(exc):
+    """Make the ``AnswerError`` that tells a peer of a typed error."""
     return _wire.AnswerError(
         code=exc.code,
         outcome=str(exc.outcome),
--- a/src/coltsfootsail/_gateway.py
+++ b/src/coltsfootsail/_gateway.py
@@ -35,6 +35,7 @@
 from coltsfootsail import _popularity
 from coltsfootsail import _reach
 from coltsfootsail import _records
+from coltsfootsail import _relays
 from coltsfootsail import _request_handler
 from coltsfootsail import _retries
 from coltsfootsail import _seeds
@@ -138,6 +139,7 @@
         )
         self.reach = _reach.Reach(
             self._name,
+            settings.node.data_centre,
             self.view,
             self.mesh,
             self.crash_checks,
@@ -208,6 +210,7 @@
             self.mesh,
             self.owned_engines.backlog_s,
             self.states,
+            self.reach.is_usable,
             self.now,
         )
         rng = random.Random(zlib.crc32(self._name.encode()))
@@ -233,12 +236,20 @@
         self.upstream = _upstream.UpstreamClient(
             client,
             report_client,
+            _relays.RelayClient(network, self.reach.relay, self.metrics.count),
             self.limits,
             self.states,
             self.crash_checks.note_contact,
             self.now,
             self.metrics.count,
         )
+        self.relay_server = _relays.RelayServer(
+            self.view,
+            self.states,
+            self.reach,
+            self.upstream,
+            self.metrics.count,
+        )
         self.answer_memory = _answer_memory.AnswerMemory()
         self.crashes = _crashes.CrashTracker(
             self._name,
--- a/src/coltsfootsail/_http_client.py
+++ b/src/coltsfootsail/_http_client.py
@@ -62,10 +62,7 @@
 
     def header(self, name, default=""):
         """Get a header of the answer by its lower-case name."""
-        for key, value in self.headers:
-            if key == name:
-                return value
-        return default
+        return _http_messages.find_header(self.headers, name, default)
 
     async def send(self, method, target, headers, body):
         """Send the whole request."""
@@ -182,27 +179,7 @@
             answers is used up.
         :raises h11.RemoteProtocolError: if the body is incomplete.
         """
-        parts = []
-        try:
-            await self._read_parts(parts, limit_bytes, account)
-            return b"".join(parts)
-        finally:
-            # The traceback of an error would keep them.
-            parts.clear()
-
-    async def _read_parts(self, parts, limit_bytes, account):
-        size = 0
-        while self.phase is not _http_messages.Phase.DONE:
-            data = await self.read_some()
-            size += len(data)
-            if size > limit_bytes:
-                raise _http_messages.AnswerTooLarge("body too large")
-            counted = account is not None and (
-                size > _answer_memory.UNCOUNTED_BYTES
-            )
-            if counted and not account.take(len(data)):
-                raise _http_messages.AnswerTooLarge("memory of all answers")
-            parts.append(data)
+        return await read_body(self, limit_bytes, account)
 
     def connection(self):
         """Get the stream, its protocol state and history, for the pool."""
@@ -219,6 +196,37 @@
         )
 
 
+async def read_body(exchange, limit_bytes, account):
+    """Read the whole body of an exchange's answer.
+
+    :param exchange: an ``Exchange``, or what is used as one.
+    :param limit_bytes: the largest body to accept.
+    :param account: an ``_answer_memory.Account`` or None.
+    """
+    parts = []
+    try:
+        await _read_parts(exchange, parts, limit_bytes, account)
+        return b"".join(parts)
+    finally:
+        # The traceback of an error would keep them.
+        parts.clear()
+
+
+async def _read_parts(exchange, parts, limit_bytes, account):
+    size = 0
+    while exchange.phase is not _http_messages.Phase.DONE:
+        data = await exchange.read_some()
+        size += len(data)
+        if size > limit_bytes:
+            raise _http_messages.AnswerTooLarge("body too large")
+        counted = account is not None and (
+            size > _answer_memory.UNCOUNTED_BYTES
+        )
+        if counted and not account.take(len(data)):
+            raise _http_messages.AnswerTooLarge("memory of all answers")
+        parts.append(data)
+
+
 def _encode_request(conn, method, target, headers, body):
     """Encode a request.
 
--- a/src/coltsfootsail/_http_messages.py
+++ b/src/coltsfootsail/_http_messages.py
@@ -49,10 +49,7 @@
         :param default: what to return if the header is absent.
         :returns: the value as text.
         """
-        for key, value in self.headers:
-            if key == name:
-                return value
-        return default
+        return find_header(self.headers, name, default)
 
     @property
     def path(self):
@@ -112,6 +109,19 @@
         conn.receive_data(await stream.receive_some(RECEIVE_BYTES))
 
 
+def find_header(headers, name, default=""):
+    """Get a header's first value.
+
+    :param headers: pairs of text with lower-case names.
+    :param name: lower-case header name.
+    :param default: what to return if the header is absent.
+    """
+    for key, value in headers:
+        if key == name:
+            return value
+    return default
+
+
 def text_headers(headers):
     """Decode headers to text.
 
--- a/src/coltsfootsail/_metrics.py
+++ b/src/coltsfootsail/_metrics.py
@@ -28,6 +28,7 @@
     "order_failures": "Orders to engines that failed, by code",
     "report_failures": "Engine reports that could not be read",
     "strikes": "Strikes against request contents",
+    "relays": "Requests sent through other nodes, or for them",
     "server_cuts": "Times that this node was cut off from servers that "
     "others reach, and the ends",
     "poisoned_parts": "Parts of prompts that were blamed for crashes, or "
--- a/src/coltsfootsail/_peers.py
+++ b/src/coltsfootsail/_peers.py
@@ -213,6 +213,8 @@
                 await self.mesh.serve(messages, first)
             elif isinstance(first, _wire.ConfigRequest):
                 await _seeds.serve_entries(messages, self._gateway.view)
+            elif isinstance(first, _wire.RelayRequest):
+                await self._gateway.relay_server.serve(messages, first)
         except (OSError, trio.TooSlowError):
             return
         except exceptions.WireError as exc:
--- a/src/coltsfootsail/_plain.py
+++ b/src/coltsfootsail/_plain.py
@@ -79,6 +79,7 @@
             server
             for server in gateway.states.available_servers(context.service)
             if not gateway.states.busy_s(server.name)
+            and gateway.reach.is_usable(server.name)
         ]
         candidates = [s for s in servers if s.name not in context.limited]
         server = gateway.balancer.choose(candidates, context.tried)
--- a/src/coltsfootsail/_reach.py
+++ b/src/coltsfootsail/_reach.py
@@ -18,6 +18,7 @@
 RETRY_S = 0.5  # between attempts to connect to servers that were cut off
 TRIED_MAX = 16  # servers that are tried at a time
 FIND_WAIT_S = 0.6  # longest wait of a request for a finding
+RELAY_SILENCE_MAX_S = 0.5  # of a node that is sent through
 Finding = _crash_checks.Finding
 # Findings after which a server is not chosen for a while.
 PAUSING = frozenset({Finding.CRASHED, Finding.UNKNOWN})
@@ -46,14 +47,16 @@
     """What this node knows of cuts between nodes and servers.
 
     :param node: this node's name.
+    :param data_centre: this node's data centre.
     :param view: a ``DeploymentView``.
     :param mesh: a ``Mesh``.
     :param checks: the node's ``CrashChecks``.
     :param count: ``(counter, reason)``.
     """
 
-    def __init__(self, node, view, mesh, checks, count):
+    def __init__(self, node, data_centre, view, mesh, checks, count):
         self._node = node
+        self._data_centre = data_centre
         self._view = view
         self._mesh = mesh
         self._checks = checks
@@ -79,6 +82,42 @@
             return self._own
         return self._peers.get(node, NO_CUTS)
 
+    def relay(self, server_name):
+        """Choose a node to send through to a server.
+
+        Nodes of this node's data centre are preferred.
+
+        :returns: its name and peer address; None if this node is not cut off
+            from the server, or no node is known to reach it.
+        """
+        if not self.is_cut_off(server_name):
+            return None
+        members = self._view.members()
+        nodes = [
+            node
+            for node, heartbeat in self._mesh.heartbeats().items()
+            if heartbeat.ready
+            and node in members
+            and self._mesh.knows(node, _wire.RelayRequest)
+            and not self.is_cut_off(server_name, node)
+            and self._mesh.unanswered_ping_s(node) <= RELAY_SILENCE_MAX_S
+        ]
+        near = [
+            node
+            for node in nodes
+            if members[node].data_centre == self._data_centre
+        ]
+        if not nodes:
+            return None
+        node = random.choice(near or nodes)
+        return node, members[node].peer_address
+
+    def is_usable(self, server_name):
+        """Tell whether requests can be sent to a server in some way."""
+        if not self.is_cut_off(server_name):
+            return True
+        return self.relay(server_name) is not None
+
     async def find(self, server):
         """Find out why a server did not accept a connection.
 
--- a/src/coltsfootsail/_upstream.py
+++ b/src/coltsfootsail/_upstream.py
@@ -138,6 +138,8 @@
     :param limit_per_s: the limit that the server named, None for none.
     :param exchange: the ``Exchange``, None before there is a connection.
     :param conclusion: ``answered``, ``cancelled`` or an error's code.
+    :param relay: name and peer address of the node that sends it, None if
+        this one does.
     """
 
     started_s: float
@@ -145,13 +147,16 @@
     exchange: object = None
     limit_per_s: float | None = None
     conclusion: str = "cancelled"
+    relay: tuple | None = None
 
     def connection_fields(self, now_s):
         """Describe the connection and the answer for a log line."""
         exchange = self.exchange
+        relay = self.relay[0] if self.relay else ""
         if exchange is None:
-            return {"phase": self.phase.name}
+            return {"phase": self.phase.name, "relay": relay}
         return {
+            "relay": relay,
             "phase": exchange.phase.name,
             "status": exchange.status,
             "limit_per_s": self.limit_per_s,
@@ -165,6 +170,7 @@
 
     :param client: an ``HttpClient``.
     :param report_client: an ``HttpClient`` that keeps no connections.
+    :param relays: the node's ``RelayClient``.
     :param limits: the node's ``ServerLimits``.
     :param states: the node's ``ServerStates``.
     :param note_contact: ``(server name)``, called when a server answers.
@@ -173,10 +179,19 @@
     """
 
     def __init__(
-        self, client, report_client, limits, states, note_contact, now, count
+        self,
+        client,
+        report_client,
+        relays,
+        limits,
+        states,
+        note_contact,
+        now,
+        count,
     ):
         self._client = client
         self._report_client = report_client
+        self._relays = relays
         self._limits = limits
         self._states = states
         self._note_contact = note_contact
@@ -208,14 +223,19 @@
         await self.send(server, request, timeout_s, on_response)
         return responses[0]
 
-    async def send(self, server, request, timeout_s, on_response):
+    async def send(
+        self, server, request, timeout_s, on_response, may_relay=True
+    ):
         """Send a request and pass the answer on while it arrives.
 
         :param on_response: ``async (exchange)``, called when the head has
             been read and checked; connection errors that it raises are
             converted to typed errors.
+        :param may_relay: whether it may be sent through another node.
         """
         trace = _SendTrace(self._now())
+        if may_relay:
+            trace.relay = self._relays.choose(server.name)
         try:
             await self._send_once(
                 server, request, timeout_s, on_response, trace
@@ -228,8 +248,9 @@
 
     async def _send_once(self, server, request, timeout_s, on_response, trace):
         try:
+            exchange = self._relay if trace.relay else self._exchange
             with trio.fail_after(timeout_s):
-                await self._exchange(server, request, on_response, trace)
+                await exchange(server, request, on_response, trace)
         except (*_http.STREAM_ERRORS, trio.TooSlowError) as exc:
             raise _to_typed_error(trace.phase, exc) from exc
 
@@ -253,11 +274,22 @@
             if messages.was_not_run(exchange):
                 with contextlib.suppress(_http.AnswerTooLarge):
                     await exchange.read_body(NOT_RUN_BODY_BYTES_MAX)
-                raise exceptions.EndpointNotRun(exchange.status)
+                raise exceptions.EndpointNotRun(f"status {exchange.status}")
             _check_response(exchange)
             await on_response(exchange)
             trace.conclusion = "answered"
 
+    async def _relay(self, server, request, on_response, trace):
+        """Send a request through another node, which checks the answer."""
+        _, address = trace.relay
+        async with self._relays.exchange(address) as exchange:
+            trace.exchange = exchange
+            trace.phase = _http.Phase.SENDING
+            await exchange.request(server, request)
+            trace.phase = _http.Phase.ANSWERING
+            await on_response(exchange)
+            trace.conclusion = "answered"
+
     def _note_statements(self, server, exchange, sent_s, trace):
         self._note_contact(server.name)
         statements = messages.read_statements(exchange)
--- a/src/coltsfootsail/_wire.py
+++ b/src/coltsfootsail/_wire.py
@@ -422,6 +422,25 @@
     isolated: bool
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RelayRequest:
+    """Asks the receiver to send a request to a server.
+
+    It is the first message on a connection of its own, and the parts of the
+    body follow as ``AnswerData``.  The reply is an ``AnswerHead``, with
+    ``AnswerData`` and an ``AnswerEnd``, or an ``AnswerError`` at any point.
+
+    :param headers: pairs of name and value.
+    """
+
+    server: str
+    request_id: str
+    method: str
+    target: str
+    headers: tuple
+    body_bytes: int
+
+
 MESSAGES = (
     Hello,
     Heartbeat,
@@ -459,6 +478,7 @@
     CrashedRun,
     PartsCleared,
     CutOff,
+    RelayRequest,
 )
 _TAGS = {message_type: tag for tag, message_type in enumerate(MESSAGES)}
 _FIELD_NAMES = {
@@ -499,6 +519,7 @@
         CrashedRun,
         PartsCleared,
         CutOff,
+        RelayRequest,
     ),
 }
 
--- a/src/coltsfootsail/exceptions.py
+++ b/src/coltsfootsail/exceptions.py
@@ -247,17 +247,10 @@
 
 
 class EndpointNotRun(Refusal):
-    """The endpoint stated that it did not run the request.
-
-    :param server_status: the status of its answer.
-    """
+    """The endpoint stated that it did not run the request."""
 
     code = "endpoint_not_run"
 
-    def __init__(self, server_status):
-        super().__init__(f"status {server_status}")
-        self.server_status = server_status
-
 
 class TurnedAway(Refusal):
     """The owner of an engine turned the request away.
--- a/tests/test_engine_selection.py
+++ b/tests/test_engine_selection.py
@@ -53,6 +53,7 @@
             mesh,
             lambda name: self.backlogs.get(name, 0.0),
             states,
+            lambda name: True,
             lambda: self.now_s,
         )
 
