Notice a cut in which kept connections only hang

A server that was sent a request and has answered none for 0.6 s is now tried with a new connection, less often while it is reached; what is kept is dropped when the node turns out to be cut off.

A hand-written server of an older test sent its answer also on a connection that was closed without a request, as such a trial does; it now waits for one.

--- a/src/coltsfootsail/_gateway.py
+++ b/src/coltsfootsail/_gateway.py
@@ -143,7 +143,9 @@
             self.view,
             self.mesh,
             self.crash_checks,
+            self.now,
             self.metrics.count,
+            lambda address: self.server_client.forget(address),
         )
 
     def _build_engine_control(self, settings, network):
@@ -229,17 +231,17 @@
             self._node_count,
             self.now,
         )
-        client = _http.HttpClient(
+        self.server_client = _http.HttpClient(
             network, None, IDLE_CONNECTIONS_MAX, limits.limit
         )
         report_client = _http.HttpClient(network, idle_max=0)
         self.upstream = _upstream.UpstreamClient(
-            client,
+            self.server_client,
             report_client,
             _relays.RelayClient(network, self.reach.relay, self.metrics.count),
             self.limits,
             self.states,
-            self.crash_checks.note_contact,
+            self.reach,
             self.now,
             self.metrics.count,
         )
--- a/src/coltsfootsail/_reach.py
+++ b/src/coltsfootsail/_reach.py
@@ -4,6 +4,10 @@
 can, as ``_crash_checks`` finds out.  It tells all others, so that none relies
 on it for that server, and tries again until it can connect.  A node that
 reaches none of the servers that it tries is taken to be cut off from all.
+
+Open connections may hang while a server can't be reached.  A server that has
+been sent requests and has answered none for a while is therefore tried with a
+new connection.
 """
 
 import dataclasses
@@ -19,6 +23,10 @@
 TRIED_MAX = 16  # servers that are tried at a time
 FIND_WAIT_S = 0.6  # longest wait of a request for a finding
 RELAY_SILENCE_MAX_S = 0.5  # of a node that is sent through
+# Silence of a server that was sent a request, after which it is tried; twice
+# as long after each time that it was reached.
+SILENCE_S = 0.6
+SILENCE_CHECK_S = 0.2  # between looks for silent servers
 Finding = _crash_checks.Finding
 # Findings after which a server is not chosen for a while.
 PAUSING = frozenset({Finding.CRASHED, Finding.UNKNOWN})
@@ -43,6 +51,18 @@
 NO_CUTS = Cuts()
 
 
+@dataclasses.dataclass(slots=True)
+class _Silence:
+    """The silence of a server that was sent a request.
+
+    :param check_at_s: when to try it.
+    :param wait_s: how long was waited for that.
+    """
+
+    check_at_s: float
+    wait_s: float = SILENCE_S
+
+
 class Reach:
     """What this node knows of cuts between nodes and servers.
 
@@ -51,21 +71,48 @@
     :param view: a ``DeploymentView``.
     :param mesh: a ``Mesh``.
     :param checks: the node's ``CrashChecks``.
+    :param now: closure that reads the clock.
     :param count: ``(counter, reason)``.
+    :param drop_connections: ``async (address)``, closes the kept connections
+        to a server.
     """
 
-    def __init__(self, node, data_centre, view, mesh, checks, count):
+    def __init__(
+        self,
+        node,
+        data_centre,
+        view,
+        mesh,
+        checks,
+        now,
+        count,
+        drop_connections,
+    ):
         self._node = node
         self._data_centre = data_centre
         self._view = view
         self._mesh = mesh
         self._checks = checks
+        self._now = now
         self._count = count
+        self._drop_connections = drop_connections
+        self._silences = {}
         self._own = NO_CUTS
         self._peers = {}
         self._nursery = None
         self._changed = trio.Event()
 
+    def note_sent(self, server_name):
+        """Note that a request is sent to a server on a connection."""
+        if server_name not in self._silences:
+            check_at_s = self._now() + SILENCE_S
+            self._silences[server_name] = _Silence(check_at_s)
+
+    def note_contact(self, server_name):
+        """Note that a server has just answered a request."""
+        self._silences.pop(server_name, None)
+        self._checks.note_contact(server_name)
+
     def is_cut_off(self, server_name, node=None):
         """Tell whether a node is cut off from a server.
 
@@ -170,7 +217,13 @@
         cuts = Cuts(frozenset(servers), is_isolated)
         if cuts == self._own:
             return
-        self._own = cuts
+        before, self._own = self._own, cuts
+        for name, server in self._view.servers.items():
+            if cuts.include(name) and not before.include(name):
+                # They may stay silent when the cut has ended.
+                self._nursery.start_soon(
+                    self._drop_connections, server.address
+                )
         self._changed.set()
         self._count("server_cuts", "cut" if servers else "ended")
         _logs.state(
@@ -206,6 +259,8 @@
 
     def keep(self, names):
         """Forget the servers that are not in ``names``."""
+        for name in [name for name in self._silences if name not in names]:
+            del self._silences[name]
         left = self._own.servers.intersection(names)
         if left != self._own.servers:
             self._set_own(left, self._own.is_isolated and bool(left))
@@ -215,6 +270,7 @@
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             task_status.started()
+            nursery.start_soon(self._watch_silences)
             while True:
                 if not self._own.servers:
                     self._changed = trio.Event()
@@ -222,6 +278,18 @@
                 await trio.sleep(RETRY_S)
                 await self._retry()
 
+    async def _watch_silences(self):
+        """Try servers that have been silent for too long."""
+        while True:
+            await trio.sleep(SILENCE_CHECK_S)
+            now_s = self._now()
+            for name, silence in list(self._silences.items()):
+                server = self._view.servers.get(name)
+                if server is not None and now_s >= silence.check_at_s:
+                    silence.wait_s *= 2
+                    silence.check_at_s = now_s + silence.wait_s
+                    self._nursery.start_soon(self.find, server)
+
     async def _retry(self):
         """Try some of the servers that were cut off."""
         names = [n for n in self._own.servers if n in self._view.servers]
--- a/src/coltsfootsail/_upstream.py
+++ b/src/coltsfootsail/_upstream.py
@@ -173,7 +173,7 @@
     :param relays: the node's ``RelayClient``.
     :param limits: the node's ``ServerLimits``.
     :param states: the node's ``ServerStates``.
-    :param note_contact: ``(server name)``, called when a server answers.
+    :param reach: the node's ``Reach``.
     :param now: closure that reads the clock.
     :param count: ``(counter, reason)``.
     """
@@ -185,7 +185,7 @@
         relays,
         limits,
         states,
-        note_contact,
+        reach,
         now,
         count,
     ):
@@ -194,7 +194,7 @@
         self._relays = relays
         self._limits = limits
         self._states = states
-        self._note_contact = note_contact
+        self._reach = reach
         self._now = now
         self._count = count
 
@@ -261,6 +261,7 @@
             trace.exchange = exchange
             trace.phase = _http.Phase.SENDING
             sent_s = self._now()
+            self._reach.note_sent(server.name)
             await exchange.request(
                 request.method,
                 request.target,
@@ -291,7 +292,7 @@
             trace.conclusion = "answered"
 
     def _note_statements(self, server, exchange, sent_s, trace):
-        self._note_contact(server.name)
+        self._reach.note_contact(server.name)
         statements = messages.read_statements(exchange)
         trace.limit_per_s = statements.limit_per_s
         self._states.note_answer(server.name, statements, exchange.status)
--- a/src/coltsfootsail/standins/servers.py
+++ b/src/coltsfootsail/standins/servers.py
@@ -43,7 +43,8 @@
     With ``limit`` set, all answers name that text as the server's limit,
     with ``leaving`` set, that text as the statement that it leaves.  With
     ``busy`` set, requests are refused and told that text as a retry time;
-    ``refused_s`` has the time of each refusal.
+    ``refused_s`` has the time of each refusal.  ``keep_alive_s``, if set, is
+    stated as the time for which it keeps idle connections.
     ``arrived_s`` has the time of each request.  ``body``, if set, replaces
     the body of the answers.  A request with a prompt part of ``crash_parts``,
     other than the last one, makes the server call ``crash`` as it begins to
@@ -57,6 +58,7 @@
         self.limit = None
         self.leaving = None
         self.busy = None
+        self.keep_alive_s = None
         self.refused_s = []
         self.work_s = 0.05
         self.body = b""
@@ -93,6 +95,8 @@
             headers.append((messages.SERVER_LIMIT, self.limit))
         if self.leaving is not None:
             headers.append((messages.SERVER_LEAVING, self.leaving))
+        if self.keep_alive_s is not None:
+            headers.append(("keep-alive", f"timeout={self.keep_alive_s}"))
         return headers
 
     async def _refuse_if_busy(self, req, resp):
--- a/tests/test_cuts.py
+++ b/tests/test_cuts.py
@@ -181,3 +181,30 @@
                     assert at_s - last_s >= TURN_S
 
     gateways.run(scenario, nodes=4, engines=4)
+
+
+def test_cut_is_noticed_though_kept_connections_only_hang():
+    async def scenario(fleet):
+        replies = []
+
+        async def send(number):
+            reply = await fleet.call("/orders/9", request_id=f"r{number}")
+            replies.append((number, reply.status))
+
+        for shop in fleet.shop_servers:
+            shop.work_s = 0.3
+            shop.keep_alive_s = 60
+        async with trio.open_nursery() as nursery:
+            for number in range(24):
+                nursery.start_soon(send, number)
+        _cut(fleet, ["g0"], memory.LinkFault.SILENT)
+        begun_s = trio.current_time()
+        async with trio.open_nursery() as nursery:
+            while trio.current_time() < begun_s + CUT_S:
+                number = trio.current_time()
+                nursery.start_soon(send, number)
+                await trio.sleep(0.25)
+        late = [s for number, s in replies if number >= begun_s + CONTACT_S]
+        assert late and late.count(200) == len(late)
+
+    gateways.run(scenario, nodes=3)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -1177,8 +1177,8 @@
 
 def test_late_answer_without_an_id_does_not_answer_a_request_without_one():
     async def serve(stream):
-        await _receive_request(stream)
-        await stream.send_all(_answer(b"ok", b"r1"))
+        if await _receive_request(stream):
+            await stream.send_all(_answer(b"ok", b"r1"))
         if await _receive_request(stream):
             await stream.send_all(_answer(b"no"))
 
