Give callers the addresses of nodes that reach servers

Half of the callers of a cut-off gateway had no reason to leave it: it is ready, since it serves through others, but each of its requests takes a way further. As long as other ready nodes are not cut off from all servers, their addresses are given alone. The test failed before.

--- a/src/coltsfootsail/_pages.py
+++ b/src/coltsfootsail/_pages.py
@@ -95,8 +95,9 @@
     def addresses(self, data_centre):
         """List the addresses that a caller should use.
 
-        They belong to ready nodes, if possible of the caller's data centre.
-        If no node is ready, they belong to all registered nodes.
+        They belong to ready nodes, if possible of the caller's data centre
+        and without those that are cut off from all servers.  If no node is
+        ready, they belong to all registered nodes.
 
         :param data_centre: the caller's data centre.
         """
@@ -114,6 +115,8 @@
         ready.discard(own.name)
         if gateway.readiness() == "ready":
             ready.add(own.name)
+        connected = {n for n in ready if not gateway.reach.is_isolated(n)}
+        ready = connected or ready
         locations = {
             name: (member.data_centre, member.caller_address)
             for name, member in members.items()
--- a/tests/test_cuts.py
+++ b/tests/test_cuts.py
@@ -220,3 +220,24 @@
             assert trio.current_time() - begun_s <= 1.2
 
     gateways.run(scenario, nodes=1)
+
+
+def test_callers_are_sent_to_nodes_that_reach_servers():
+    async def scenario(fleet):
+        async def resolve():
+            return [set(await fleet.resolve(node)) for node in fleet.names]
+
+        assert await resolve() == [{"g0:80", "g1:80", "g2:80"}] * 3
+        _cut(fleet, ["g0"], memory.LinkFault.REFUSED, True)
+        await fleet.call("/stock/9", "g0")
+        await trio.sleep(1.0)
+        assert await resolve() == [{"g1:80", "g2:80"}] * 3
+        assert fleet.gateways["g0"].readiness() == "ready"
+        _cut(fleet, fleet.names, memory.LinkFault.REFUSED, True)
+        await trio.sleep(1.0)
+        assert all(await resolve())
+        fleet.net.heal()
+        await trio.sleep(2.0)
+        assert await resolve() == [{"g0:80", "g1:80", "g2:80"}] * 3
+
+    gateways.run(scenario, nodes=3)
