Keep brittle servers from having to refuse requests

A server that states `Server-Brittle` falls over once it has to refuse more requests in a second than that for want of room; the statement was passed on and not read. While a server is brittle, all starts at it need a grant, which one node gives: an engine's owner, or for a plain server the first ready node by hash, as for limits. It grants no more at once than the server has slots, and none for a second after half of the bearable refusals. Refusals for want of room have an error of their own now, which the granting node is told.

--- a/src/coltsfootsail/_admission.py
+++ b/src/coltsfootsail/_admission.py
@@ -17,6 +17,7 @@
 that it makes late are turned away: others can use the starts better.
 """
 
+import collections
 import dataclasses
 import math
 
@@ -37,6 +38,10 @@
 LIMIT_MIN_PER_S = 0.2
 LIMIT_WAIT_FLOOR_S = 0.25  # for requests whose objective is near or past
 LIMIT_MARGIN_S = 0.05  # by which a start may come later than estimated
+# Share of the refusals that a brittle server can bear in ``REFUSALS_S`` after
+# which no request starts there for as long.
+REFUSALS_SHARE = 0.5
+REFUSALS_S = 1.0
 LIMIT_REASON = "limit"  # of turning away for the sake of a limit
 
 
@@ -108,6 +113,7 @@
         self._started_s = {}
         self._reading_speed = _reading_speed.ReadingSpeed()
         self._limit_bucket = None
+        self._refused_s = collections.deque()
         self.waiting = []
         self.running = {}
 
@@ -129,6 +135,27 @@
         elif self._limit_bucket.per_s != per_s:
             self._limit_bucket.set_rate(per_s, burst, now_s)
 
+    def set_slots(self, slots):
+        """Change how many requests run at once."""
+        self._slots = slots
+
+    def pause_until(self, until_s):
+        """Start no request before a time."""
+        self._next_start_s = max(self._next_start_s, until_s)
+
+    def note_refused(self, refusals_per_s, now_s):
+        """Note that the server refused a started request for want of room.
+
+        :param refusals_per_s: how many the server can bear, infinite for any
+            number.
+        """
+        self._refused_s.append(now_s)
+        while self._refused_s[0] <= now_s - REFUSALS_S:
+            self._refused_s.popleft()
+        bearable = max(1.0, REFUSALS_SHARE * refusals_per_s * REFUSALS_S)
+        if len(self._refused_s) >= bearable:
+            self.pause_until(now_s + REFUSALS_S)
+
     def _reject_at_s(self, request):
         """Get the time when a request is turned away if it still waits."""
         if self._limit_bucket is None:
--- a/src/coltsfootsail/_engine_controller.py
+++ b/src/coltsfootsail/_engine_controller.py
@@ -44,6 +44,8 @@
     :param holder: the node's name, stated in its orders.
     :param limit_per_s: ``(server name) -> float``, the limit that a server
         names.
+    :param refusals_per_s: ``(server name) -> float``, the refusals that a
+        server can bear.
     :param takes_requests: ``(server name) -> bool``, whether a server may be
         sent anything now.
     :param find: ``async (server) -> Finding``, finds out why a server did not
@@ -56,6 +58,7 @@
     metrics: object
     holder: str
     limit_per_s: object
+    refusals_per_s: object
     takes_requests: object
     find: object
 
@@ -80,6 +83,7 @@
         self._holder = dependencies.holder
         self._popularity = dependencies.popularity
         self._limit_per_s = dependencies.limit_per_s
+        self._refusals_per_s = dependencies.refusals_per_s
         self._takes_requests = dependencies.takes_requests
         self._find = dependencies.find
         self._nursery = None
@@ -224,6 +228,9 @@
             self._nursery.start_soon(
                 self._check_unreachable, "request", use.node
             )
+        elif use.outcome is _grants.GrantOutcome.FULL:
+            refusals_per_s = self._refusals_per_s(self.server.name)
+            self.queue.note_refused(refusals_per_s, self._now())
         self._replies.pop(number, None)
         was_running = number in self.queue.running
         request = self.queue.withdraw(
--- a/src/coltsfootsail/_engine_selection.py
+++ b/src/coltsfootsail/_engine_selection.py
@@ -28,6 +28,13 @@
 OWNER_SILENCE_MAX_S = 0.5
 
 
+# Messages that an engine's owner must know while the engine is in a state.
+_NEEDED_MESSAGES = {
+    _server_states.State.LIMITED: _wire.ServerLimit,
+    _server_states.State.BRITTLE: _wire.ServerBrittle,
+}
+
+
 class EngineSelector:
     """Chooses the engine and its owner for each request of one node.
 
@@ -223,7 +230,7 @@
         """Choose an engine.
 
         An engine without a reachable owner can only serve what it has
-        loaded, and nothing while it names a limit.
+        loaded, and nothing while it names a limit or is brittle.
 
         :returns: tuple of ``Server``, owner and ``GrantRequest``, or None
             if no engine can serve the request.  The owner is None if the
@@ -236,10 +243,8 @@
         for rank, server in enumerate(ranked):
             owner = self.owner(server)
             is_loaded = self._is_loaded(server, request)
-            is_limited = (
-                self._states.state(server.name) is _server_states.State.LIMITED
-            )
-            if is_limited and not self._keeps_limits(owner):
+            needs = _NEEDED_MESSAGES.get(self._states.state(server.name))
+            if needs is not None and not self._is_told(owner, needs):
                 continue
             if owner is None and not is_loaded:
                 continue
@@ -254,14 +259,14 @@
             return None
         return best[1], best[2], request
 
-    def _keeps_limits(self, owner):
-        """Tell whether an engine's owner is told of the engine's limit.
+    def _is_told(self, owner, message):
+        """Tell whether an engine's owner is told what the engine states.
 
-        A node of an early build knows of no limits, and grants without one.
+        A node of an early build knows nothing of it, and grants without.
         """
         if owner in (None, self._node):
             return owner is not None
-        return self._mesh.knows(owner, _wire.ServerLimit)
+        return self._mesh.knows(owner, message)
 
     def _is_loaded(self, server, request):
         if "/" not in request.adapter:
--- a/src/coltsfootsail/_gateway.py
+++ b/src/coltsfootsail/_gateway.py
@@ -110,9 +110,16 @@
             self.metrics.count,
             self.mesh.broadcast,
         )
+        self.refusals = _server_limits.ServerLimits(
+            self.now,
+            self.metrics.count,
+            self.mesh.broadcast,
+            _server_limits.REFUSALS,
+        )
         self.states = _server_states.ServerStates(
             self.view,
             self.limits,
+            self.refusals,
             self.now,
             self.metrics.count,
             self._on_server_closed,
@@ -124,6 +131,7 @@
             self.view,
             self.mesh,
             self.limits,
+            self.refusals,
             lambda: self.readiness() == "ready",
             self.now,
         )
@@ -177,6 +185,7 @@
             self.metrics,
             self._name,
             self.limits.per_s,
+            self.refusals.per_s,
             self.states.takes_requests,
             self.reach.find,
         )
@@ -245,6 +254,7 @@
             report_client,
             _relays.RelayClient(network, self.reach.relay, self.metrics.count),
             self.limits,
+            self.refusals,
             self.states,
             self.reach,
             self.now,
@@ -355,6 +365,7 @@
         self.stream_origins.note_servers()
         self.states.note_servers()
         self.limits.keep(self.view.servers)
+        self.refusals.keep(self.view.servers)
         self.limited_servers.keep(self.view.servers)
         self.crash_checks.keep(self.view.servers)
         self.crashes.note_stored()
--- a/src/coltsfootsail/_grants.py
+++ b/src/coltsfootsail/_grants.py
@@ -31,13 +31,15 @@
 class GrantOutcome(enum.StrEnum):
     """How a granted request ended.
 
-    ``ABSENT`` means that the engine does not hold the adapter, and
-    ``UNREACHABLE`` that it accepted no connection.
+    ``ABSENT`` means that the engine does not hold the adapter,
+    ``UNREACHABLE`` that it accepted no connection, and ``FULL`` that a
+    brittle server had no room for it.
     """
 
     DONE = "done"
     ABSENT = "absent"
     UNREACHABLE = "unreachable"
+    FULL = "full"
 
 
 @dataclasses.dataclass(slots=True)
@@ -375,7 +377,11 @@
         )
 
         def end(use):
-            msg = _wire.GrantEnd(number, str(use.outcome), use.first_event_s)
+            outcome = use.outcome
+            knows_full = self._mesh.knows(owner, _wire.ServerBrittle)
+            if outcome is GrantOutcome.FULL and not knows_full:
+                outcome = GrantOutcome.DONE
+            msg = _wire.GrantEnd(number, str(outcome), use.first_event_s)
             self._mesh.send(owner, msg)
 
         pending = _PendingGrant(server_name, owner)
--- a/src/coltsfootsail/_limited_servers.py
+++ b/src/coltsfootsail/_limited_servers.py
@@ -1,9 +1,13 @@
-"""Starts at plain servers that name a limit, counted over all nodes.
+"""Starts at plain servers that are limited or brittle, over all nodes.
 
 Engines have an owner that grants every start.  A plain server gets one
-while it names a limit: of the nodes that are ready, the one that ranks first
-for the server's address.  Another node that takes its place begins with no
-start to give, so that both together keep to the limit.
+while it names a limit or states that it is brittle: of the nodes that are
+ready, the one that ranks first for the server's address.  Another node that
+takes its place begins with no start to give, so that both together keep to
+the limit.
+
+A brittle server is given no more requests at once than it runs, so that it
+has none to refuse.
 """
 
 import itertools
@@ -13,30 +17,41 @@
 
 from coltsfootsail import _admission
 from coltsfootsail import _engine_selection
+from coltsfootsail import _grants
 from coltsfootsail import _placement
 from coltsfootsail import _wire
 
 IDLE_WAIT_S = 1.0  # longest pause of the loop
+START_PAUSE_S = 0.2  # before a new controller's first start
 
 
 class LimitController:
     """Grants the starts at one plain server, under its limit.
 
     :param limit_per_s: closure that gets the limit.
+    :param refusals_per_s: closure that gets the refusals that the server can
+        bear, infinite if it is not brittle.
+    :param slots: requests that the server runs at once.
     :param now: closure that reads the clock.
     """
 
-    def __init__(self, limit_per_s, now):
+    def __init__(self, limit_per_s, refusals_per_s, slots, now):
         self._limit_per_s = limit_per_s
+        self._refusals_per_s = refusals_per_s
+        self._slots = slots
         self._now = now
         self._numbers = itertools.count(1)
         self._replies = {}
         self._wake = trio.Event()
         self.queue = _admission.AdmissionQueue(math.inf, math.inf)
+        # The node before this one may have filled the server.
+        self.queue.pause_until(self._now() + START_PAUSE_S)
         self._apply_limit()
 
     def _apply_limit(self):
         self.queue.set_limit(self._limit_per_s(), self._now())
+        is_brittle = self._refusals_per_s() < math.inf
+        self.queue.set_slots(self._slots if is_brittle else math.inf)
 
     def check_grantable(self, request):
         """Accept every request: no state of the server excludes any."""
@@ -69,6 +84,8 @@
 
     def end_grant(self, number, grant_request, use):
         """Remove a request that has ended or been withdrawn."""
+        if use.outcome is _grants.GrantOutcome.FULL:
+            self.queue.note_refused(self._refusals_per_s(), self._now())
         self._replies.pop(number, None)
         self.queue.withdraw(number)
         self._wake.set()
@@ -105,16 +122,18 @@
     :param node: this node's name.
     :param view: a ``DeploymentView``.
     :param mesh: a ``Mesh``.
-    :param limits: the node's ``ServerLimits``.
+    :param limits: the node's ``ServerLimits`` of requests.
+    :param refusals: the node's ``ServerLimits`` of refusals.
     :param is_ready: closure that tells whether this node serves callers.
     :param now: closure that reads the clock.
     """
 
-    def __init__(self, node, view, mesh, limits, is_ready, now):
+    def __init__(self, node, view, mesh, limits, refusals, is_ready, now):
         self._node = node
         self._view = view
         self._mesh = mesh
         self._limits = limits
+        self._refusals = refusals
         self._is_ready = is_ready
         self._now = now
         self._nursery = None
@@ -153,7 +172,10 @@
             return None
         if name not in self._controllers:
             self._controllers[name] = LimitController(
-                lambda: self._limits.per_s(name), self._now
+                lambda: self._limits.per_s(name),
+                lambda: self._refusals.per_s(name),
+                max(1, server.slots),
+                self._now,
             )
             self._scopes[name] = trio.CancelScope()
             self._nursery.start_soon(self._run_controller, name)
@@ -163,13 +185,18 @@
         with self._scopes[name]:
             await self._controllers[name].run()
 
+    def needs_grant(self, name):
+        """Tell whether a plain server's starts are granted by one node."""
+        is_limited = self._limits.is_limited(name)
+        return is_limited or self._refusals.is_limited(name)
+
     def record_wait(self, name, wait_s):
         """Store the wait for a grant that an owner sent with a reply."""
         self._free_at_s[name] = self._now() + wait_s
 
     def wait_s(self, name):
         """Estimate the wait for a grant at a server, 0 without a limit."""
-        if not self._limits.is_limited(name):
+        if not self.needs_grant(name):
             return 0.0
         return max(0.0, self._free_at_s.get(name, 0.0) - self._now())
 
--- a/src/coltsfootsail/_peers.py
+++ b/src/coltsfootsail/_peers.py
@@ -87,13 +87,15 @@
 
     def _tell_what_is_known(self, node):
         """Tell a node what was told to all nodes before it had a link."""
-        for msg in self._gateway.limits.messages():
+        gateway = self._gateway
+        for msg in (
+            *gateway.limits.messages(),
+            *gateway.refusals.messages(),
+            *gateway.crashes.messages(),
+            *gateway.reach.messages(),
+        ):
             self.mesh.send(node, msg)
-        for msg in self._gateway.crashes.messages():
-            self.mesh.send(node, msg)
-        for msg in self._gateway.reach.messages():
-            self.mesh.send(node, msg)
-        for server in self._gateway.states.stated_leaving():
+        for server in gateway.states.stated_leaving():
             self.mesh.send(node, _wire.ServerLeaving(server))
 
     def _on_skipped(self, node, what):
@@ -150,6 +152,9 @@
     def _on_server_limit(self, node, msg):
         self._gateway.limits.learn(msg, node)
 
+    def _on_server_brittle(self, node, msg):
+        self._gateway.refusals.learn(msg, node)
+
     def _on_server_leaving(self, node, msg):
         self._gateway.states.note_leaving(msg.server, f"node {node}")
 
@@ -235,6 +240,7 @@
     _wire.Released: PeerHandler._on_released,
     _wire.DeploymentUpdate: PeerHandler._on_deployment_update,
     _wire.ServerLimit: PeerHandler._on_server_limit,
+    _wire.ServerBrittle: PeerHandler._on_server_brittle,
     _wire.ServerLeaving: PeerHandler._on_server_leaving,
     _wire.ServerBusy: PeerHandler._on_server_busy,
     _wire.StreamBegun: PeerHandler._on_stream_begun,
--- a/src/coltsfootsail/_plain.py
+++ b/src/coltsfootsail/_plain.py
@@ -111,7 +111,7 @@
         :raises OwnerSilent: if the node that grants does not answer.
         """
         gateway = self._gateway
-        if not gateway.limits.is_limited(server.name):
+        if not gateway.limited_servers.needs_grant(server.name):
             yield
             return
         request = _grants.GrantRequest(
@@ -129,14 +129,18 @@
         async with contextlib.AsyncExitStack() as stack:
             try:
                 with trio.fail_after(self._left_s(request.until_s)):
-                    await stack.enter_async_context(grant)
+                    use = await stack.enter_async_context(grant)
             except trio.TooSlowError as exc:
                 context.limited[server.name] = _request_context.RETRY_AFTER_S
                 raise exceptions.OwnerSilent() from exc
             except (exceptions.TurnedAway, exceptions.OwnerSilent) as exc:
                 context.limited[server.name] = exc.retry_after_s
                 raise
-            yield
+            try:
+                yield
+            except exceptions.EndpointFull:
+                use.outcome = _grants.GrantOutcome.FULL
+                raise
 
     def _left_s(self, until_s):
         return max(0.0, until_s - self._now())
--- a/src/coltsfootsail/_server_limits.py
+++ b/src/coltsfootsail/_server_limits.py
@@ -1,4 +1,7 @@
-"""The limits that servers in need name in their answers.
+"""The limits that servers in need state in their answers.
+
+There are two kinds: the requests a second that a server takes, and the
+requests a second that a brittle one can refuse for want of room.
 
 An answer that names a limit shows that it held when the answer's head was
 read, one that names none that it had ended when the request was sent.  Of
@@ -31,18 +34,36 @@
     at_s: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LimitKind:
+    """What a limit limits, and how it is told.
+
+    :param name: for the log.
+    :param message: class of the messages to other nodes.
+    """
+
+    name: str
+    message: type
+
+
+REQUESTS = LimitKind("requests", _wire.ServerLimit)
+REFUSALS = LimitKind("refusals", _wire.ServerBrittle)
+
+
 class ServerLimits:
     """The latest observation of each server's limit.
 
     :param now: closure that reads the clock.
     :param count: ``(counter, reason)``.
     :param tell_all: ``(message)``, sends to all nodes.
+    :param kind: a ``LimitKind``.
     """
 
-    def __init__(self, now, count, tell_all):
+    def __init__(self, now, count, tell_all, kind=REQUESTS):
         self._now = now
         self._count = count
         self._tell_all = tell_all
+        self._kind = kind
         self._observations = {}
 
     def per_s(self, server_name):
@@ -79,7 +100,7 @@
     def learn(self, msg, node):
         """Note what another node observed.
 
-        :param msg: a ``ServerLimit``.
+        :param msg: a message of the kind.
         :param node: the node that sent it.
         """
         observation = Observation(msg.per_s, self._now() - msg.age_s)
@@ -92,7 +113,7 @@
     def _message(self, server_name):
         observation = self._observations[server_name]
         age_s = float(self._now() - observation.at_s)
-        return _wire.ServerLimit(server_name, observation.per_s, age_s)
+        return self._kind.message(server_name, observation.per_s, age_s)
 
     def _note(self, server_name, observation, node):
         """Keep an observation unless a later one is known.
@@ -113,6 +134,7 @@
         self._count("server_limits", change)
         _logs.state(
             "server_limit",
+            kind=self._kind.name,
             server=server_name,
             change=change,
             per_s=observation.per_s if is_named else None,
--- a/src/coltsfootsail/_server_states.py
+++ b/src/coltsfootsail/_server_states.py
@@ -34,11 +34,14 @@
     LEAVING = "leaving"
     BUSY = "busy"
     LIMITED = "limited"
+    BRITTLE = "brittle"
     COLD = "cold"
     READY = "ready"
 
 
-TAKES_REQUESTS = frozenset({State.LIMITED, State.COLD, State.READY})
+TAKES_REQUESTS = frozenset(
+    {State.LIMITED, State.BRITTLE, State.COLD, State.READY}
+)
 _UNAVAILABLE = frozenset({State.GONE, State.LEAVING})
 
 
@@ -54,7 +57,8 @@
     ``generation`` increases whenever a server begins to leave.
 
     :param view: a ``DeploymentView``.
-    :param limits: the node's ``ServerLimits``.
+    :param limits: the node's ``ServerLimits`` of requests.
+    :param refusals: the node's ``ServerLimits`` of refusals.
     :param now: closure that reads the clock.
     :param count: ``(counter, reason)``.
     :param on_closed: ``(server name)``, called when a server states that it
@@ -64,10 +68,19 @@
     """
 
     def __init__(
-        self, view, limits, now, count, on_closed, tell_all, tell_owner
+        self,
+        view,
+        limits,
+        refusals,
+        now,
+        count,
+        on_closed,
+        tell_all,
+        tell_owner,
     ):
         self._view = view
         self._limits = limits
+        self._refusals = refusals
         self._now = now
         self._count = count
         self._on_closed = on_closed
@@ -267,5 +280,9 @@
     (State.LEAVING, lambda states, name: name in states._leaving),
     (State.BUSY, lambda states, name: states.busy_s(name) > 0.0),
     (State.LIMITED, lambda states, name: states._limits.is_limited(name)),
+    (
+        State.BRITTLE,
+        lambda states, name: states._refusals.is_limited(name),
+    ),
     (State.COLD, lambda states, name: states.is_cold(name)),
 )
--- a/src/coltsfootsail/_streams.py
+++ b/src/coltsfootsail/_streams.py
@@ -268,9 +268,8 @@
                     await self._send_to_engine(
                         context, sink, resp, server, grant_request, owner
                     )
-                except exceptions.EndpointNotRun:
-                    if not gateway.states.busy_s(server.name):
-                        use.outcome = _grants.GrantOutcome.ABSENT
+                except exceptions.EndpointNotRun as exc:
+                    use.outcome = self._refusal_outcome(server, exc)
                     raise
                 except exceptions.EndpointUnreachable:
                     if not gateway.reach.is_cut_off(server.name):
@@ -296,6 +295,19 @@
             await trio.sleep(ADAPTER_ABSENT_PAUSE_S)
             raise
 
+    def _refusal_outcome(self, server, exc):
+        """Tell an engine's owner why the engine refused a request.
+
+        :param exc: an ``EndpointNotRun``.
+        """
+        gateway = self._gateway
+        if gateway.states.busy_s(server.name):
+            return _grants.GrantOutcome.DONE
+        is_full = isinstance(exc, exceptions.EndpointFull)
+        if is_full and gateway.refusals.is_limited(server.name):
+            return _grants.GrantOutcome.FULL
+        return _grants.GrantOutcome.ABSENT
+
     def _may_wait_for_owner(self, context, exc):
         """Tell whether an owner that has just started is asked again."""
         starting = _turn_away_reason(exc) == "not the owner"
--- a/src/coltsfootsail/_upstream.py
+++ b/src/coltsfootsail/_upstream.py
@@ -22,6 +22,10 @@
 KEEP_ALIVE_SHARE = 0.6  # of the keep-alive time that a server states
 KEEP_ALIVE_DEFAULT_S = 0.5  # where the server states none
 EVENT_BYTES_MAX = 1_048_576
+_NOT_RUN_ERRORS = {
+    True: exceptions.EndpointFull,
+    False: exceptions.EndpointNotRun,
+}
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -171,7 +175,8 @@
     :param client: an ``HttpClient``.
     :param report_client: an ``HttpClient`` that keeps no connections.
     :param relays: the node's ``RelayClient``.
-    :param limits: the node's ``ServerLimits``.
+    :param limits: the node's ``ServerLimits`` of requests.
+    :param refusals: the node's ``ServerLimits`` of refusals.
     :param states: the node's ``ServerStates``.
     :param reach: the node's ``Reach``.
     :param now: closure that reads the clock.
@@ -184,6 +189,7 @@
         report_client,
         relays,
         limits,
+        refusals,
         states,
         reach,
         now,
@@ -193,6 +199,7 @@
         self._report_client = report_client
         self._relays = relays
         self._limits = limits
+        self._refusals = refusals
         self._states = states
         self._reach = reach
         self._now = now
@@ -275,7 +282,8 @@
             if messages.was_not_run(exchange):
                 with contextlib.suppress(_http.AnswerTooLarge):
                     await exchange.read_body(NOT_RUN_BODY_BYTES_MAX)
-                raise exceptions.EndpointNotRun(f"status {exchange.status}")
+                is_full = messages.was_full(exchange)
+                raise _NOT_RUN_ERRORS[is_full](f"status {exchange.status}")
             _check_response(exchange)
             await on_response(exchange)
             trace.conclusion = "answered"
@@ -296,15 +304,18 @@
         statements = messages.read_statements(exchange)
         trace.limit_per_s = statements.limit_per_s
         self._states.note_answer(server.name, statements, exchange.status)
-        # A limit that can't be read shows neither a limit nor the end of one.
-        if statements.limit_per_s is None and exchange.header(
-            messages.SERVER_LIMIT
+        for limits, name, per_s in (
+            (self._limits, messages.SERVER_LIMIT, statements.limit_per_s),
+            (
+                self._refusals,
+                messages.SERVER_BRITTLE,
+                statements.refusals_per_s,
+            ),
         ):
-            return
-        succeeded = 200 <= exchange.status < 300
-        self._limits.note_answer(
-            server.name, statements.limit_per_s, sent_s, succeeded
-        )
+            # What can't be read shows neither a limit nor the end of one.
+            if per_s is not None or not exchange.header(name):
+                succeeded = 200 <= exchange.status < 300
+                limits.note_answer(server.name, per_s, sent_s, succeeded)
 
     async def wait_until_dropped(self, server, request_id, is_registered):
         """Wait until an engine has dropped a request that it was sent.
--- a/src/coltsfootsail/_wire.py
+++ b/src/coltsfootsail/_wire.py
@@ -441,6 +441,19 @@
     body_bytes: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServerBrittle:
+    """What an answer showed of how many requests its server can refuse.
+
+    :param per_s: refusals a second for want of room, infinite for any number.
+    :param age_s: time since the moment for which it is known.
+    """
+
+    server: str
+    per_s: float
+    age_s: float
+
+
 MESSAGES = (
     Hello,
     Heartbeat,
@@ -479,6 +492,7 @@
     PartsCleared,
     CutOff,
     RelayRequest,
+    ServerBrittle,
 )
 _TAGS = {message_type: tag for tag, message_type in enumerate(MESSAGES)}
 _FIELD_NAMES = {
@@ -520,6 +534,7 @@
         PartsCleared,
         CutOff,
         RelayRequest,
+        ServerBrittle,
     ),
 }
 
--- a/src/coltsfootsail/exceptions.py
+++ b/src/coltsfootsail/exceptions.py
@@ -252,6 +252,12 @@
     code = "endpoint_not_run"
 
 
+class EndpointFull(EndpointNotRun):
+    """The endpoint had no room for the request."""
+
+    code = "endpoint_full"
+
+
 class TurnedAway(Refusal):
     """The owner of an engine turned the request away.
 
--- a/src/coltsfootsail/platform/messages.py
+++ b/src/coltsfootsail/platform/messages.py
@@ -23,6 +23,7 @@
 RETRY_AFTER = "retry-after"
 SERVER_LIMIT = "server-limit"
 SERVER_LEAVING = "server-leaving"
+SERVER_BRITTLE = "server-brittle"
 DATE = "date"
 RETRY_AFTER_MAX_S = 3600.0  # a longer retry time of a server counts as this
 READY_PATH = "/v1/readyz"
@@ -59,6 +60,7 @@
 _HOP_BY_HOP_STATEMENTS = frozenset({SERVER_LEAVING, RETRY_AFTER})
 _MISDIRECTED = 421
 _BUSY = 503
+_FULL_STATUSES = frozenset({429, _BUSY})
 # Callers take these statuses for a promise that nothing was or will be run.
 PROMISE_STATUSES = frozenset({408, _MISDIRECTED, 429, 503})
 
@@ -218,6 +220,14 @@
     return bool(exchange.header(NOT_RUN))
 
 
+def was_full(exchange):
+    """Tell whether a server had no room for a request that it did not run.
+
+    :param exchange: an ``Exchange`` whose head was read.
+    """
+    return exchange.status in _FULL_STATUSES
+
+
 def keep_alive_s(exchange):
     """Read how long a server keeps an idle connection, None if unstated."""
     for item in exchange.header("keep-alive").split(","):
@@ -235,12 +245,15 @@
     :param retry_after_s: for how long it wants no requests of this node, None
         if it does not say.
     :param limit_per_s: requests a second over all nodes, None for no limit.
+    :param refusals_per_s: requests a second that it can refuse for want of
+        room without falling over, None for any number.
     :param problems: descriptions of the statements that can't be read.
     """
 
     leaving: bool = False
     retry_after_s: float | None = None
     limit_per_s: float | None = None
+    refusals_per_s: float | None = None
     problems: tuple[str, ...] = ()
 
 
@@ -256,11 +269,12 @@
     :returns: a ``Statements``.
     """
     problems = []
-    limit_per_s = None
-    try:
-        limit_per_s = server_limit(exchange)
-    except exceptions.BadField as exc:
-        problems.append(exc.detail)
+    rates_per_s = {}
+    for name in (SERVER_LIMIT, SERVER_BRITTLE):
+        try:
+            rates_per_s[name] = stated_rate(exchange, name)
+        except exceptions.BadField as exc:
+            problems.append(exc.detail)
     leaving = False
     for value in _header_values(exchange, SERVER_LEAVING):
         if value not in _LEAVING_VALUES:
@@ -269,7 +283,13 @@
     retry_after_s = None
     if exchange.status == _BUSY:
         retry_after_s = _read_retry_after(exchange, problems)
-    return Statements(leaving, retry_after_s, limit_per_s, tuple(problems))
+    return Statements(
+        leaving,
+        retry_after_s,
+        rates_per_s.get(SERVER_LIMIT),
+        rates_per_s.get(SERVER_BRITTLE),
+        tuple(problems),
+    )
 
 
 def _header_values(exchange, wanted):
@@ -309,24 +329,24 @@
         return math.nan
 
 
-def server_limit(exchange):
-    """Read the limit that a server names for all nodes together.
+def stated_rate(exchange, name):
+    """Read a number of requests a second that a server states.
 
     :param exchange: an ``Exchange`` whose head was read.
-    :returns: requests a second, the lowest of several; None if it names
-        none.
-    :raises BadField: if it names one that can't be read.
+    :param name: of the header.
+    :returns: the lowest of several; None if it states none.
+    :raises BadField: if it states one that can't be read.
     """
-    stated = _header_values(exchange, SERVER_LIMIT)
+    stated = _header_values(exchange, name)
     if not stated:
         return None
     try:
-        limits = [float(value) for value in stated]
+        rates_per_s = [float(value) for value in stated]
     except ValueError as exc:
-        raise exceptions.BadField(f"limit: {exc}") from exc
-    if not all(0.0 <= limit < math.inf for limit in limits):
-        raise exceptions.BadField(f"limit: {stated!r}")
-    return min(limits)
+        raise exceptions.BadField(f"{name}: {exc}") from exc
+    if not all(0.0 <= rate < math.inf for rate in rates_per_s):
+        raise exceptions.BadField(f"{name}: {stated!r}")
+    return min(rates_per_s)
 
 
 def retry_after(delay_s):
--- a/src/coltsfootsail/standins/servers.py
+++ b/src/coltsfootsail/standins/servers.py
@@ -6,6 +6,7 @@
 import contextlib
 import dataclasses
 import json
+import math
 
 import trio
 
@@ -48,7 +49,9 @@
     ``arrived_s`` has the time of each request.  ``body``, if set, replaces
     the body of the answers.  A request with a prompt part of ``crash_parts``,
     other than the last one, makes the server call ``crash`` as it begins to
-    answer.
+    answer.  It runs ``slots`` requests at once and refuses further ones.  With
+    ``brittle`` set, all answers state that number, and it calls ``crash``
+    after more such refusals in a second.
     """
 
     def __init__(self, name, now=trio.current_time):
@@ -60,10 +63,14 @@
         self.busy = None
         self.keep_alive_s = None
         self.refused_s = []
+        self.full_s = []
+        self.open_runs = 0
         self.work_s = 0.05
         self.body = b""
         self.answer = lambda req: 200
         self.refuse = False
+        self.slots = math.inf
+        self.brittle = None
         self.crash_parts = frozenset()
         self.crash = lambda: None
         self.connections_max = 1000
@@ -95,10 +102,30 @@
             headers.append((messages.SERVER_LIMIT, self.limit))
         if self.leaving is not None:
             headers.append((messages.SERVER_LEAVING, self.leaving))
+        if self.brittle is not None:
+            headers.append((messages.SERVER_BRITTLE, str(self.brittle)))
         if self.keep_alive_s is not None:
             headers.append(("keep-alive", f"timeout={self.keep_alive_s}"))
         return headers
 
+    async def _refuse_if_full(self, req, resp, running):
+        """Refuse a request for want of room; crash after too many of these.
+
+        :param running: number of requests that run.
+        :returns: whether it was refused.
+        """
+        if running < self.slots:
+            return False
+        now_s = self._now()
+        self.full_s.append(now_s)
+        recent = [each for each in self.full_s if each > now_s - 1.0]
+        if self.brittle is not None and len(recent) > self.brittle:
+            self.full_s.clear()
+            self._crash()
+        headers = [*self._base_headers(req), (messages.NOT_RUN, "1")]
+        await resp.reply(503, b"", headers)
+        return True
+
     async def _refuse_if_busy(self, req, resp):
         """Refuse a request while the server is busy.
 
@@ -141,13 +168,19 @@
             return
         if await self._refuse_if_busy(req, resp):
             return
+        if await self._refuse_if_full(req, resp, self.open_runs):
+            return
         if self.refuse:
             headers = [*self._base_headers(req), (messages.NOT_RUN, "1")]
             await resp.reply(503, b"", headers)
             return
         request_id = req.header(messages.REQUEST_ID)
         self.runs.append(Run(request_id, "", 0, self._now(), req.headers))
-        await trio.sleep(self.work_s)
+        self.open_runs += 1
+        try:
+            await trio.sleep(self.work_s)
+        finally:
+            self.open_runs -= 1
         if self._is_poisoned(req):
             self._crash()
         answer = self.answer(req)
@@ -329,6 +362,8 @@
         if self._misdirected(req) or not_loaded or version_differs:
             await resp.reply(421, b"", self._base_headers(req))
             return
+        if await self._refuse_if_full(req, resp, len(self.running)):
+            return
         request_id = req.header(messages.REQUEST_ID)
         run = Run(request_id, adapter, version, self._now(), req.headers)
         self.runs.append(run)
--- a/tests/test_engine_selection.py
+++ b/tests/test_engine_selection.py
@@ -40,6 +40,7 @@
             types.SimpleNamespace(
                 is_limited=lambda name: name in self.limited
             ),
+            types.SimpleNamespace(is_limited=lambda name: False),
             lambda: self.now_s,
             lambda counter, reason: None,
             lambda name: None,
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -1071,8 +1071,8 @@
         if record.message == "send_ended" and record.id in ("r0", "r1")
     ]
     assert ends[0] == ("answered", 200, 1)
-    assert ends[1] == ("endpoint_not_run", 503, 2)
-    assert ends[2] == ("endpoint_not_run", 503, 1)
+    assert ends[1] == ("endpoint_full", 503, 2)
+    assert ends[2] == ("endpoint_full", 503, 1)
     told = [r.status for r in caplog.records if r.message == "refused"]
     assert told == [503]
 
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -20,12 +20,16 @@
     return types.SimpleNamespace(headers=tuple(headers))
 
 
+def _read_limit(answer):
+    return messages.stated_rate(answer, messages.SERVER_LIMIT)
+
+
 @pytest.mark.parametrize(
     ("values", "limit"),
     [((), None), (("1.7",), 1.7), (("0",), 0.0), (("3", "2.5"), 2.5)],
 )
 def test_limit_is_read_from_an_answer(values, limit):
-    assert messages.server_limit(_answer(*values)) == limit
+    assert _read_limit(_answer(*values)) == limit
 
 
 @pytest.mark.parametrize(
@@ -33,7 +37,7 @@
 )
 def test_limit_that_is_no_rate_is_an_error(value):
     with pytest.raises(exceptions.BadField):
-        messages.server_limit(_answer("2", value))
+        _read_limit(_answer("2", value))
 
 
 @pytest.fixture
--- a/tests/test_server_states.py
+++ b/tests/test_server_states.py
@@ -403,7 +403,7 @@
         name: types.SimpleNamespace(
             name=name, service="shop", draining=False, cold_left_s=0.0
         )
-        for name in ("s", "t")
+        for name in ("s", "t", "u")
     }
     view = types.SimpleNamespace(
         servers=servers,
@@ -415,6 +415,7 @@
     return _server_states.ServerStates(
         view,
         limits,
+        types.SimpleNamespace(is_limited=lambda name: name in ("t", "u")),
         lambda: clock.now_s,
         lambda *_: None,
         lambda name: None,
@@ -427,6 +428,7 @@
     view, state = states._view, _server_states.State
     assert states.state("s") is state.READY
     assert states.state("t") is state.LIMITED
+    assert states.state("u") is state.BRITTLE
     view.servers["s"].cold_left_s = 1.0
     states.note_servers()
     assert states.state("s") is state.COLD
