--- a/src/coltsfootsail/standins/servers.py
+++ b/src/coltsfootsail/standins/servers.py
@@ -204,7 +204,8 @@
     another count is refused.  ``is_order_late`` tells whether an order is
     left unanswered and carried out ``LATE_ORDER_S`` later.  ``running`` has
     the ids of the requests that it runs.  ``software`` is the version of its
-    software, which its registration states.
+    software, which its registration states.  With ``unframed`` set, a stream
+    has neither a length nor chunks and ends with its connection.
 
     :param store: the ``StoreStandIn`` in which it registers.
     :param address: where it listens.
@@ -230,6 +231,7 @@
         self.is_order_late = lambda: False
         self.running = set()
         self.software = "v1"
+        self.unframed = False
         self._store = store
 
     def restart(self, name=None):
@@ -380,7 +382,10 @@
             STAMP_HEADER,
             ("content-type", "text/event-stream"),
         ]
-        await resp.start(200, headers)
+        if self.unframed:
+            await _start_unframed(resp, headers)
+        else:
+            await resp.start(200, headers)
         if self._is_poisoned(req):
             await trio.sleep(self.event_s)
             self._crash()
@@ -389,9 +394,22 @@
         ) as numbers:
             async for number in numbers:
                 if self.cut_after is not None and number > self.cut_after:
-                    await resp.stream.send_all(b"8\r\nid: 9\nda")
+                    size = b"" if self.unframed else b"8\r\n"
+                    await resp.stream.send_all(size + b"id: 9\nda")
                     raise trio.BrokenResourceError
                 data = f"{run.adapter}@{run.version} {number}"
-                text = f"id: {number}\ndata: {data}\n\n"
-                await resp.write(text.encode())
+                event = f"id: {number}\ndata: {data}\n\n".encode()
+                if self.unframed:
+                    await resp.stream.send_all(event)
+                else:
+                    await resp.write(event)
+        if self.unframed:
+            raise trio.BrokenResourceError
         await resp.end()
+
+
+async def _start_unframed(resp, headers):
+    """Send the head of an answer that ends with its connection."""
+    fields = "".join(f"{name}: {value}\r\n" for name, value in headers)
+    head = f"HTTP/1.1 200 OK\r\n{fields}connection: close\r\n\r\n"
+    await resp.stream.send_all(head.encode())
