Tests of short silences and of the options of connections

Sound servers that are silent for up to 1.3 s again and again: no stream is cut, nothing runs twice, no crash or cut is concluded. TCP_USER_TIMEOUT is set on all connections, keep-alive probes on none. Both pass on the code as it was.

--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -28,3 +28,33 @@
             pytest.raises(TimeoutError),
         ):
             trio.run(main, address)
+
+
+def test_connections_have_no_keep_alive_probes_that_a_timeout_could_end():
+    """TCP_USER_TIMEOUT also decides when keep-alive probes give up."""
+    options = []
+
+    async def serve(stream):
+        options.append(_read_options(stream))
+
+    async def main():
+        network = _net.tcp_network(unacked_timeout_ms=7000)
+        async with trio.open_nursery() as nursery:
+            address = await nursery.start(network.serve, "127.0.0.1:0", serve)
+            stream = await network.open_stream(address)
+            options.append(_read_options(stream))
+            while len(options) < 2:
+                await trio.sleep(0.01)
+            await stream.aclose()
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
+    assert options == [(0, 7000)] * 2
+
+
+def _read_options(stream):
+    """Read whether probes are sent, and the time for unacknowledged bytes."""
+    return (
+        stream.socket.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE),
+        stream.socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT),
+    )
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -11,6 +11,7 @@
 
 from coltsfootsail import _http
 from coltsfootsail import _streams
+from tests import gateways
 
 EVENT = b"id: 1\ndata: x\n\n"
 
@@ -137,3 +138,59 @@
     timeout, _, received = relay(Trickle((0.1, EVENT), *halves))
     assert not timeout.expired
     assert received == ["head", *[EVENT] * 7, "end"]
+
+
+SHORT_SILENCES_S = (0.5, 1.0, 1.3)
+
+
+def _pause_again_and_again(fleet, hosts, pause_s):
+    async def run():
+        while True:
+            for host in hosts:
+                fleet.net.pause(host)
+                await trio.sleep(pause_s)
+                fleet.net.resume(host)
+                await trio.sleep(1.0)
+
+    return run
+
+
+@pytest.mark.parametrize("pause_s", SHORT_SILENCES_S)
+@pytest.mark.parametrize("path", ["/notes/1", "/prints/1", "/orders/9"])
+def test_sound_server_that_is_silent_for_a_second_is_waited_for(path, pause_s):
+    async def scenario(fleet):
+        replies = []
+        for engine in fleet.engines:
+            engine.adapter_slots = 8
+            engine.events = 20
+
+        async def send(number):
+            fields = {}
+            if path != "/orders/9":
+                fields["adapter"] = f"base/a{number % 3}"
+            request_id = f"r{number}"
+            reply = await fleet.call(
+                path, request_id=request_id, deadline_ms=15000, **fields
+            )
+            replies.append(reply)
+
+        hosts = ["e0", "e1", "s0", "s1"]
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_pause_again_and_again(fleet, hosts, pause_s))
+            async with trio.open_nursery() as callers:
+                for number in range(60):
+                    callers.start_soon(send, number)
+                    await trio.sleep(0.25)
+            nursery.cancel_scope.cancel()
+        assert all(each.status == 200 and each.whole for each in replies)
+        runs = [
+            run.request_id
+            for server in (*fleet.engines, *fleet.shop_servers)
+            for run in server.runs
+        ]
+        assert len(runs) == len(set(runs)) == 60
+        for gateway in fleet.gateways.values():
+            assert not gateway.reach.is_isolated()
+            assert "strikes" not in gateway.metrics.counter_totals()
+
+    gateways.run(scenario, nodes=2)
