Soak: plain servers that are brittle

They state how many refusals a second they bear, work slowly and end after more; the checker counts falls beside no fault. A node that takes no grants at them is noticed.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -97,6 +97,7 @@
         options.program,
         _package_paths(directory, options.build),
         has_proxies=not options.poison_share,
+        brittle=options.brittle,
     )
     async with trio.open_nursery() as nursery:
         nursery.start_soon(_end_on_sigterm)
@@ -142,6 +143,12 @@
         dest="poison_share",
         help="share of the requests to engines that crash them",
     )
+    parser.add_argument(
+        "--brittle",
+        type=int,
+        default=0,
+        help="refusals a second that plain servers bear, 0 for any number",
+    )
     parser.add_argument("--keep", action="store_true")
     parser.add_argument(
         "--build", default="", help="commit that nodes may run as well"
--- a/tests/soak/answers.py
+++ b/tests/soak/answers.py
@@ -18,6 +18,7 @@
 LIMITED_S = (8.0, 12.0)  # during which a server names a limit
 BUSY_S = (3.0, 6.0)  # during which a server refuses all requests
 RETRY_AFTERS_S = (0.9, 2.0, 4.0)
+BRITTLE_AFTER_S = 4.0  # from a server's start
 IDLE_TIMEOUTS_S = (0.15, 0.6, 2.0, 60.0)  # after which servers close
 
 
@@ -42,6 +43,8 @@
         self.limit_per_s = None
         self.leaving = False
         self.retry_after_s = None
+        self.brittle = 0
+        self._full_s = []
         self.running = set()
         self._extra = {}
         self._unwatched = set()
@@ -55,6 +58,8 @@
         headers = protocol.echo(req)
         if self.limit_per_s is not None:
             headers.append((messages.SERVER_LIMIT, str(self.limit_per_s)))
+        if self.brittle:
+            headers.append((messages.SERVER_BRITTLE, str(self.brittle)))
         if self.leaving:
             headers.append((messages.SERVER_LEAVING, "1"))
             self._record_statement(req, "leaving")
@@ -95,6 +100,21 @@
         record = records.Limit(records.now_s(), self._name, per_s)
         self._writer.write(record)
 
+    async def become_brittle(self, refusals_per_s):
+        """State after a while how many refusals a second can be borne."""
+        await trio.sleep(BRITTLE_AFTER_S)
+        self.brittle = refusals_per_s
+
+    async def refuse_for_want_of_room(self, req, resp):
+        """Refuse a request; end the process after too many of these."""
+        now_s = records.now_s()
+        self._full_s = [each for each in self._full_s if each > now_s - 1.0]
+        self._full_s.append(now_s)
+        if self.brittle and len(self._full_s) > self.brittle:
+            self._writer.write(records.Fall(now_s, self._name))
+            os._exit(1)
+        await self.refuse(req, resp)
+
     def crash(self, req):
         """Record that a request ends this process, and end it."""
         self._writer.write(
--- a/tests/soak/checker.py
+++ b/tests/soak/checker.py
@@ -23,6 +23,7 @@
 BUSY_FROM_S = 0.5  # after which a busy server gets none
 BUSY_REQUESTS = 2  # of one node in the time that a busy server asked for
 CRASHES_MAX = 5  # under one part, before its requests must reach no server
+FALLS_MAX = 2
 LATE_CRASHES_MAX = 3  # later than ``CONTACT_S`` after that
 LIMIT_WINDOW_S = 4.0
 LIMIT_SHARE = 1.5  # of what a limit allows in a window
@@ -61,6 +62,7 @@
     ``DRAIN``: a node passed on that a server leaves, and sent it a later
     request.
     ``BUSY``: a node sent requests to a server that had asked for a pause.
+    ``FALLS``: brittle servers had to refuse too many requests, too often.
     ``CRASHES``: requests with a part that had crashed several servers went on
     to reach servers.
 
@@ -90,6 +92,7 @@
         *_over_limits(by_type),
         *_after_statements(by_type),
         *_after_crashes(by_type),
+        *_fallen_over(by_type),
     ]
 
 
@@ -355,6 +358,25 @@
         yield Violation("CRASHES", tuple(late))
 
 
+def _fallen_over(by_type):
+    """Count the falls of brittle servers, but for those beside a fault.
+
+    Nodes that have just started, or that a fault of theirs or of a link holds
+    up, may send more than the node that grants has counted.
+    """
+    falls = [
+        fall
+        for fall in by_type[records.Fall]
+        if not any(
+            fault.at_s <= fall.at_s <= fault.until_s + CONTACT_S
+            for fault in by_type[records.Fault]
+            if fault.what != "reload" and not fault.target.startswith("i-")
+        )
+    ]
+    if len(falls) > FALLS_MAX:
+        yield Violation("FALLS", tuple(falls))
+
+
 def _was_disturbed(parties, since_s, until_s, by_type):
     """Tell whether a process or one of its links had a fault."""
     return any(
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -1,11 +1,12 @@
 """The store and the servers of a soak, as processes of their own.
 
 ``python -m tests.soak.processes ROLE NAME ADDRESS RECORDS SEED SHARE NAMES
-LIMIT_PAUSE_S`` runs one of them; ``ROLE`` is ``store``, ``engine`` or
+LIMIT_PAUSE_S BRITTLE`` runs one of them; ``ROLE`` is ``store``, ``engine`` or
 ``plain``, ``SHARE`` the share of requests that a server answers badly and
 ``NAMES`` the behaviours to choose from, separated by commas.  A server names
 a limit now and then, and refuses all requests with a retry time, unless
-``LIMIT_PAUSE_S``, the mean pause, is 0.
+``LIMIT_PAUSE_S``, the mean pause, is 0.  Plain servers become brittle unless
+``BRITTLE``, the refusals a second that they bear, is 0.
 """
 
 import collections
@@ -25,6 +26,7 @@
 from tests.soak import records
 
 PLAIN_SLOTS = 6
+BRITTLE_SLOWDOWN = 30.0
 COPIES = 12  # of the store, the oldest of which it may come back from
 COPY_INTERVAL_S = 0.5
 
@@ -45,13 +47,15 @@
         if self._misdirected(req):
             await resp.reply(421, b"", self._faulty_answers.head(req))
         elif self._faulty_answers.open_runs >= PLAIN_SLOTS:
-            await self._faulty_answers.refuse(req, resp)
+            await self._faulty_answers.refuse_for_want_of_room(req, resp)
         else:
             await self._faulty_answers.answer(req, resp, self._work)
 
     async def _work(self, req, resp, factor=1.0):
         async def work():
-            await trio.sleep(self.work_s * factor)
+            is_brittle = self._faulty_answers.brittle
+            slowdown = BRITTLE_SLOWDOWN if is_brittle else 1.0
+            await trio.sleep(self.work_s * factor * slowdown)
             body = protocol.plain_body(req.header(protocol.CONTENT))
             await resp.reply(
                 200,
@@ -157,7 +161,9 @@
     await _net.tcp_network().serve(address, handle)
 
 
-async def _serve_requests(role, name, address, faulty_answers, limit_pause_s):
+async def _serve_requests(
+    role, name, address, faulty_answers, limit_pause_s, brittle
+):
     """Run a server of the service that is its role."""
     if role == "engine":
         server = EngineProcess(name, address, faulty_answers)
@@ -167,6 +173,8 @@
         if limit_pause_s:
             nursery.start_soon(faulty_answers.name_limits, limit_pause_s)
             nursery.start_soon(faulty_answers.be_busy, limit_pause_s)
+        if brittle and role == "plain":
+            nursery.start_soon(faulty_answers.become_brittle, brittle)
         nursery.start_soon(_leave_on_signal, faulty_answers)
         await _serve(address, server.serve)
 
@@ -178,7 +186,9 @@
             faulty_answers.leaving = True
 
 
-def main(role, name, address, path, seed, share, names, limit_pause_s):
+def main(
+    role, name, address, path, seed, share, names, limit_pause_s, brittle
+):
     """Run one process until it is killed."""
     rng = random.Random(f"{seed}/{name}")
     if role == "store":
@@ -194,6 +204,7 @@
         address,
         faulty_answers,
         float(limit_pause_s),
+        int(brittle),
     )
 
 
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -132,6 +132,14 @@
     attempt: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Fall:
+    """A brittle server fell over, for it had to refuse too many requests."""
+
+    at_s: float
+    server: str
+
+
 _TYPES = {
     each.__name__: each
     for each in (
@@ -144,6 +152,7 @@
         Statement,
         Arrival,
         Crash,
+        Fall,
     )
 }
 
--- a/tests/soak/system.py
+++ b/tests/soak/system.py
@@ -74,6 +74,8 @@
         from each of its starts on; None stands for the installed one.
     :param has_proxies: whether nodes reach servers through proxies, which
         accept connections also while their server is down.
+    :param brittle: refusals a second that plain servers bear, 0 for any
+        number.
     """
 
     def __init__(
@@ -86,6 +88,7 @@
         program=(),
         package_paths=(None,),
         has_proxies=True,
+        brittle=0,
     ):
         self.directory = directory
         self.links = {}
@@ -95,6 +98,7 @@
         self._limit_pause_s = limit_pause_s
         self._program = program or (sys.executable, "-m", "coltsfootsail")
         self._package_paths = package_paths
+        self._brittle = brittle
         self._server_address = "nodes/{}" if has_proxies else "{}"
         self._package_rng = random.Random(f"{seed}/packages")
         self._processes = {}
@@ -161,6 +165,7 @@
             str(self._fault_share),
             ",".join(self._behaviours),
             str(self._limit_pause_s),
+            str(self._brittle),
         ]
 
     def _node_command(self, node):
--- a/tests/soak/unsafe_node.py
+++ b/tests/soak/unsafe_node.py
@@ -11,6 +11,7 @@
 from coltsfootsail import _claims
 from coltsfootsail import _gateway
 from coltsfootsail import _http_client
+from coltsfootsail import _limited_servers
 from coltsfootsail import _poison_parts
 from coltsfootsail import _request_context
 from coltsfootsail import _request_handler
@@ -93,7 +94,12 @@
     _poison_parts.PartEvidence.add = lambda self, run: ()
 
 
+def _ignore_brittle():
+    _limited_servers.LimitedServers.needs_grant = lambda self, name: False
+
+
 REMOVALS = {
+    "ignore_brittle": _ignore_brittle,
     "forget_crashes": _forget_crashes,
     "ignore_leaving": _ignore_leaving,
     "ignore_busy": _ignore_busy,
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -178,6 +178,17 @@
     assert not violations, "\n".join(map(str, violations))
 
 
+def test_soak_of_brittle_servers_breaks_no_promise(tmp_path):
+    violations, summary = _play(
+        tmp_path,
+        "20",
+        *["--brittle", "3", "--limits", "0", "--fault-share", "0"],
+        *["--faults", "reload", "--series", "1"],
+    )
+    assert summary["result 200"]
+    assert not violations, "\n".join(map(str, violations))
+
+
 PLANNED_STOPS = [
     "--faults",
     "terminate",
@@ -250,6 +261,11 @@
             "DRAIN",
             ["--fault-share", "0", "--limits", "0", "--faults", "leave"],
         ),
+        (
+            "ignore_brittle",
+            "FALLS",
+            ["--fault-share", "0", "--limits", "0", "--brittle", "3"],
+        ),
         (
             "forget_crashes",
             "CRASHES",
