Send early builds the forms of messages that they know

A node now learns from what such a peer sends, and from a link that ends right after such a message, which form it knows. What peers know has modules of its own.

--- a/src/coltsfootsail/_mesh.py
+++ b/src/coltsfootsail/_mesh.py
@@ -19,7 +19,9 @@
 
 import trio
 
+from coltsfootsail import _early_forms
 from coltsfootsail import _kv
+from coltsfootsail import _vocabulary
 from coltsfootsail import _wire
 from coltsfootsail import exceptions
 
@@ -93,8 +95,8 @@
     stream: _wire.MessageStream
     outbox: object
     cancel_scope: trio.CancelScope
-    vocabulary: _wire.PeerVocabulary = dataclasses.field(
-        default_factory=_wire.PeerVocabulary
+    vocabulary: _vocabulary.PeerVocabulary = dataclasses.field(
+        default_factory=_vocabulary.PeerVocabulary
     )
     heartbeat: _wire.Heartbeat | None = None
     last_heard_s: float = 0.0
@@ -126,6 +128,7 @@
         self._dial_requested = trio.Event()
         self._links = {}
         self._dialing = set()
+        self._forms = {}
         self.sent = 0
 
     def linked_nodes(self):
@@ -271,6 +274,11 @@
         messages.on_skipped = lambda what: self._callbacks.on_skipped(
             node, what
         )
+        forms = self._forms.setdefault(
+            node, _early_forms.EarlyForms(self._network.now)
+        )
+        if protocol == _wire.UNANNOUNCED_PROTOCOL:
+            messages.forms = forms
         send_channel, receive_channel = trio.open_memory_channel(QUEUE_MAX)
         with trio.CancelScope() as scope:
             link = _Link(
@@ -278,7 +286,7 @@
                 messages,
                 send_channel,
                 scope,
-                _wire.PeerVocabulary(protocol),
+                _vocabulary.PeerVocabulary(protocol),
             )
             link.last_heard_s = self._network.now()
             if node in self._links:
@@ -294,6 +302,8 @@
                     await self._receive_all(link)
                     nursery.cancel_scope.cancel()
             finally:
+                if messages.forms is not None:
+                    forms.note_link_end()
                 if self._links.get(node) is link:
                     del self._links[node]
                     self._watched = None
@@ -416,6 +426,8 @@
     def _dispatch(self, link, msg):
         if link.vocabulary.heard(msg):
             self._callbacks.on_vocabulary(link.node)
+        if isinstance(msg, _wire.Hello):
+            link.stream.forms = None
         if isinstance(msg, _wire.Ping):
             self.send(link.node, _wire.Pong())
         elif isinstance(msg, _wire.PeerSilent):
--- a/src/coltsfootsail/_wire.py
+++ b/src/coltsfootsail/_wire.py
@@ -8,8 +8,7 @@
 
 Builds of protocol 1 end a link at any message that they do not know.  A node
 announces its protocol in its ``Hello``; one that does not is of protocol 1.
-Such a node is sent a message that not all builds of protocol 1 know only
-after it has sent one of the same age itself.
+``_vocabulary`` and ``_early_forms`` tell what such a node is sent.
 """
 
 import dataclasses
@@ -514,82 +513,18 @@
     )
     for message_type in MESSAGES
 }
-# The messages that some builds of protocol 1 know, by age.
-_LATER_MESSAGES = (
-    frozenset({ServerLimit}),
-    frozenset({StreamBegun, StreamQuery, StreamReply}),
-)
-_AGES = {
-    message_type: age
-    for age, group in enumerate(_LATER_MESSAGES, 1)
-    for message_type in group
-}
-# The messages that came with each later protocol.
-_PROTOCOL_MESSAGES = {
-    2: (ServerLeaving, PeerSilent, ServerBusy),
-    3: (
-        ServerCheck,
-        ServerCheckReply,
-        CrashedRun,
-        PartsCleared,
-        CutOff,
-        RelayRequest,
-        ServerBrittle,
-    ),
-}
-
-
-def _protocol_age(protocol):
-    """Get the age of the messages that came with a protocol."""
-    return len(_LATER_MESSAGES) + protocol - UNANNOUNCED_PROTOCOL
-
-
-_AGES |= {
-    message_type: _protocol_age(protocol)
-    for protocol, group in _PROTOCOL_MESSAGES.items()
-    for message_type in group
-}
-
-
-class PeerVocabulary:
-    """Which messages a peer knows, as far as it has shown.
-
-    :param protocol: the protocol that it has announced.
-    """
-
-    def __init__(self, protocol=UNANNOUNCED_PROTOCOL):
-        self._age = 0
-        self.announce(protocol)
-
-    def announce(self, protocol):
-        """Note the protocol that the peer announces."""
-        if protocol > UNANNOUNCED_PROTOCOL:
-            self._age = max(self._age, _protocol_age(protocol))
-
-    def heard(self, msg):
-        """Note a message of the peer.
-
-        :returns: whether it shows that the peer knows further messages.
-        """
-        before = self._age
-        if isinstance(msg, Hello):
-            self.announce(msg.protocol)
-        self._age = max(self._age, _AGES.get(type(msg), 0))
-        return self._age > before
-
-    def knows(self, message_type):
-        """Tell whether the peer is known to decode a type of message."""
-        return _AGES.get(message_type, 0) <= self._age
 
 
-def encode(msg):
+def encode(msg, field_count=None):
     """Encode one message.
 
     :param msg: an instance of a class in ``MESSAGES``.
+    :param field_count: number of its first fields to encode, None for all.
     :returns: bytes.
     """
     message_type = type(msg)
-    fields = [getattr(msg, name) for name in _FIELD_NAMES[message_type]]
+    names = _FIELD_NAMES[message_type][:field_count]
+    fields = [getattr(msg, name) for name in names]
     return msgpack.packb([_TAGS[message_type], *fields])
 
 
@@ -630,11 +565,15 @@
 
     :param on_skipped: ``(what)``, called for what is skipped of received
         messages.
+
+    ``forms``, an ``_early_forms.EarlyForms``, is set while the peer may be of
+    a build that knows fewer fields.
     """
 
     def __init__(self, stream, on_skipped=lambda what: None):
         self._stream = stream
         self.on_skipped = on_skipped
+        self.forms = None
         self._lock = trio.Lock()
         self._unpacker = msgpack.Unpacker(
             use_list=False,
@@ -655,7 +594,7 @@
 
         :raises OSError: if the stream has failed.
         """
-        data = b"".join(map(encode, msgs))
+        data = b"".join(map(self._encode, msgs))
         try:
             async with self._lock:
                 await self._stream.send_all(data)
@@ -663,6 +602,11 @@
             raise ConnectionError(str(exc)) from exc
         self.sent_bytes += len(data)
 
+    def _encode(self, msg):
+        if self.forms is None:
+            return encode(msg)
+        return encode(msg, self.forms.use(type(msg)))
+
     async def receive(self):
         """Receive one message of a known kind.
 
@@ -672,9 +616,12 @@
         """
         while True:
             try:
-                msg = _decode(next(self._unpacker), self.on_skipped)
+                value = next(self._unpacker)
+                msg = _decode(value, self.on_skipped)
                 if msg is None:
                     continue
+                if self.forms is not None:
+                    self.forms.note_received(type(msg), len(value) - 1)
                 return msg
             except StopIteration:
                 pass
--- a/tests/builds/test_formats.py
+++ b/tests/builds/test_formats.py
@@ -14,6 +14,7 @@
 import trio.testing
 
 from coltsfootsail import _records
+from coltsfootsail import _vocabulary
 from coltsfootsail import _wire
 from coltsfootsail import exceptions
 from tools import record_formats
@@ -56,8 +57,8 @@
 
 def test_messages_are_appended_and_sent_only_to_builds_that_know_them():
     released = len(RELEASED["messages"])
-    early = _wire.PeerVocabulary()
-    announced = _wire.PeerVocabulary(_wire.PROTOCOL)
+    early = _vocabulary.PeerVocabulary()
+    announced = _vocabulary.PeerVocabulary(_wire.PROTOCOL)
     for message_type in _wire.MESSAGES[released:]:
         assert not early.knows(message_type)
     for message_type in _wire.MESSAGES:
@@ -136,7 +137,7 @@
 
 
 def test_early_peer_is_told_only_what_it_has_shown_to_know():
-    peer = _wire.PeerVocabulary()
+    peer = _vocabulary.PeerVocabulary()
     assert peer.knows(_wire.GrantRequest)
     assert not peer.knows(_wire.ServerLimit)
     assert peer.heard(_wire.ServerLimit("s", 1.0, 0.0))
@@ -149,7 +150,9 @@
 
 
 def test_peer_is_told_only_what_its_protocol_has():
-    peer = _wire.PeerVocabulary(2)
+    peer = _vocabulary.PeerVocabulary(2)
     assert peer.knows(_wire.ServerBusy) and peer.knows(_wire.StreamQuery)
     assert not peer.knows(_wire.ServerCheck)
-    assert _wire.PeerVocabulary(_wire.PROTOCOL + 1).knows(_wire.ServerCheck)
+    assert _vocabulary.PeerVocabulary(_wire.PROTOCOL + 1).knows(
+        _wire.ServerCheck
+    )
--- a/tests/builds/test_mixes.py
+++ b/tests/builds/test_mixes.py
@@ -141,35 +141,36 @@
     run_mix(scenario, [commit, TODAY, TODAY, commit])
 
 
-@OLD_AND_NEW
-def test_nodes_are_replaced_one_by_one_and_back_again(run_mix, commit):
-    async def scenario(fleet):
-        stopping = set()
+async def roll_forth_and_back(fleet, commit):
+    """Replace all nodes of a build by today's and back, under calls."""
+    stopping = set()
+    replies = []
 
-        def serving():
-            return [name for name in fleet.names if name not in stopping]
+    def serving():
+        return [name for name in fleet.names if name not in stopping]
 
-        async def replace_all(build):
-            for name in fleet.names:
-                stopping.add(name)
-                await trio.sleep(0.5)
-                await fleet.replace(name, build)
-                await trio.sleep(2.0)
-                stopping.discard(name)
+    async def replace_all(build):
+        for name in fleet.names:
+            stopping.add(name)
+            await trio.sleep(0.5)
+            await fleet.replace(name, build)
+            await trio.sleep(2.0)
+            stopping.discard(name)
 
-        async def roll():
-            await replace_all(TODAY)
-            await replace_all(commit)
+    async def load():
+        replies.extend(await _send_calls(fleet, 70.0, serving))
 
-        replies = []
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(load)
+        await replace_all(TODAY)
+        await replace_all(commit)
+    assert len(_failures(replies)) <= 0.01 * len(replies)
+    assert set(fleet.builds.values()) == {commit}
 
-        async def load():
-            replies.extend(await _send_calls(fleet, 70.0, serving))
 
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(load)
-            await roll()
-        assert len(_failures(replies)) <= 0.01 * len(replies)
-        assert set(fleet.builds.values()) == {commit}
+@OLD_AND_NEW
+def test_nodes_are_replaced_one_by_one_and_back_again(run_mix, commit):
+    async def scenario(fleet):
+        await roll_forth_and_back(fleet, commit)
 
     run_mix(scenario, [commit] * 3)
