--- a/src/coltsfootsail/_settings.py
+++ b/src/coltsfootsail/_settings.py
@@ -3,12 +3,15 @@
 import dataclasses
 import tomllib
 
+from coltsfootsail import _logs
 from coltsfootsail import _net
 from coltsfootsail import _schema
 from coltsfootsail import exceptions
 
 
 _REQUIRED = dataclasses.MISSING
+# Pairs of section and key that only earlier builds know; files may have them.
+RETIRED = frozenset()
 
 
 def _setting(text, default=_REQUIRED):
@@ -321,6 +324,18 @@
     return problems + list(_range_problems(settings))
 
 
+def _drop_retired(value):
+    """Drop the keys that only earlier builds know, and warn of each.
+
+    :param value: the decoded settings, which are changed.
+    """
+    for section, key in RETIRED:
+        table = value.get(section)
+        if isinstance(table, dict) and key in table:
+            del table[key]
+            _logs.state("setting_retired", key=f"{section}.{key}")
+
+
 def loads(text):
     """Read settings from TOML text.
 
@@ -333,6 +348,7 @@
     except (tomllib.TOMLDecodeError, RecursionError) as exc:
         problem = _schema.Problem("(file)", str(exc), "TOML")
         raise exceptions.SettingsError([problem]) from exc
+    _drop_retired(value)
     settings, problems = _schema.structure(value, Settings)
     if settings is not None:
         problems = check(settings)
