--- a/src/coltsfootsail/_arrivals.py
+++ b/src/coltsfootsail/_arrivals.py
@@ -15,7 +15,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RequestKind:
-    """One kind of request.
+    """One kind of request, to engines or to a plain service.
 
     :param rate_per_s: requests per second under the ``quiet`` pattern.
     :param shared_tokens: prompt tokens that all requests of the kind for
@@ -27,6 +27,7 @@
     :param deadline_s: when a caller gives up.
     :param in_time_credit: credit for an answer in time.
     :param late_credit: credit for a late answer.
+    :param is_plain: whether a plain service answers it.
     """
 
     name: str
@@ -40,6 +41,7 @@
     deadline_s: float
     in_time_credit: float
     late_credit: float
+    is_plain: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -59,6 +61,9 @@
         each goes at full speed.
     :param prompt_tokens_per_s: how fast an engine reads prompts.
     :param step_s: time of a decoding step of an engine.
+    :param plain_servers: number of servers of the plain service.
+    :param plain_slots: requests that each of them runs at once.
+    :param plain_work_s: how long each request runs there.
     """
 
     kinds: tuple
@@ -74,6 +79,9 @@
     full_speed_loads: int
     prompt_tokens_per_s: float = 19_100.0
     step_s: float = 0.00887
+    plain_servers: int = 0
+    plain_slots: int = 6
+    plain_work_s: float = 0.09
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -183,7 +191,22 @@
     prompt_tokens_per_s=29_400.0,
     step_s=0.0051,
 )
+# Few slots of a plain service, half of them taken on average.
+COUNTER = dataclasses.replace(
+    SHOP,
+    kinds=(
+        RequestKind(
+            "order", "/order/", 60.0, 0, 0, 1, 0.4, 1.0, 3.0, 1.0, 0.3, True
+        ),
+        RequestKind(
+            "lookup", "/lookup/", 40.0, 0, 0, 1, 0.4, 1.0, 3.0, 1.0, 0.3, True
+        ),
+    ),
+    engines=1,
+    plain_servers=3,
+)
 SIZES = {
+    "counter": COUNTER,
     "shop": SHOP,
     "shop-grown": GROWN,
     "few-slots": FEW_SLOTS,
@@ -201,8 +224,8 @@
         are the popular ones, or None.
     :param uniform: ``(share of the run) -> bool``, whether all adapters
         are equally popular, so that rare ones prevail.
-    :param fault: ``none``, ``engine_gone``, ``engines_gone``, ``all_empty``
-        or ``all_busy``, injected half way through the run.
+    :param fault: ``none``, ``engine_gone``, ``engines_gone``, ``all_empty``,
+        ``all_busy`` or ``slow_weights``, injected half way through the run.
     :param late_orders: ``(share of the run) -> float``, share of the orders
         that the engines leave unanswered and carry out later.
     :param leave_share: share of the callers who leave early.
@@ -241,6 +264,9 @@
     "engines_gone": LoadPattern(fault="engines_gone"),
     "all_empty": LoadPattern(fault="all_empty"),
     "all_busy": LoadPattern(fault="all_busy"),
+    "slow_weights": LoadPattern(
+        uniform=lambda run_share: run_share >= 0.5, fault="slow_weights"
+    ),
     "late_orders": LoadPattern(
         late_orders=lambda run_share: 0.3 if _in_middle(run_share) else 0.0
     ),
--- a/src/coltsfootsail/_bench_admission.py
+++ b/src/coltsfootsail/_bench_admission.py
@@ -20,10 +20,12 @@
 from coltsfootsail.platform import messages
 from coltsfootsail.standins import batch
 from coltsfootsail.standins import network as memory
+from coltsfootsail.standins import servers
 from coltsfootsail.standins import store
 from coltsfootsail.standins import users
 
 LENGTH_S = 40.0
+SLOW_WEIGHTS_LOADS = 1  # at full speed, while the weight store is slow
 BUSY_S = 4.0  # during which all engines refuse
 AT_ONCE_S = 0.2  # in which a refusal counts as immediate
 STARTUP_S = 8.0  # time to claim the engines and load the base models
@@ -53,8 +55,8 @@
     routes = [
         users.route(
             kind.path,
-            "streaming",
-            "engines",
+            "mutating" if kind.is_plain else "streaming",
+            "shop" if kind.is_plain else "engines",
             timeoutMs=round(kind.deadline_s * 1000),
             sloMs=round(kind.objective_s * 1000),
             priority=number,
@@ -68,7 +70,10 @@
         "stride": size.tokens_per_event,
         "adapterSlots": size.adapter_slots,
     }
-    services = [{"name": "engines", "maxConns": 370, "engine": engine}]
+    services = [
+        {"name": "engines", "maxConns": 370, "engine": engine},
+        {"name": "shop", "maxConns": 110},
+    ]
     raw = users.configuration(1)
     return {**raw, "routes": routes, "services": services}
 
@@ -119,6 +124,8 @@
         self._store.put("op/config", _configuration(self.size))
         for number in range(self.size.engines):
             await self._start_engine(number, nursery)
+        for number in range(self.size.plain_servers):
+            await self._start_plain_server(number, nursery)
         for name in self._node_names:
             addresses = {
                 f"{name}/{listener}": f"{name}:{port}"
@@ -165,6 +172,17 @@
         await nursery.start(run)
         nursery.start_soon(self._register, engine)
 
+    async def _start_plain_server(self, number, nursery):
+        name = f"s{number}"
+        server = servers.PlainServer(f"i-{name}")
+        server.slots = self.size.plain_slots
+        server.work_s = self.size.plain_work_s
+        await nursery.start(
+            self._network.network(name).serve, f"{name}:80", server.serve
+        )
+        entry = users.plain_entry(f"{name}:80")
+        self._store.put(f"servers/{server.name}", entry)
+
     def _is_order_late(self):
         run_share = (trio.current_time() - STARTUP_S) / self.length_s
         late_share = self._pattern.late_orders(run_share)
@@ -202,6 +220,9 @@
         for engine in self.engines:
             engine.restart()
 
+    async def _slow_weights(self):
+        self.weights.full_speed_loads = SLOW_WEIGHTS_LOADS
+
     async def _refuse_at_all_engines(self):
         """Let all engines ask for a pause of ``BUSY_S``."""
         until_s = trio.current_time() + BUSY_S
@@ -281,6 +302,7 @@
     "engines_gone": Simulation._stop_a_third_of_the_engines,
     "all_empty": Simulation._restart_all_engines,
     "all_busy": Simulation._refuse_at_all_engines,
+    "slow_weights": Simulation._slow_weights,
 }
 _LISTENER_PORTS = (
     ("caller", 80),
@@ -294,10 +316,15 @@
     kind = arrival.kind
     unshared_tokens = arrival.prompt_tokens - kind.shared_tokens
     request_id = f"{rng.getrandbits(64):016x}"
-    return [
+    headers = [
         ("host", users.HOST),
         (messages.REQUEST_ID, request_id),
         (messages.DEADLINE, str(round(left_s * 1000))),
+    ]
+    if kind.is_plain:
+        return headers
+    return [
+        *headers,
         (messages.MODEL, arrival.adapter),
         (messages.TOKENS, f"{arrival.prompt_tokens},{arrival.output_tokens}"),
         (
--- a/src/coltsfootsail/standins/batch.py
+++ b/src/coltsfootsail/standins/batch.py
@@ -47,12 +47,14 @@
 class WeightStore:
     """Models the bandwidth that the loads of all servers share.
 
+    ``full_speed_loads`` may change at any time.
+
     :param full_speed_loads: number of concurrent loads that run at full
         speed; more loads share that bandwidth.
     """
 
     def __init__(self, full_speed_loads, now=trio.current_time):
-        self._full_speed_loads = full_speed_loads
+        self.full_speed_loads = full_speed_loads
         self._now = now
         self._load_ends_s = []
         self.loads = 0
@@ -68,7 +70,7 @@
             end_s for end_s in self._load_ends_s if end_s > now_s
         ]
         slowdown = max(
-            1.0, (len(self._load_ends_s) + 1) / self._full_speed_loads
+            1.0, (len(self._load_ends_s) + 1) / self.full_speed_loads
         )
         self._load_ends_s.append(now_s + unshared_s * slowdown)
         self.loads += 1
