Soak: steps of the nodes' time of day

A node steps its time of day by 2.4 s or an hour, either way, on a signal; neither a step nor a reload of settings excuses anything in a check.

--- a/tests/soak/checker.py
+++ b/tests/soak/checker.py
@@ -17,6 +17,8 @@
 KILLS = frozenset(
     {"kill", "drain", "leave"}
 )  # faults that end a server's process
+# Faults that must change nothing, and so excuse nothing.
+HARMLESS = frozenset({"reload", "step_clock"})
 PLANNED = frozenset({"terminate", "terminate_twice"})
 CONTACT_S = 3.0  # faults at a link or process excuse overlaps this long
 DRAIN_S = 2.0  # after which a server that leaves gets no new requests
@@ -71,7 +73,8 @@
     """
     by_type = collections.defaultdict(list)
     for record in found:
-        by_type[type(record)].append(record)
+        if getattr(record, "what", "") not in HARMLESS:
+            by_type[type(record)].append(record)
     begins = by_type[records.RunBegin]
     results = by_type[records.Result]
     return [
@@ -370,7 +373,7 @@
         if not any(
             fault.at_s <= fall.at_s <= fault.until_s + CONTACT_S
             for fault in by_type[records.Fault]
-            if fault.what != "reload" and not fault.target.startswith("i-")
+            if not fault.target.startswith("i-")
         )
     ]
     if len(falls) > FALLS_MAX:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -62,6 +62,12 @@
     await _restart(system, target)
 
 
+async def _step_clock(system, rng, target):
+    """Step the time of day; a node that starts would end at the signal."""
+    if await system.is_ready(target):
+        system.signal(target, signal.SIGUSR1)
+
+
 async def _reload(system, rng, target):
     for _ in range(3):
         system.signal(target, signal.SIGHUP)
@@ -121,6 +127,7 @@
     "terminate_twice": _terminate_twice,
     "terminate_and_suspend": _terminate_and_suspend,
     "reload": _reload,
+    "step_clock": _step_clock,
 }
 SERVER_FAULTS = {
     "suspend": _suspend,
--- a/tests/soak/system.py
+++ b/tests/soak/system.py
@@ -25,6 +25,7 @@
 SHOPS = ("s0", "s1", "s2")
 GRACE_S = 5.0
 READY_TIMEOUT_S = 300.0
+CLOCK_NODE = "tests.soak.clock_node"
 PARTS = ("caller", "peer", "ready", "directory")
 ROOT = pathlib.Path(__file__).parent.parent.parent
 SETTINGS = """\
@@ -96,7 +97,7 @@
         self._fault_share = fault_share
         self._behaviours = behaviours
         self._limit_pause_s = limit_pause_s
-        self._program = program or (sys.executable, "-m", "coltsfootsail")
+        self._program = program or (sys.executable, "-m", CLOCK_NODE)
         self._package_paths = package_paths
         self._brittle = brittle
         self._server_address = "nodes/{}" if has_proxies else "{}"
@@ -136,7 +137,7 @@
             await self._launch(node)
         with trio.fail_after(READY_TIMEOUT_S):
             for node in NODES:
-                while not await self._is_ready(node):
+                while not await self.is_ready(node):
                     await trio.sleep(0.1)
 
     async def _start_proxies(self, nursery):
@@ -243,7 +244,8 @@
                 except OSError:
                     await trio.sleep(0.1)
 
-    async def _is_ready(self, node):
+    async def is_ready(self, node):
+        """Tell whether a node serves callers."""
         address = self.addresses[f"{node}/ready"]
         try:
             status, _, _ = await self._client.call(
--- a/tests/soak/unsafe_node.py
+++ b/tests/soak/unsafe_node.py
@@ -21,6 +21,7 @@
 from coltsfootsail import _streams
 from coltsfootsail import _upstream
 from coltsfootsail import exceptions
+from tests.soak import clock_node
 
 
 def _repeat_on_a_used_connection():
@@ -115,6 +116,7 @@
 }
 
 if __name__ == "__main__":
+    clock_node.install()
     REMOVALS[sys.argv[1]]()
     del sys.argv[1]
     sys.exit(program.main())
