Bound the incomplete events of all streams together

An event that never ends was held up to 1 MB a stream, without a bound on all streams: 60 at once 60 MB, on a host that has 200. Beyond its first 64 KB it now takes from the budget of all answers. The entries of a seed have a bound, and an answer of the store that is nested too deep is an error.

--- a/src/coltsfootsail/_http_client.py
+++ b/src/coltsfootsail/_http_client.py
@@ -489,5 +489,5 @@
         )
         try:
             return status, headers, json.loads(answer) if answer else None
-        except ValueError as exc:
+        except (ValueError, RecursionError) as exc:
             raise ConnectionError(f"{target}: answer is not JSON") from exc
--- a/src/coltsfootsail/_seeds.py
+++ b/src/coltsfootsail/_seeds.py
@@ -15,6 +15,7 @@
 STORE_WAIT_S = 0.3  # for the store, which usually answers sooner
 RETRY_INTERVAL_S = 0.5
 ANSWER_TIMEOUT_S = 1.0
+ENTRIES_BYTES_MAX = 33_554_432  # of all entries of a node
 
 
 async def serve_entries(messages, view):
@@ -43,12 +44,16 @@
         messages = _wire.MessageStream(stream)
         await messages.send(_wire.ConfigRequest(()))
         entries = []
+        size_bytes = 0
         while True:
             msg = await messages.receive()
             if isinstance(msg, _wire.ConfigEnd):
                 return entries
             if not isinstance(msg, _wire.ViewEntry):
                 raise exceptions.WireError("expected a store entry")
+            size_bytes += len(msg.value)
+            if size_bytes > ENTRIES_BYTES_MAX:
+                raise exceptions.WireError("too many store entries")
             entries.append(
                 _kv.Entry(msg.key, msg.value, msg.revision, msg.revision, 0)
             )
--- a/src/coltsfootsail/_streams.py
+++ b/src/coltsfootsail/_streams.py
@@ -65,16 +65,17 @@
     :param resp: the response to the caller.
     :param extra_headers: closure that lists headers to add.
     :param now: closure that reads the clock.
+    :param account: an ``_answer_memory.Account`` for incomplete events.
 
     ``before_events`` is called before events are written.
     """
 
-    def __init__(self, resp, extra_headers, now):
+    def __init__(self, resp, extra_headers, now, account):
         self._resp = resp
         self._extra_headers = extra_headers
         self._now = now
         self._last_write_s = None
-        self.splitter = _upstream.EventSplitter()
+        self.splitter = _upstream.EventSplitter(account)
         self.before_events = lambda: None
         self.started = False
         self.first_event_s = None
@@ -91,12 +92,6 @@
                 exchange.status, [*headers, *self._extra_headers()]
             )
 
-    def discard_partial_event(self):
-        """Drop the incomplete event that a broken stream left."""
-        last_id = self.splitter.last_id
-        self.splitter = _upstream.EventSplitter()
-        self.splitter.last_id = last_id
-
     async def write(self, data):
         """Write the complete events; keep the rest until it is complete.
 
@@ -149,7 +144,13 @@
 
     async def forward(self, context, resp):
         """Relay a stream to the caller until the request's deadline."""
-        sink = _StreamSink(resp, self._gateway.closing_headers, self._now)
+        with self._gateway.answer_memory.hold() as context.account:
+            await self._forward(context, resp)
+
+    async def _forward(self, context, resp):
+        sink = _StreamSink(
+            resp, self._gateway.closing_headers, self._now, context.account
+        )
         if context.meta.resumes or context.meta.last_event:
             await self._bind_taken_up(context)
         with trio.move_on_after(context.until_s - self._now()):
@@ -215,7 +216,7 @@
                 )
                 self._raise_if_final(context, sink, exc)
                 await self._gateway.crashes.wait_until_checked(context)
-                sink.discard_partial_event()
+                sink.splitter.discard_partial_event()
 
     def _raise_if_final(self, context, sink, exc):
         """Raise the failure again unless another attempt may follow.
--- a/src/coltsfootsail/_upstream.py
+++ b/src/coltsfootsail/_upstream.py
@@ -10,6 +10,7 @@
 
 import trio
 
+from coltsfootsail import _answer_memory
 from coltsfootsail import _dropped_runs
 from coltsfootsail import _http
 from coltsfootsail import _logs
@@ -49,9 +50,15 @@
 
 
 class EventSplitter:
-    """Splits a stream into complete events and stores the last event's id."""
+    """Splits a stream into complete events and stores the last event's id.
 
-    def __init__(self):
+    :param account: an ``_answer_memory.Account`` from which the bytes of an
+        event that is not complete yet are taken.
+    """
+
+    def __init__(self, account):
+        self._account = account
+        self._taken_bytes = 0
         self._partial = b""
         self.last_id = None
 
@@ -59,7 +66,8 @@
         """Add bytes of the stream.
 
         :returns: the bytes of the events that are complete now.
-        :raises AnswerMismatch: if an event is too large.
+        :raises AnswerMismatch: if an event is too large, or the memory of
+            all answers is used up.
         """
         data = self._partial + data
         end = data.rfind(b"\n\n") + 2
@@ -68,10 +76,26 @@
         complete, self._partial = data[:end], data[end:]
         if len(self._partial) > EVENT_BYTES_MAX:
             raise exceptions.AnswerMismatch("event too large")
+        self._take_memory()
         if complete:
             self._record_last_id(complete)
         return complete
 
+    def _take_memory(self):
+        """Take the bytes of the incomplete event, but for the first ones."""
+        wanted = max(0, len(self._partial) - _answer_memory.UNCOUNTED_BYTES)
+        missing = wanted - self._taken_bytes
+        if missing < 0:
+            self._account.give_back(-missing)
+        elif missing and not self._account.take(missing):
+            raise exceptions.AnswerMismatch("memory of all answers")
+        self._taken_bytes = wanted
+
+    def discard_partial_event(self):
+        """Drop the incomplete event that a broken stream left."""
+        self._partial = b""
+        self._take_memory()
+
     def _record_last_id(self, complete):
         for line in reversed(complete.split(b"\n")):
             if line.startswith(b"id:"):
--- a/src/coltsfootsail/platform/store.py
+++ b/src/coltsfootsail/platform/store.py
@@ -8,6 +8,7 @@
 from coltsfootsail import exceptions
 
 CALL_TIMEOUT_S = 1.0
+ANSWER_BYTES_MAX = 16_777_216
 WATCH_SLACK_S = 0.7  # added to the time that the store may hold a watch
 NO_REVISION = 0  # of a transaction that wrote nothing
 ERA = "store-era"  # header of all answers
@@ -80,6 +81,7 @@
     async def _call(self, operation, method, target, value=None, **kwargs):
         self._count(operation)
         kwargs.setdefault("timeout_s", CALL_TIMEOUT_S)
+        kwargs["limit_bytes"] = ANSWER_BYTES_MAX
         sent_under = self._eras.sent_under()
         try:
             call = self._client.call_json_with_headers
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -8,6 +8,7 @@
 
 from coltsfootsail import _adapter_slots
 from coltsfootsail import _admission
+from coltsfootsail import _answer_memory
 from coltsfootsail import _claims
 from coltsfootsail import _fleet
 from coltsfootsail import _grants
@@ -309,7 +310,8 @@
 )
 def test_splitter_yields_whole_events_for_any_chunk_sizes(sizes, count):
     text = b"".join(b"id: %d\ndata: x\n\n" % n for n in range(count))
-    splitter = _upstream.EventSplitter()
+    memory = _answer_memory.AnswerMemory()
+    splitter = _upstream.EventSplitter(_answer_memory.Account(memory))
     received, rest = b"", text + b"id: 99\nda"
     for size in [*sizes, len(rest)]:
         received += splitter.feed(rest[:size])
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -9,6 +9,7 @@
 import trio
 import trio.testing
 
+from coltsfootsail import _answer_memory
 from coltsfootsail import _http
 from coltsfootsail import _streams
 from tests import gateways
@@ -62,7 +63,10 @@
     def run(exchange, write_s=0.0, late=False):
         async def main():
             caller = CallerResponse(write_s)
-            sink = _streams._StreamSink(caller, tuple, trio.current_time)
+            account = _answer_memory.Account(_answer_memory.AnswerMemory())
+            sink = _streams._StreamSink(
+                caller, tuple, trio.current_time, account
+            )
             gateway = types.SimpleNamespace(
                 now=trio.current_time,
                 metrics=types.SimpleNamespace(count=lambda *args: None),
