Soak: answers without end, and the memory of nodes

Servers send bodies and events without end among their other behaviours; each node's memory is sampled.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -23,6 +23,7 @@
 CALLERS = 24
 CHECK_S = 2.0
 LIMIT_PAUSE_S = 15.0  # mean pause between the limits of a server
+MEMORY_INTERVAL_S = 0.2
 SETTLE_S = 3.0  # without new faults, before the nodes are stopped
 
 
@@ -42,6 +43,7 @@
             options.poison_share,
         ):
             nursery.start_soon(caller.run, options.pause_s)
+        nursery.start_soon(_record_memory, system, writer)
         await _play_faults(system, options, rng, writer)
         await trio.sleep(SETTLE_S)
         for node in systems.NODES:
@@ -51,6 +53,17 @@
         nursery.cancel_scope.cancel()
 
 
+async def _record_memory(system, writer):
+    """Record the memory of all nodes until cancelled."""
+    while True:
+        for node in systems.NODES:
+            found = system.memory(node)
+            if found is not None:
+                record = records.Memory(records.now_s(), node, *found)
+                writer.write(record)
+        await trio.sleep(MEMORY_INTERVAL_S)
+
+
 async def _play_faults(system, options, rng, writer):
     """Play the fault plan; stop early once a promise is broken."""
     with trio.move_on_after(options.seconds):
--- a/tests/soak/answers.py
+++ b/tests/soak/answers.py
@@ -18,6 +18,8 @@
 LIMITED_S = (8.0, 12.0)  # during which a server names a limit
 BUSY_S = (3.0, 6.0)  # during which a server refuses all requests
 RETRY_AFTERS_S = (0.9, 2.0, 4.0)
+ENDLESS_PART = b"x" * 65536
+ENDLESS_PARTS = 2000  # 131 MB
 BRITTLE_AFTER_S = 4.0  # from a server's start
 IDLE_TIMEOUTS_S = (0.15, 0.6, 2.0, 60.0)  # after which servers close
 
@@ -314,6 +316,20 @@
 
         await self.run(req, resp, end)
 
+    async def _run_and_send_without_end(self, req, resp, work):
+        """Send a body, for a stream an event, that has no end."""
+
+        async def end():
+            fields = [*self.head(req), servers.STAMP_HEADER]
+            head = "".join(f"{name}: {value}\r\n" for name, value in fields)
+            head = f"HTTP/1.1 200 OK\r\n{head}\r\ndata: "
+            await resp.stream.send_all(head.encode())
+            for _ in range(ENDLESS_PARTS):
+                await resp.stream.send_all(ENDLESS_PART)
+            return "endless"
+
+        await self.run(req, resp, end)
+
     async def _answer_and_repeat(self, req, resp, work):
         """Send another answer before the connection's next one."""
         await work(req, resp)
@@ -341,6 +357,7 @@
     "run_and_500": FaultyAnswers._run_and_state(500),
     "run_and_truncate": FaultyAnswers._run_and_truncate,
     "run_and_send_garbage": FaultyAnswers._run_and_send_garbage,
+    "run_and_send_without_end": FaultyAnswers._run_and_send_without_end,
     "answer_and_repeat": FaultyAnswers._answer_and_repeat,
     "run_unwatched": FaultyAnswers._run_unwatched,
     "run_and_stall": FaultyAnswers._run_and_stall,
--- a/tests/soak/checker.py
+++ b/tests/soak/checker.py
@@ -26,6 +26,8 @@
 BUSY_REQUESTS = 2  # of one node in the time that a busy server asked for
 CRASHES_MAX = 5  # under one part, before its requests must reach no server
 FALLS_MAX = 2
+BASE_MB = 36.0  # of a node without requests
+MEMORY_GROWTH_MAX_MB = 64.0
 LATE_CRASHES_MAX = 3  # later than ``CONTACT_S`` after that
 LIMIT_WINDOW_S = 4.0
 LIMIT_SHARE = 1.5  # of what a limit allows in a window
@@ -65,6 +67,7 @@
     request.
     ``BUSY``: a node sent requests to a server that had asked for a pause.
     ``FALLS``: brittle servers had to refuse too many requests, too often.
+    ``MEMORY``: a node's memory grew too far.
     ``CRASHES``: requests with a part that had crashed several servers went on
     to reach servers.
 
@@ -96,6 +99,7 @@
         *_after_statements(by_type),
         *_after_crashes(by_type),
         *_fallen_over(by_type),
+        *_over_memory(by_type),
     ]
 
 
@@ -361,6 +365,15 @@
         yield Violation("CRASHES", tuple(late))
 
 
+def _over_memory(by_type):
+    """Find processes of nodes whose memory grew beyond that at their start."""
+    samples = _group(by_type[records.Memory], lambda each: each.process)
+    for found in samples.values():
+        largest = max(found, key=lambda each: each.resident_mb)
+        if largest.resident_mb > BASE_MB + MEMORY_GROWTH_MAX_MB:
+            yield Violation("MEMORY", (found[0], largest))
+
+
 def _fallen_over(by_type):
     """Count the falls of brittle servers, but for those beside a fault.
 
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -140,6 +140,19 @@
     server: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Memory:
+    """The memory of a node's process.
+
+    :param process: its number.
+    """
+
+    at_s: float
+    node: str
+    process: int
+    resident_mb: float
+
+
 _TYPES = {
     each.__name__: each
     for each in (
@@ -153,6 +166,7 @@
         Arrival,
         Crash,
         Fall,
+        Memory,
     )
 }
 
--- a/tests/soak/system.py
+++ b/tests/soak/system.py
@@ -269,6 +269,22 @@
         self.signal(name, signal.SIGKILL)
         await running.wait()
 
+    def memory(self, name):
+        """Read the memory of a process.
+
+        :returns: its number and its resident memory in MB; None if it has
+            ended.
+        """
+        if self.has_ended(name):
+            return None
+        process = self._processes[name].running.pid
+        statm = pathlib.Path(f"/proc/{process}/statm")
+        try:
+            pages = int(statm.read_text().split()[1])
+        except (OSError, IndexError):
+            return None
+        return process, pages * os.sysconf("SC_PAGE_SIZE") / 1e6
+
     def has_ended(self, name):
         """Tell whether a process has ended by itself or was killed."""
         running = self._processes[name].running
--- a/tests/soak/unsafe_node.py
+++ b/tests/soak/unsafe_node.py
@@ -8,6 +8,7 @@
 import sys
 
 from coltsfootsail import __main__ as program
+from coltsfootsail import _answer_memory
 from coltsfootsail import _claims
 from coltsfootsail import _gateway
 from coltsfootsail import _http_client
@@ -99,7 +100,13 @@
     _limited_servers.LimitedServers.needs_grant = lambda self, name: False
 
 
+def _read_without_bound():
+    _upstream.BODY_BYTES_MAX = _upstream.EVENT_BYTES_MAX = math.inf
+    _answer_memory.AnswerMemory.take = lambda self, size_bytes: True
+
+
 REMOVALS = {
+    "read_without_bound": _read_without_bound,
     "ignore_brittle": _ignore_brittle,
     "forget_crashes": _forget_crashes,
     "ignore_leaving": _ignore_leaving,
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -261,6 +261,11 @@
             "DRAIN",
             ["--fault-share", "0", "--limits", "0", "--faults", "leave"],
         ),
+        (
+            "read_without_bound",
+            "MEMORY",
+            ["--limits", "0", "--only", "run_and_send_without_end"],
+        ),
         (
             "ignore_brittle",
             "FALLS",
