--- a/src/coltsfootsail/_admission.py
+++ b/src/coltsfootsail/_admission.py
@@ -59,6 +59,7 @@
     :param arrived_s: when it arrived.
     :param objective_s: when its first event is due.
     :param until_s: when the request expires.
+    :param workspace: name of its workspace, empty for none.
     """
 
     number: int
@@ -70,6 +71,7 @@
     arrived_s: float
     objective_s: float
     until_s: float
+    workspace: str = ""
 
     @property
     def reject_at_s(self):
--- a/src/coltsfootsail/_engine_selection.py
+++ b/src/coltsfootsail/_engine_selection.py
@@ -118,10 +118,11 @@
             parts=prompt.parts,
             prompt_tokens=prompt.prompt_tokens,
             output_tokens=prompt.output_tokens,
-            priority=0 if context.begun else context.route.priority,
+            priority=0 if context.begun else context.priority,
             objective_s=objective_from_s + context.route.objective_s,
             until_s=context.until_s,
             may_move=not context.moved,
+            workspace=context.workspace_name,
         )
 
     def has_engine(self, context):
--- a/src/coltsfootsail/_fleet.py
+++ b/src/coltsfootsail/_fleet.py
@@ -6,6 +6,7 @@
 import bisect
 import dataclasses
 import enum
+import hashlib
 import zlib
 
 
@@ -36,6 +37,7 @@
     :param priority: 0 is the most urgent.
     :param attempts: number of servers that one request may be sent to.
     :param resumable: whether a broken stream may be resumed elsewhere.
+    :param public: whether requests need no key.
     """
 
     name: str
@@ -49,6 +51,7 @@
     priority: int = 5
     attempts: int = 1
     resumable: bool = False
+    public: bool = False
 
     @property
     def repeatable(self):
@@ -124,14 +127,64 @@
     idle_timeout_s: float = 15.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Quota:
+    """What the requests of a workspace may use, over all nodes together.
+
+    :param per_s: tokens, or requests, a second.
+    :param burst: what may be used at once beyond that rate.
+    :param counts_tokens: whether tokens are counted, not requests.
+    :param plain_cost: tokens that a request without a token count uses.
+    """
+
+    per_s: float
+    burst: float
+    counts_tokens: bool = False
+    plain_cost: float = 0.0
+
+    def cost(self, tokens):
+        """Get what a request uses.
+
+        :param tokens: its prompt and output tokens, None if unstated.
+        """
+        if not self.counts_tokens:
+            return 1.0
+        return self.plain_cost if tokens is None else float(tokens)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Workspace:
+    """A customer whose requests carry keys.
+
+    :param key_digests: the ``digest`` of each of its keys.
+    :param priority: replaces the priority of routes; None for no change.
+    :param quota: None for no limit.
+    """
+
+    name: str
+    key_digests: frozenset[str]
+    priority: int | None = None
+    quota: Quota | None = None
+
+
+def digest(key):
+    """Compute the digest by which a key is stored and compared."""
+    return hashlib.blake2b(key.encode(), digest_size=16).hexdigest()
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Deployment:
-    """One version of the configuration."""
+    """One version of the configuration.
+
+    :param workspaces: dict of name to ``Workspace``; None if requests need
+        no keys.
+    """
 
     version: int
     routes: tuple[Route, ...]
     services: dict[str, Service]
     limits: CallerLimits
+    workspaces: dict[str, Workspace] | None = None
 
 
 EMPTY_DEPLOYMENT = Deployment(0, (), {}, CallerLimits())
@@ -148,6 +201,8 @@
     :param software: version of the server's software.
     :param cold_left_s: how much longer it was slow after its start, when it
         wrote this.
+    :param born_ms: Unix time of its start in ms, 0 if unstated; a server may
+        start again under its old name.
     """
 
     name: str
@@ -161,6 +216,7 @@
     created: int = 0
     software: str = ""
     cold_left_s: float = 0.0
+    born_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -173,6 +229,7 @@
     :param models: names of the base models that it holds.
     :param busy: whether an order for a base model is in progress.
     :param runs: ids of the requests that it runs; None if it lists none.
+    :param born_ms: Unix time of the engine's start in ms, 0 if unstated.
     """
 
     sequence: int
@@ -183,6 +240,7 @@
     models: tuple[str, ...]
     busy: bool = False
     runs: frozenset[str] | None = None
+    born_ms: int = 0
 
 
 class RouteTable:
@@ -211,6 +269,27 @@
         return None
 
 
+class KeyTable:
+    """Finds the workspace that holds a caller's key.
+
+    :param deployment: a ``Deployment``.
+    """
+
+    def __init__(self, deployment):
+        self._by_digest = {
+            key_digest: workspace
+            for workspace in (deployment.workspaces or {}).values()
+            for key_digest in workspace.key_digests
+        }
+
+    def find(self, key):
+        """Find the holder of a key.
+
+        :returns: a ``Workspace``, or None if the key is not known.
+        """
+        return self._by_digest.get(digest(key)) if key else None
+
+
 def adapter_key(model, adapter):
     """Build the key of an adapter, or of a model if the adapter is empty."""
     return f"{model}/{adapter}" if adapter else model
--- a/src/coltsfootsail/_grants.py
+++ b/src/coltsfootsail/_grants.py
@@ -66,6 +66,8 @@
     :param objective_s: absolute time by which the first event is due.
     :param until_s: absolute time at which the request expires.
     :param may_move: whether another engine may be asked instead.
+    :param workspace: name of the workspace that the request is made for,
+        empty for none.
     """
 
     adapter: str
@@ -77,6 +79,7 @@
     objective_s: float
     until_s: float
     may_move: bool = False
+    workspace: str = ""
 
 
 class PrefixCacheEstimate:
@@ -172,6 +175,7 @@
                 arrived_s=self._now(),
                 objective_s=request.objective_s,
                 until_s=request.until_s,
+                workspace=request.workspace,
             )
 
         def on_decision(decision):
@@ -196,7 +200,7 @@
     def handle_request(self, node, msg, send):
         """Handle another node's request for a grant.
 
-        :param msg: a ``_wire.GrantRequest``.
+        :param msg: a ``_wire.GrantRequest`` or ``WorkspaceGrantRequest``.
         :param send: ``(message)``, sends to that node.
         """
         now_s = self._now()
@@ -210,6 +214,7 @@
             now_s + msg.objective_s,
             now_s + msg.until_s,
             msg.may_move,
+            getattr(msg, "workspace", ""),
         )
 
         def reply(decision):
@@ -362,7 +367,7 @@
     async def _acquire_remotely(self, owner, server_name, request):
         number = next(self._numbers)
         now_s = self._now()
-        msg = _wire.GrantRequest(
+        fields = (
             number,
             server_name,
             request.adapter,
@@ -375,6 +380,11 @@
             float(request.until_s - now_s),
             request.may_move,
         )
+        msg = _wire.GrantRequest(*fields)
+        if request.workspace and self._mesh.knows(
+            owner, _wire.WorkspaceGrantRequest
+        ):
+            msg = _wire.WorkspaceGrantRequest(*fields, request.workspace)
 
         def end(use):
             outcome = use.outcome
--- a/src/coltsfootsail/_peers.py
+++ b/src/coltsfootsail/_peers.py
@@ -234,6 +234,7 @@
 
 _HANDLERS = {
     _wire.GrantRequest: PeerHandler._on_grant_request,
+    _wire.WorkspaceGrantRequest: PeerHandler._on_grant_request,
     _wire.GrantReply: PeerHandler._on_grant_reply,
     _wire.GrantEnd: PeerHandler._on_grant_end,
     _wire.ReleaseRequest: PeerHandler._on_release_request,
--- a/src/coltsfootsail/_plain.py
+++ b/src/coltsfootsail/_plain.py
@@ -120,9 +120,10 @@
             parts=(),
             prompt_tokens=0,
             output_tokens=0,
-            priority=context.route.priority,
+            priority=context.priority,
             objective_s=context.received_s + context.route.objective_s,
             until_s=min(context.until_s, until_s),
+            workspace=context.workspace_name,
         )
         owner = gateway.limited_servers.owner(server)
         grant = gateway.grant_client.acquire(owner, server.name, request)
--- a/src/coltsfootsail/_request_context.py
+++ b/src/coltsfootsail/_request_context.py
@@ -54,6 +54,7 @@
     :param crash_checked: set when it is known whether the server that
         interrupted it last has crashed, None if none did.
     :param waited_for_limit: whether it has waited for such a server.
+    :param workspace: the ``Workspace`` that it is made for, None for none.
     """
 
     req: _http.HttpRequest
@@ -77,6 +78,19 @@
     account: object = None
     waited_for_limit: bool = False
     crash_checked: object = None
+    workspace: _fleet.Workspace | None = None
+
+    @property
+    def priority(self):
+        """Get its priority, from 0, the most urgent."""
+        if self.workspace is None or self.workspace.priority is None:
+            return self.route.priority
+        return self.workspace.priority
+
+    @property
+    def workspace_name(self):
+        """Get the name of its workspace, empty for none."""
+        return "" if self.workspace is None else self.workspace.name
 
     @property
     def labels(self):
@@ -173,6 +187,7 @@
             priority,
             version,
             last_event_id,
+            self._forwarded_workspace(context),
         )
         return _upstream.UpstreamRequest(
             context.req.method,
@@ -182,6 +197,11 @@
             context.meta.request_id,
         )
 
+    def _forwarded_workspace(self, context):
+        if self._gateway.view.deployment.workspaces is None:
+            return None
+        return context.workspace_name
+
     def authorize_send(self, context, server):
         """Count a send to a server, or refuse it.
 
--- a/src/coltsfootsail/_settings.py
+++ b/src/coltsfootsail/_settings.py
@@ -174,6 +174,21 @@
     retry_window_s: float = _setting(
         "Time window over which retries are counted.", 10.0
     )
+    revocation_s: float = _setting(
+        "Time after which no request with a revoked key may run, at any "
+        "node; 0 if revocations are only bound by the propagation time.",
+        0.0,
+    )
+    quota_window_s: float = _setting(
+        "Time window over which a workspace's quota is judged.", 8.0
+    )
+    quota_overage: float = _setting(
+        "Share of a quota by which a window may exceed it.", 0.0
+    )
+    quota_slack: float = _setting(
+        "Tokens or requests by which a window may exceed a quota besides.",
+        0.0,
+    )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/coltsfootsail/_streams.py
+++ b/src/coltsfootsail/_streams.py
@@ -358,7 +358,7 @@
         request = self._send_policy.build_request(
             context,
             server,
-            context.route.priority,
+            context.priority,
             grant_request.version,
             last_event_id,
         )
--- a/src/coltsfootsail/_vocabulary.py
+++ b/src/coltsfootsail/_vocabulary.py
@@ -28,6 +28,15 @@
         _wire.RelayRequest,
         _wire.ServerBrittle,
     ),
+    4: (
+        _wire.WorkspaceGrantRequest,
+        _wire.StreamedGrantEnd,
+        _wire.FreshnessQuery,
+        _wire.FreshnessReply,
+        _wire.QuotaReport,
+        _wire.QuotaReply,
+        _wire.ServerSpeed,
+    ),
 }
 
 
--- a/src/coltsfootsail/_wire.py
+++ b/src/coltsfootsail/_wire.py
@@ -21,7 +21,7 @@
 MESSAGE_BYTES_MAX = 4_194_304
 RECEIVE_BYTES = 65536
 READ_BYTES = 4096
-PROTOCOL = 3
+PROTOCOL = 4
 UNANNOUNCED_PROTOCOL = 1
 _PROTOCOL_MARK = "+"  # between the incarnation and the protocol
 
@@ -453,6 +453,99 @@
     age_s: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class WorkspaceGrantRequest(GrantRequest):
+    """A ``GrantRequest`` for a request of a workspace.
+
+    :param workspace: name of the workspace.
+    """
+
+    workspace: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StreamedGrantEnd(GrantEnd):
+    """A ``GrantEnd`` of a stream, with what shows the engine's speed.
+
+    :param events: events that were received.
+    :param stream_s: time between the first event and the last one.
+    """
+
+    events: int = 0
+    stream_s: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FreshnessQuery:
+    """Asks for how recent a configuration the peer has a proof.
+
+    :param number: identifies the query; chosen by the sender.
+    """
+
+    number: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FreshnessReply:
+    """Tells the age of the sender's proof of its configuration.
+
+    :param version: version of the sender's configuration.
+    :param age_s: age of the proof, infinite if there is none.
+    """
+
+    number: int
+    version: int
+    age_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class QuotaReport:
+    """Reports the use of quotas to the holder of a pool.
+
+    :param number: identifies the report; chosen by the sender.
+    :param stamp_s: the last stamp of the holder, on its own clock; 0.0 for
+        none.
+    :param is_lent: whether the sender's entitlement is lent to the holder.
+    :param uses: tuples of workspace, tokens wanted, and tokens spent since
+        the last report, less those given back.
+    """
+
+    number: int
+    stamp_s: float
+    is_lent: bool
+    uses: tuple
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class QuotaReply:
+    """Grants tokens of a pool, in reply to a ``QuotaReport``.
+
+    :param stamp_s: time of the reply on the sender's clock.
+    :param grants: tuples of workspace, tokens granted, time in seconds until
+        there is room for what was not granted, and tokens that may be spent
+        before they are reported.
+    """
+
+    number: int
+    stamp_s: float
+    grants: tuple
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServerSpeed:
+    """Tells the speed level of an engine, as its owner has learned it.
+
+    :param level: factor on the speed of a common engine.
+    :param born_ms: the start of the engine for which it holds.
+    :param age_s: time since the level was learned.
+    """
+
+    server: str
+    level: float
+    born_ms: int
+    age_s: float
+
+
 MESSAGES = (
     Hello,
     Heartbeat,
@@ -492,6 +585,13 @@
     CutOff,
     RelayRequest,
     ServerBrittle,
+    WorkspaceGrantRequest,
+    StreamedGrantEnd,
+    FreshnessQuery,
+    FreshnessReply,
+    QuotaReport,
+    QuotaReply,
+    ServerSpeed,
 )
 _TAGS = {message_type: tag for tag, message_type in enumerate(MESSAGES)}
 _FIELD_NAMES = {
--- a/src/coltsfootsail/platform/messages.py
+++ b/src/coltsfootsail/platform/messages.py
@@ -18,6 +18,8 @@
 EXPECT_INSTANCE = "coltsfootsail-expect-instance"
 EXPECT_VERSION = "coltsfootsail-expect-version"
 PRIORITY = "coltsfootsail-request-priority"
+TENANT = "coltsfootsail-tenant"
+AUTHORIZATION = "authorization"
 LAST_EVENT = "last-event-id"
 RESUMES = "resumes"
 RETRY_AFTER = "retry-after"
@@ -48,6 +50,7 @@
         EXPECT_INSTANCE,
         EXPECT_VERSION,
         PRIORITY,
+        TENANT,
         DEADLINE,
         "coltsfootsail-hold",
         "coltsfootsail-pin-ms",
@@ -94,6 +97,8 @@
         of the stream that the caller takes up.
     :param shared_parts: ids of the parts of its prompt that other requests
         may have too: all but the last.
+    :param key: the caller's key, empty if it sent none.
+    :param tokens: prompt and output tokens together, None if unstated.
     """
 
     request_id: str
@@ -102,6 +107,8 @@
     last_event: str
     resumes: str
     shared_parts: tuple = ()
+    key: str = dataclasses.field(default="", repr=False)
+    tokens: int | None = None
 
 
 def _parse_number(text):
@@ -140,6 +147,19 @@
     )
 
 
+def _parse_key(req):
+    scheme, _, key = req.header(AUTHORIZATION).partition(" ")
+    return key.strip() if scheme.lower() == "bearer" else ""
+
+
+def _parse_token_count(req):
+    """Sum the token counts that a request states, None if it states none."""
+    if not req.header(TOKENS):
+        return None
+    numbers = map(_parse_number, req.header(TOKENS).split(","))
+    return int(sum(number or 0 for number in numbers))
+
+
 def read_metadata(req):
     """Decode the headers of a caller's request.
 
@@ -157,6 +177,8 @@
         last_event=req.header(LAST_EVENT),
         resumes=req.header(RESUMES),
         shared_parts=tuple(part_id for part_id, _ in parts[:-1]),
+        key=_parse_key(req),
+        tokens=_parse_token_count(req),
     )
 
 
@@ -170,7 +192,13 @@
 
 
 def forward_headers(
-    headers, server, left_s, priority=None, version=0, last_event=None
+    headers,
+    server,
+    left_s,
+    priority=None,
+    version=0,
+    last_event=None,
+    workspace=None,
 ):
     """Build the headers of a request to a server.
 
@@ -181,6 +209,8 @@
     :param version: adapter version that the server must hold, 0 for any.
     :param last_event: id of the event to resume after; None keeps the
         caller's header.
+    :param workspace: name of the workspace that the request is made for,
+        empty for none; None where requests need no keys.
     :returns: list of pairs.
     """
     dropped = (
@@ -188,6 +218,8 @@
     )
     if last_event is not None:
         dropped = dropped | {LAST_EVENT}
+    if workspace is not None:
+        dropped = dropped | {AUTHORIZATION}
     forwarded = [pair for pair in headers if pair[0] not in dropped]
     forwarded.append((DEADLINE, str(max(1, int(left_s * 1000)))))
     forwarded.append((EXPECT_INSTANCE, server.name))
@@ -197,6 +229,8 @@
         forwarded.append((EXPECT_VERSION, str(version)))
     if last_event:
         forwarded.append((LAST_EVENT, last_event))
+    if workspace:
+        forwarded.append((TENANT, workspace))
     return forwarded
 
 
--- a/src/coltsfootsail/platform/registry.py
+++ b/src/coltsfootsail/platform/registry.py
@@ -12,6 +12,7 @@
 CONFIG_KEY = "op/config"
 VERSION_PREFIX = "op/version/"
 SERVER_PREFIX = "servers/"
+KEY_DIGESTS = "keyDigests"  # written by this system only, between nodes
 
 _ROUTE_KINDS = {
     "idempotent": _fleet.RouteKind.IDEMPOTENT,
@@ -51,6 +52,7 @@
         priority=int(raw.get("priority", 5)),
         attempts=int(raw.get("attempts", 1)),
         resumable=bool(raw.get("resumable", False)),
+        public=bool(raw.get("public", False)),
     )
 
 
@@ -96,6 +98,59 @@
     )
 
 
+def _quota(raw):
+    per_s = float(raw.get("ratePerS") or 0)
+    if not per_s:
+        return None
+    return _fleet.Quota(
+        per_s=per_s,
+        burst=float(raw.get("burst") or 0),
+        counts_tokens=raw.get("unit") == "tokens",
+        plain_cost=float(raw.get("plainTokens") or 0),
+    )
+
+
+def _workspace(raw):
+    priority = raw.get("priority")
+    digests = [_fleet.digest(str(key)) for key in raw.get("apiKeys") or ()]
+    return _fleet.Workspace(
+        name=str(raw["name"]),
+        key_digests=frozenset([*digests, *(raw.get(KEY_DIGESTS) or ())]),
+        priority=None if priority is None else int(priority),
+        quota=_quota(raw),
+    )
+
+
+def _workspaces(raw):
+    if not raw:
+        return None
+    workspaces = [_workspace(item) for item in raw]
+    return {workspace.name: workspace for workspace in workspaces}
+
+
+def redact_keys(value):
+    """Replace the keys in an encoded configuration by their digests.
+
+    :param value: the bytes stored under ``CONFIG_KEY``.
+    :returns: bytes that ``decode_deployment`` decodes to the same.
+    """
+    try:
+        raw = _load_object(value)
+        tenants = raw.get("tenants")
+        if not tenants:
+            return value
+        raw["tenants"] = [_without_keys(item) for item in tenants]
+        return json.dumps(raw).encode()
+    except _DECODE_ERRORS:
+        # What can't be decoded is not applied, and must not be kept either.
+        return b""
+
+
+def _without_keys(raw):
+    digests = sorted(_workspace(raw).key_digests)
+    return {**raw, "apiKeys": [], KEY_DIGESTS: digests}
+
+
 def decode_deployment(value):
     """Decode the operator's configuration.
 
@@ -111,6 +166,7 @@
             routes=tuple(_route(item) for item in raw["routes"]),
             services={service.name: service for service in services},
             limits=_limits(raw.get("limits")),
+            workspaces=_workspaces(raw.get("tenants")),
         )
     except _DECODE_ERRORS as exc:
         raise exceptions.BadField(f"configuration: {exc!r}") from exc
@@ -155,6 +211,7 @@
             created=entry.create_revision,
             software=str(raw.get("version", "")),
             cold_left_s=max(0.0, float(raw.get("coldLeftMs") or 0) / 1000),
+            born_ms=int(raw.get("born") or 0),
         )
     except _DECODE_ERRORS as exc:
         raise exceptions.BadField(f"{entry.key}: {exc!r}") from exc
