Log the first event and the longest pause of each stream

Whether a late answer waited for its start, for its first event or between events could be read from the histograms only, not for one request.

--- a/src/coltsfootsail/_streams.py
+++ b/src/coltsfootsail/_streams.py
@@ -199,6 +199,12 @@
         self._metrics.observe(
             "pause_seconds", sink.longest_pause_s, context.labels
         )
+        _logs.detail(
+            "streamed",
+            id=context.meta.request_id,
+            first_event_s=round(first_event_s, 3),
+            longest_pause_s=round(sink.longest_pause_s, 3),
+        )
 
     async def _run_attempts(self, context, sink, resp):
         while True:
