--- a/src/coltsfootsail/_cli.py
+++ b/src/coltsfootsail/_cli.py
@@ -86,6 +86,7 @@
     def __call__(self):
         run_once, run_forever = self._run_functions()
         if not self.once:
+            self._print([f"starting deployment {self.deployment}"])
             with contextlib.suppress(KeyboardInterrupt):
                 trio.run(run_forever, self._announce)
             return _options.EXIT_OK
@@ -110,12 +111,24 @@
             functools.partial(_demo.run_forever, self.deployment),
         )
 
+    def _print(self, lines):
+        """Print lines for people at once."""
+        if not self.json:
+            print(*lines, sep="\n", flush=True)
+
     def _announce(self, value):
+        """Print the addresses, and the sample's result once it is there."""
+        if "sample" not in value:
+            self._print(
+                [
+                    f"callers: {' '.join(value['callers'])}",
+                    f"admin: {value['admin']}",
+                ]
+            )
+            return
         lines = [
             f"deployment {value['deployment']} is ready",
             f"sample: {value['sample']['right']}",
-            f"callers: {' '.join(value['callers'])}",
-            f"admin: {value['admin']}",
             "stop with Ctrl-C",
         ]
         _options.show(value, self.json, lines)
--- a/src/coltsfootsail/_demo.py
+++ b/src/coltsfootsail/_demo.py
@@ -195,23 +195,21 @@
     """Run a deployment until interrupted.
 
     :param name: the deployment's name.
-    :param announce: called with a dict of addresses and the report on the
-        sample once the sample is sent.
+    :param announce: called with a dict of addresses, and again with the
+        report on the sample once it is sent.
     """
     system = _embedded.on_loopback(_deployment.load(name))
     async with system.running():
-        tally = await send_sample(system)
         first_host = next(iter(system.hosts))
-        announce(
-            {
-                "deployment": name,
-                "callers": [
-                    system.caller_address(host) for host in system.hosts
-                ],
-                "admin": system.admin_address(first_host),
-                "kv": system.addresses["kv"],
-                "sample": tally.report(name, len(system.hosts)),
-            }
-        )
+        addresses = {
+            "deployment": name,
+            "callers": [system.caller_address(host) for host in system.hosts],
+            "admin": system.admin_address(first_host),
+            "kv": system.addresses["kv"],
+        }
+        announce(addresses)
+        tally = await send_sample(system)
+        report = tally.report(name, len(system.hosts))
+        announce({**addresses, "sample": report})
         with contextlib.suppress(KeyboardInterrupt):
             await trio.sleep_forever()
--- a/src/coltsfootsail/_demo_gateways.py
+++ b/src/coltsfootsail/_demo_gateways.py
@@ -252,19 +252,18 @@
 async def run_forever(announce):
     """Run the platform until interrupted.
 
-    :param announce: called with a dict of addresses and the report on the
-        sample once the sample is sent.
+    :param announce: called with a dict of addresses, and again with the
+        report on the sample once it is sent.
     """
     async with running() as platform:
-        tally = await send_sample(platform)
         addresses = platform.addresses
-        announce(
-            {
-                "deployment": NAME,
-                "callers": [addresses[f"{node}/caller"] for node in NODES],
-                "admin": addresses["g0/ready"],
-                "kv": addresses["store"],
-                "sample": tally.report(NAME, len(NODES)),
-            }
-        )
+        value = {
+            "deployment": NAME,
+            "callers": [addresses[f"{node}/caller"] for node in NODES],
+            "admin": addresses["g0/ready"],
+            "kv": addresses["store"],
+        }
+        announce(value)
+        tally = await send_sample(platform)
+        announce({**value, "sample": tally.report(NAME, len(NODES))})
         await trio.sleep_forever()
