Name the field at fault; refuse malformed tenants and registrations

Cause: an error in the configuration was told without its field, its text could hold the value and thus a key, and keys given as text were read letter by letter. A number that is infinite or a value nested too deeply raised an error that ended the watch of the store. A registration with text for a number or an address without a port was taken. Change: each field is read by name and reported by its path and the kind of error alone; numbers, text, addresses and names are checked by type.

--- a/src/coltsfootsail/platform/registry.py
+++ b/src/coltsfootsail/platform/registry.py
@@ -4,7 +4,11 @@
 affects no other.
 """
 
+import contextlib
+import ipaddress
 import json
+import math
+import re
 
 from coltsfootsail import _fleet
 from coltsfootsail import exceptions
@@ -20,7 +24,20 @@
     "streaming": _fleet.RouteKind.STREAMING,
 }
 _DRAINING_BY_STATE = {"ready": False, "draining": True}
-_DECODE_ERRORS = (KeyError, TypeError, ValueError, AttributeError)
+_DECODE_ERRORS = (
+    KeyError,
+    TypeError,
+    ValueError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+)
+_REQUIRED = object()
+# Names that are sent in headers.
+_HEADER_TEXT = re.compile(r"[!-~]([ -~]*[!-~])?")
+_ADDRESS = re.compile(r"(\[[0-9A-Fa-f:.]+\]|[A-Za-z0-9._-]+):([0-9]{1,5})")
+_NUMERIC_HOST = re.compile(r"\[.*\]|[0-9.]+")
+_PORT_MAX = 65535
 
 
 def _load_object(value):
@@ -30,38 +47,122 @@
     return raw
 
 
+@contextlib.contextmanager
+def _naming(path):
+    """Name the field that can't be decoded.
+
+    Only the kind of the error is told, because the value may be a key.
+
+    :raises BadField: in place of an error of decoding.
+    """
+    try:
+        yield
+    except exceptions.BadField as exc:
+        joint = "" if exc.detail.startswith("[") else "."
+        raise exceptions.BadField(f"{path}{joint}{exc.detail}") from None
+    except _DECODE_ERRORS as exc:
+        raise exceptions.BadField(f"{path}: {type(exc).__name__}") from None
+
+
+def _field(raw, name, convert, default=_REQUIRED):
+    """Convert a field of an object.
+
+    :param default: the result if the field is missing or null.
+    :raises BadField: if the field is missing or can't be converted.
+    """
+    with _naming(name):
+        value = raw.get(name)
+        if value is None:
+            if default is _REQUIRED:
+                raise KeyError(name)
+            return default
+        return convert(value)
+
+
+def _items(convert):
+    """Make the conversion of a list, whose items are named by position."""
+
+    def convert_all(values):
+        if not isinstance(values, list):
+            raise TypeError("not a list")
+        items = []
+        for position, value in enumerate(values):
+            with _naming(f"[{position}]"):
+                items.append(convert(value))
+        return tuple(items)
+
+    return convert_all
+
+
+def _number(value):
+    """Convert a number that is finite and not negative."""
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise TypeError("not a number")
+    if not 0 <= value < math.inf:
+        raise ValueError("out of range")
+    return float(value)
+
+
+def _whole_number(value):
+    number = _number(value)
+    if number != int(number):
+        raise ValueError("not a whole number")
+    return int(value)
+
+
+def _text(value):
+    if not isinstance(value, str):
+        raise TypeError("not text")
+    return value
+
+
+def _header_text(value):
+    if not _HEADER_TEXT.fullmatch(_text(value)):
+        raise ValueError("not printable")
+    return value
+
+
+def _milliseconds(value):
+    return float(value) / 1000
+
+
+def _target(raw):
+    return _fleet.RouteTarget(
+        _field(raw, "service", str), _field(raw, "weight", float)
+    )
+
+
 def _targets(raw):
     if raw.get("split"):
-        return tuple(
-            _fleet.RouteTarget(str(part["service"]), float(part["weight"]))
-            for part in raw["split"]
-        )
-    return (_fleet.RouteTarget(str(raw["service"]), 1.0),)
+        return _field(raw, "split", _items(_target))
+    return (_fleet.RouteTarget(_field(raw, "service", str), 1.0),)
 
 
 def _route(raw):
+    timeout_s = _field(raw, "timeoutMs", _milliseconds)
     return _fleet.Route(
-        name=str(raw["name"]),
-        host=str(raw["host"]),
-        prefix=str(raw["prefix"]),
-        kind=_ROUTE_KINDS[raw["type"]],
+        name=_field(raw, "name", str),
+        host=_field(raw, "host", str),
+        prefix=_field(raw, "prefix", str),
+        kind=_field(raw, "type", lambda value: _ROUTE_KINDS[value]),
         targets=_targets(raw),
-        timeout_s=float(raw["timeoutMs"]) / 1000,
-        objective_s=float(raw.get("sloMs", raw["timeoutMs"])) / 1000,
-        gap_s=float(raw.get("gapSloMs") or 0) / 1000,
-        priority=int(raw.get("priority", 5)),
-        attempts=int(raw.get("attempts", 1)),
-        resumable=bool(raw.get("resumable", False)),
-        public=bool(raw.get("public", False)),
+        timeout_s=timeout_s,
+        objective_s=_field(raw, "sloMs", _milliseconds, timeout_s),
+        gap_s=_field(raw, "gapSloMs", _milliseconds, 0.0),
+        priority=_field(raw, "priority", int, 5),
+        attempts=_field(raw, "attempts", int, 1),
+        resumable=_field(raw, "resumable", bool, False),
+        # Text such as "false" must not make a route public.
+        public=raw.get("public") is True,
     )
 
 
 def _model(raw):
     return _fleet.BaseModel(
-        name=str(raw["name"]),
-        weights_mb=float(raw["weightsMb"]),
-        adapter_mb=float(raw.get("adapterMb") or 0),
-        load_s=float(raw.get("loadS") or 1),
+        name=_field(raw, "name", str),
+        weights_mb=_field(raw, "weightsMb", float),
+        adapter_mb=_field(raw, "adapterMb", float, 0.0),
+        load_s=_field(raw, "loadS", float, 0.0) or 1.0,
     )
 
 
@@ -69,20 +170,20 @@
     if not raw:
         return None
     return _fleet.EngineSpec(
-        slots=int(raw["slots"]),
-        memory_tokens=int(raw["kvTokens"]),
-        adapter_slots=int(raw.get("adapterSlots", 0)),
-        event_tokens=int(raw.get("stride", 1)),
-        weights_mb=float(raw.get("weightsMb", 0)),
-        models=tuple(_model(item) for item in raw.get("models", ())),
+        slots=_field(raw, "slots", int),
+        memory_tokens=_field(raw, "kvTokens", int),
+        adapter_slots=_field(raw, "adapterSlots", int, 0),
+        event_tokens=_field(raw, "stride", int, 1),
+        weights_mb=_field(raw, "weightsMb", float, 0.0),
+        models=_field(raw, "models", _items(_model), ()),
     )
 
 
 def _service(raw):
     return _fleet.Service(
-        name=str(raw["name"]),
-        connections_max=int(raw.get("maxConns") or 100),
-        engine=_engine(raw.get("engine")),
+        name=_field(raw, "name", str),
+        connections_max=_field(raw, "maxConns", int, 0) or 100,
+        engine=_field(raw, "engine", _engine, None),
     )
 
 
@@ -91,41 +192,52 @@
     if not raw:
         return default
     return _fleet.CallerLimits(
-        header_bytes=int(raw.get("maxHeaderBytes", default.header_bytes)),
-        body_bytes=int(raw.get("maxBodyBytes", default.body_bytes)),
-        header_timeout_s=float(raw.get("headerTimeoutMs", 3000)) / 1000,
-        idle_timeout_s=float(raw.get("idleTimeoutMs", 15000)) / 1000,
+        header_bytes=_field(raw, "maxHeaderBytes", int, default.header_bytes),
+        body_bytes=_field(raw, "maxBodyBytes", int, default.body_bytes),
+        header_timeout_s=_field(
+            raw, "headerTimeoutMs", _milliseconds, default.header_timeout_s
+        ),
+        idle_timeout_s=_field(
+            raw, "idleTimeoutMs", _milliseconds, default.idle_timeout_s
+        ),
     )
 
 
 def _quota(raw):
-    per_s = float(raw.get("ratePerS") or 0)
-    if not per_s:
-        return None
-    return _fleet.Quota(
+    per_s = _field(raw, "ratePerS", _number, 0.0)
+    quota = _fleet.Quota(
         per_s=per_s,
-        burst=float(raw.get("burst") or 0),
+        burst=_field(raw, "burst", _number, 0.0),
         counts_tokens=raw.get("unit") == "tokens",
-        plain_cost=float(raw.get("plainTokens") or 0),
+        plain_cost=_field(raw, "plainTokens", _number, 0.0),
     )
+    return quota if per_s else None
+
+
+def _key_digest(key):
+    if not _text(key):
+        raise ValueError("empty")
+    return _fleet.digest(key)
 
 
 def _workspace(raw):
-    priority = raw.get("priority")
-    digests = [_fleet.digest(str(key)) for key in raw.get("apiKeys") or ()]
+    digests = _field(raw, "apiKeys", _items(_key_digest), ())
+    digests += _field(raw, KEY_DIGESTS, _items(_text), ())
     return _fleet.Workspace(
-        name=str(raw["name"]),
-        key_digests=frozenset([*digests, *(raw.get(KEY_DIGESTS) or ())]),
-        priority=None if priority is None else int(priority),
+        name=_field(raw, "name", _header_text),
+        key_digests=frozenset(digests),
+        priority=_field(raw, "priority", _whole_number, None),
         quota=_quota(raw),
     )
 
 
 def _workspaces(raw):
-    if not raw:
-        return None
-    workspaces = [_workspace(item) for item in raw]
-    return {workspace.name: workspace for workspace in workspaces}
+    workspaces = {}
+    for position, workspace in enumerate(_items(_workspace)(raw)):
+        if workspace.name in workspaces:
+            raise exceptions.BadField(f"[{position}].name: duplicate")
+        workspaces[workspace.name] = workspace
+    return workspaces or None
 
 
 def redact_keys(value):
@@ -141,7 +253,7 @@
             return value
         raw["tenants"] = [_without_keys(item) for item in tenants]
         return json.dumps(raw).encode()
-    except _DECODE_ERRORS:
+    except (exceptions.BadField, *_DECODE_ERRORS):
         # What can't be decoded is not applied, and must not be kept either.
         return b""
 
@@ -158,35 +270,60 @@
     :returns: a ``Deployment``.
     :raises BadField: if it can't be decoded.
     """
-    try:
+    with _naming("configuration"):
         raw = _load_object(value)
-        services = [_service(item) for item in raw["services"]]
+        services = _field(raw, "services", _items(_service))
         return _fleet.Deployment(
-            version=int(raw["version"]),
-            routes=tuple(_route(item) for item in raw["routes"]),
+            version=_field(raw, "version", int),
+            routes=_field(raw, "routes", _items(_route)),
             services={service.name: service for service in services},
-            limits=_limits(raw.get("limits")),
-            workspaces=_workspaces(raw.get("tenants")),
+            limits=_field(raw, "limits", _limits, _fleet.CallerLimits()),
+            workspaces=_field(raw, "tenants", _workspaces, None),
         )
-    except _DECODE_ERRORS as exc:
-        raise exceptions.BadField(f"configuration: {exc!r}") from exc
+
+
+def _adapters(texts):
+    """Decode the adapters of a model, each a name and perhaps a version."""
+    for text in _items(_text)(texts):
+        name, _, version = text.partition("@")
+        yield name, int(version or 1)
+
+
+def _held_model(raw):
+    """Decode a model of a registration or a report.
+
+    :returns: its name, and a tuple of pairs of adapter and version.
+    """
+    adapters = _field(
+        raw, "adapters", lambda texts: tuple(_adapters(texts)), ()
+    )
+    return _field(raw, "name", _text), adapters
 
 
 def decode_models(raw):
     """Decode the ``models`` field of a registration or a report.
 
     :returns: tuple of the model names, and dict of adapter key to version.
+    :raises BadField: if it can't be decoded.
     """
-    names = []
-    adapters = {}
-    for item in raw or ():
-        model = str(item["name"])
-        names.append(model)
-        for text in item.get("adapters") or ():
-            name, _, version = str(text).partition("@")
-            key = _fleet.adapter_key(model, name)
-            adapters[key] = int(version or 1)
-    return tuple(names), adapters
+    with _naming("models"):
+        models = _items(_held_model)(raw or [])
+    adapters = {
+        _fleet.adapter_key(model, name): version
+        for model, held in models
+        for name, version in held
+    }
+    return tuple(model for model, _ in models), adapters
+
+
+def _address(value):
+    """Check that a server's address is a host and a port."""
+    match = _ADDRESS.fullmatch(_text(value))
+    if not match or not 1 <= int(match[2]) <= _PORT_MAX:
+        raise ValueError("not an address")
+    if _NUMERIC_HOST.fullmatch(match[1]):
+        ipaddress.ip_address(match[1].strip("[]"))
+    return value
 
 
 def decode_server(entry):
@@ -196,25 +333,24 @@
     :returns: a ``Server``.
     :raises BadField: if it can't be decoded.
     """
-    try:
+    with _naming(entry.key):
+        name = _header_text(entry.key.removeprefix(SERVER_PREFIX))
         raw = _load_object(entry.value)
         names, adapters = decode_models(raw.get("models"))
         return _fleet.Server(
-            name=entry.key.removeprefix(SERVER_PREFIX),
-            service=str(raw["service"]),
-            address=str(raw["addr"]),
-            data_centre=str(raw.get("zone", "")),
-            draining=_DRAINING_BY_STATE[raw["state"]],
-            slots=int(raw.get("slots") or 1),
+            name=name,
+            service=_field(raw, "service", _text),
+            address=_field(raw, "addr", _address),
+            data_centre=_field(raw, "zone", str, ""),
+            draining=_field(raw, "state", lambda s: _DRAINING_BY_STATE[s]),
+            slots=_field(raw, "slots", _whole_number, 0) or 1,
             models=names,
             adapters=adapters,
             created=entry.create_revision,
-            software=str(raw.get("version", "")),
-            cold_left_s=max(0.0, float(raw.get("coldLeftMs") or 0) / 1000),
-            born_ms=int(raw.get("born") or 0),
+            software=_field(raw, "version", str, ""),
+            cold_left_s=_field(raw, "coldLeftMs", _number, 0.0) / 1000,
+            born_ms=_field(raw, "born", _whole_number, 0),
         )
-    except _DECODE_ERRORS as exc:
-        raise exceptions.BadField(f"{entry.key}: {exc!r}") from exc
 
 
 def decode_adapter_version(value):
@@ -223,11 +359,9 @@
     :returns: tuple of adapter key and version.
     :raises BadField: if it can't be decoded.
     """
-    try:
+    with _naming("version"):
         raw = _load_object(value)
         key = _fleet.adapter_key(
-            str(raw["model"]), str(raw.get("adapter") or "")
+            _field(raw, "model", str), _field(raw, "adapter", str, "")
         )
-        return key, int(raw["version"])
-    except _DECODE_ERRORS as exc:
-        raise exceptions.BadField(f"version: {exc!r}") from exc
+        return key, _field(raw, "version", int)
