Decide access by key; prove that the configuration is in force

Cause: keys were not examined, and a node cut from the store could serve a revoked key for as long as it was cut. Change: _access decides from the route, the key and the age of the proof; _freshness keeps the proof, which is the time at which a store call was sent whose answer has been applied, or a peer's. The stored configuration is kept and sent without keys, and a server of a service that is not configured is withheld.

--- a/src/coltsfootsail/_gateway.py
+++ b/src/coltsfootsail/_gateway.py
@@ -13,6 +13,7 @@
 
 import trio
 
+from coltsfootsail import _access
 from coltsfootsail import _answer_memory
 from coltsfootsail import _claims
 from coltsfootsail import _clock_steps
@@ -21,6 +22,7 @@
 from coltsfootsail import _crashes
 from coltsfootsail import _engine_controller
 from coltsfootsail import _engine_selection
+from coltsfootsail import _freshness
 from coltsfootsail import _grants
 from coltsfootsail import _http
 from coltsfootsail import _lease
@@ -97,14 +99,27 @@
         self.lease = _lease.NodeLease(
             self.kv, self.now, lease.ttl_s, lease.margin_s
         )
+        self.freshness = _freshness.Freshness(
+            _access.proof_limits(gateway_settings.revocation_s), self.now
+        )
         self.view = _view.DeploymentView(
-            self.kv, self.now, self._on_view_change, gateway_settings.news_s
+            self.kv,
+            self.now,
+            self._on_view_change,
+            gateway_settings.news_s,
+            self.freshness,
         )
         hello = _wire.Hello(
             self._name, settings.node.region, self._incarnation
         )
         self.peers = _peers.PeerHandler(self, hello, network)
         self.mesh = self.peers.mesh
+        self.peer_proofs = _freshness.PeerProofs(
+            self.freshness,
+            lambda: self.view.deployment.version,
+            self.mesh,
+            self.now,
+        )
         self.limits = _server_limits.ServerLimits(
             self.now,
             self.metrics.count,
@@ -481,6 +496,8 @@
                 self.view,
             )
             nursery.start_soon(self.peers.run)
+            if self.freshness.is_needed:
+                nursery.start_soon(self.peer_proofs.run)
             nursery.start_soon(self.claims.run)
             nursery.start_soon(self.owned_engines.run)
             await nursery.start(self.limited_servers.run)
--- a/src/coltsfootsail/_metrics.py
+++ b/src/coltsfootsail/_metrics.py
@@ -13,6 +13,7 @@
 COUNTERS = {
     "requests": "Requests by outcome",
     "refusals": "Requests ended by an error, by its code",
+    "access": "Requests that need a key or have one, by what was decided",
     "retries": "Further attempts, by the code of the failed one",
     "sends": "Sends to servers, by what was concluded at their end",
     "server_limits": "Limits that servers named, changed and ended",
@@ -73,14 +74,17 @@
 )
 ROUTES_MAX = 64  # routes with labels of their own, to limit the series
 OTHER_ROUTES = "(others)"
+WORKSPACES_MAX = 64  # workspaces with labels of their own
+OTHER_WORKSPACES = "(others)"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Labels:
-    """Route and service that a measurement belongs to; empty for none."""
+    """What a measurement belongs to; empty for none."""
 
     route: str = ""
     service: str = ""
+    workspace: str = ""
 
 
 NO_LABELS = Labels()
@@ -111,8 +115,17 @@
         self._histograms = {name: {} for name in HISTOGRAMS}
         self._gauges = {}
         self._routes = set()
+        self._workspaces = set()
         self._render = None
 
+    def workspace_labels(self, workspace):
+        """Make the labels of a workspace; rare ones share one."""
+        if workspace not in self._workspaces:
+            if len(self._workspaces) >= WORKSPACES_MAX:
+                workspace = OTHER_WORKSPACES
+            self._workspaces.add(workspace)
+        return Labels(workspace=workspace)
+
     def _limit_routes(self, labels):
         """Replace the route by ``OTHER_ROUTES`` once there are too many."""
         if labels.route in self._routes or not labels.route:
--- a/src/coltsfootsail/_peers.py
+++ b/src/coltsfootsail/_peers.py
@@ -170,6 +170,12 @@
     def _on_stream_reply(self, node, msg):
         self._gateway.stream_origins.handle_reply(msg)
 
+    def _on_freshness_query(self, node, msg):
+        self.mesh.send(node, self._gateway.peer_proofs.answer(msg))
+
+    def _on_freshness_reply(self, node, msg):
+        self._gateway.peer_proofs.handle_reply(node, msg)
+
     def _on_strike(self, node, msg):
         self._gateway.crashes.learn_strike(msg)
 
@@ -247,6 +253,8 @@
     _wire.StreamBegun: PeerHandler._on_stream_begun,
     _wire.StreamQuery: PeerHandler._on_stream_query,
     _wire.StreamReply: PeerHandler._on_stream_reply,
+    _wire.FreshnessQuery: PeerHandler._on_freshness_query,
+    _wire.FreshnessReply: PeerHandler._on_freshness_reply,
     _wire.Strike: PeerHandler._on_strike,
     _wire.CrashedRun: PeerHandler._on_crashed_run,
     _wire.PartsCleared: PeerHandler._on_parts_cleared,
--- a/src/coltsfootsail/_request_handler.py
+++ b/src/coltsfootsail/_request_handler.py
@@ -5,8 +5,11 @@
 server may be tried.
 """
 
+import dataclasses
+
 import trio
 
+from coltsfootsail import _access
 from coltsfootsail import _fleet
 from coltsfootsail import _http
 from coltsfootsail import _logs
@@ -110,6 +113,7 @@
             version=self._gateway.view.deployment.version,
             repeatable=context.route.repeatable,
             resumes=context.meta.resumes,
+            workspace=context.workspace_name,
         )
 
     def _record_answered(self, context, status):
@@ -166,13 +170,14 @@
         route = gateway.view.routes.find(host, req.path)
         if route is None:
             raise exceptions.NotFound()
+        workspace = self._check_access(route, meta)
         now_s = self._now()
         deadline_s = meta.deadline_s
         deadline_s = DEFAULT_DEADLINE_S if deadline_s is None else deadline_s
         fingerprint = _poison.fingerprint(f"{host}{req.target}", req.body)
         service = route.choose_service(meta.request_id)
         return _request_context.RequestContext(
-            req=req,
+            req=self._without_key(req),
             meta=meta,
             route=route,
             service=service,
@@ -180,7 +185,40 @@
             until_s=now_s + min(deadline_s, route.timeout_s),
             owner_wait_until_s=now_s + _streams.OWNER_WAIT_S,
             fingerprint=fingerprint,
+            workspace=workspace,
+        )
+
+    def _check_access(self, route, meta):
+        """Find the workspace of a request, or refuse it.
+
+        :returns: a ``Workspace``, or None for a request without one.
+        :raises Refusal: if the request may not run.
+        """
+        freshness = self._gateway.freshness
+        decision = _access.decide(
+            route.public,
+            meta.key,
+            self._gateway.view.keys,
+            freshness.age_s(),
+            freshness.limits,
+        )
+        workspace = decision.workspace
+        if decision.reason is not _access.Reason.OPEN:
+            labels = _metrics.NO_LABELS
+            if workspace is not None:
+                labels = self._metrics.workspace_labels(workspace.name)
+            self._count("access", decision.reason.value, labels=labels)
+        decision.check()
+        return workspace
+
+    def _without_key(self, req):
+        """Remove the caller's key, unless requests need none."""
+        if self._gateway.view.keys is None:
+            return req
+        headers = tuple(
+            pair for pair in req.headers if pair[0] != messages.AUTHORIZATION
         )
+        return dataclasses.replace(req, headers=headers)
 
 
 def describe_parts(prompt):
--- a/src/coltsfootsail/_view.py
+++ b/src/coltsfootsail/_view.py
@@ -6,12 +6,15 @@
 """
 
 import collections
+import dataclasses
 
 import trio
 
+from coltsfootsail import _access
 from coltsfootsail import _departed
 from coltsfootsail import _eras
 from coltsfootsail import _fleet
+from coltsfootsail import _freshness
 from coltsfootsail import _keys
 from coltsfootsail import _kv
 from coltsfootsail import _logs
@@ -70,17 +73,25 @@
     :param on_change: called with the set of changed keys, or None when
         all may have changed.
     :param propagation_s: a change must be applied within this time.
+    :param freshness: the ``Freshness`` of the configuration, None where
+        nobody asks for it.
     """
 
-    def __init__(self, kv, now, on_change, propagation_s=2.0):
+    def __init__(self, kv, now, on_change, propagation_s=2.0, freshness=None):
         self._kv = kv
         self._now = now
         self._on_change = on_change
         self._started_s = now()
         self._store_returned_s = None
         self._unconfirmed = set()
-        self._batch_pause_s = max(
-            WATCH_PAUSE_SHARE * propagation_s, propagation_s - WATCH_MARGIN_S
+        self._freshness = freshness or _freshness.Freshness(
+            _access.ProofLimits(), now
+        )
+        self._batch_pause_s = self._freshness.watch_pause_s(
+            max(
+                WATCH_PAUSE_SHARE * propagation_s,
+                propagation_s - WATCH_MARGIN_S,
+            )
         )
         self._handlers = (
             (registry.CONFIG_KEY, self._apply_deployment_entry),
@@ -90,7 +101,9 @@
         )
         self.deployment = _fleet.EMPTY_DEPLOYMENT
         self.routes = _fleet.RouteTable(_fleet.EMPTY_DEPLOYMENT)
+        self.keys = None
         self.raw_deployment = b""
+        self._stored_version = 0
         self.versions = {}
         self.servers = {}
         self.generation = 0
@@ -220,19 +233,24 @@
         except exceptions.BadField as exc:
             _logs.state("config_unreadable", reason=exc.detail)
             return
+        self._stored_version = deployment.version
         self.apply_deployment(deployment, entry.value)
 
     def apply_deployment(self, deployment, raw):
         """Apply a configuration if its version is higher.
 
-        :param raw: its encoded form, to be sent to peers.
+        :param raw: its encoded form, to be sent to peers without the keys.
         :returns: whether it was applied.
         """
         if deployment.version <= self.deployment.version:
             return False
         self.deployment = deployment
         self.routes = _fleet.RouteTable(deployment)
-        self.raw_deployment = raw
+        self.keys = None
+        if deployment.workspaces is not None:
+            self.keys = _fleet.KeyTable(deployment)
+        self.raw_deployment = registry.redact_keys(raw)
+        self._apply_withheld_servers()
         _logs.state(
             "config_in_force",
             version=deployment.version,
@@ -264,8 +282,10 @@
             return
         try:
             server = registry.decode_server(entry)
+            self._check_service(server)
         except exceptions.BadField as exc:
             self.servers.pop(name, None)
+            self._unconfirmed.discard(name)
             self.generation += 1
             _logs.state("server_unreadable", reason=exc.detail)
             return
@@ -284,6 +304,22 @@
                 software=server.software,
             )
 
+    def _check_service(self, server):
+        """Check that the configuration has a server's service.
+
+        :raises BadField: if it does not.
+        """
+        services = self.deployment.services
+        if self.deployment.version and server.service not in services:
+            raise exceptions.BadField(f"{server.name}: unknown service")
+
+    def _apply_withheld_servers(self):
+        """Apply the entries of servers whose service was not configured."""
+        for key, entry in list(self._entries.items()):
+            name = key.removeprefix(registry.SERVER_PREFIX)
+            if name != key and name not in self.servers:
+                self._apply_server_entry(entry, deleted=False)
+
     def _remove_server(self, name):
         """Remove a server, unless its entry may have expired in an outage.
 
@@ -341,15 +377,27 @@
         """Apply one entry of the store, or its deletion."""
         if deleted:
             self._entries.pop(entry.key, None)
-        else:
+        elif entry.key != registry.CONFIG_KEY:
             self._entries[entry.key] = entry
         for prefix, handler in self._handlers:
             if entry.key.startswith(prefix):
                 handler(entry, deleted)
-                return
+                break
+        if entry.key == registry.CONFIG_KEY and not deleted:
+            self._keep_deployment_entry(entry)
+
+    def _keep_deployment_entry(self, entry):
+        """Keep the configuration in force, without the callers' keys."""
+        if self.raw_deployment:
+            self._entries[entry.key] = dataclasses.replace(
+                entry, value=self.raw_deployment
+            )
 
     def entries(self):
-        """List the entries as last seen, to be sent to starting nodes."""
+        """List the entries as last seen, to be sent to starting nodes.
+
+        The configuration is the one in force, without the callers' keys.
+        """
         return list(self._entries.values())
 
     def apply_peer_entries(self, entries):
@@ -379,6 +427,7 @@
             old_revision=self.revision,
         )
         self._store_returned_s = self._now()
+        self._freshness.note_new_era()
 
     def _is_outdated(self, entry):
         """Tell whether a copy shows a server as it was before it left.
@@ -403,6 +452,8 @@
         if is_copy:
             self._begin_era(snapshot)
         present = {entry.key for entry in snapshot.entries}
+        # What an unreadable entry hides must not count as proven.
+        self._stored_version = 0
         for key in [key for key in self._entries if key not in present]:
             del self._entries[key]
         for records in self._records.values():
@@ -429,10 +480,12 @@
         """Follow the store until cancelled."""
         backoff = _kv.Backoff(first_s=0.2, limit_s=1.0)
         while True:
+            sent_s = self._now()
             try:
                 snapshot = await self._kv.range(ALL_KEYS)
                 self._note_contact()
                 self.apply_snapshot(snapshot)
+                self._note_proof(sent_s)
                 backoff.reset()
                 await self._watch(backoff)
             except exceptions.KvHistoryGone:
@@ -443,15 +496,25 @@
                 _logs.state("store_read_failed", reason=exc.detail)
                 await trio.sleep(0.1 + backoff.next_s())
 
+    def _note_proof(self, sent_s):
+        """Note a call to the store, after its answer has been applied.
+
+        A store that came back from an older copy may show another version
+        than the one in force, which proves nothing.
+        """
+        if self._stored_version == self.deployment.version:
+            self._freshness.note_store_answer(sent_s)
+
     async def _watch(self, backoff):
         """Apply changes until all entries must be read again."""
         while self._kv.era == self.era:
             try:
-                wait_s = (
-                    REREGISTRATION_POLL_S
-                    if self._unconfirmed
-                    else WATCH_WAIT_S
+                wait_s = self._freshness.watch_wait_s(
+                    WATCH_WAIT_S, self._batch_pause_s
                 )
+                if self._unconfirmed:
+                    wait_s = min(wait_s, REREGISTRATION_POLL_S)
+                sent_s = self._now()
                 events, revision = await self._kv.changes(
                     ALL_KEYS, self.revision, wait_s
                 )
@@ -468,6 +531,7 @@
             for event in events:
                 self.apply_entry(event.entry, event.deleted)
             self.revision = max(self.revision, revision)
+            self._note_proof(sent_s)
             self._notify_change({event.entry.key for event in events})
             if events:
                 await trio.sleep(self._watch_pause_s())
--- a/src/coltsfootsail/exceptions.py
+++ b/src/coltsfootsail/exceptions.py
@@ -118,6 +118,25 @@
     status = 401
 
 
+class UnknownKey(Refusal):
+    """No workspace has this key."""
+
+    code = "unknown_key"
+    status = 401
+
+
+class MissingKey(UnknownKey):
+    """The route needs a key."""
+
+    code = "missing_key"
+
+
+class ConfigurationStale(Refusal):
+    """The key can't be checked: the configuration may be out of date."""
+
+    code = "configuration_stale"
+
+
 class UnknownAdapter(Refusal):
     """No adapter or routing rule has this name."""
 
