Ask the store at once after a time without it; distrust an unsettled era

Cause: a node that resumed waited for a whole watch before it had a proof, and a copy of the store may lack a revocation that it acknowledged.

--- a/src/coltsfootsail/_freshness.py
+++ b/src/coltsfootsail/_freshness.py
@@ -36,6 +36,7 @@
         self.limits = limits
         self._now = now
         self._proven_s = -math.inf
+        self._answered_s = -math.inf
         self._distrusted_until_s = -math.inf
 
     @property
@@ -55,9 +56,15 @@
         """Note the time for which the configuration is proven."""
         self._proven_s = max(self._proven_s, proven_s)
 
-    def note_store_answer(self, sent_s):
-        """Note a call whose answer shows the configuration in force."""
-        if sent_s >= self._distrusted_until_s:
+    def note_store_answer(self, sent_s, is_in_force):
+        """Note a call to the store whose answer has been applied.
+
+        :param sent_s: when it was sent.
+        :param is_in_force: whether the configuration that the store has is
+            the one in force.
+        """
+        self._answered_s = sent_s
+        if is_in_force and sent_s >= self._distrusted_until_s:
             self.note_proof(sent_s)
 
     def note_new_era(self):
@@ -68,14 +75,15 @@
         """Choose how long the store may hold a watch.
 
         The proof is as old as two watches and the pause between them before
-        the second is answered.
+        the second is answered.  After a time without the store it is asked
+        for an answer at once.
 
         :param longest_s: without a need for proofs.
         :param pause_s: longest pause between two watches.
         """
         if not self.is_needed:
             return longest_s
-        if self.is_due():
+        if self._now() - self._answered_s > self.limits.refuse_s:
             return HOLD_MIN_S
         spare_s = self.limits.refuse_s - CALL_S - pause_s
         return max(HOLD_MIN_S, min(longest_s, spare_s / 2))
--- a/src/coltsfootsail/_http_messages.py
+++ b/src/coltsfootsail/_http_messages.py
@@ -35,11 +35,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class HttpRequest:
-    """A received request; header names are in lower case."""
+    """A received request; header names are in lower case.
+
+    :param headers: not printed, because they may hold a caller's key.
+    """
 
     method: str
     target: str
-    headers: tuple
+    headers: tuple = dataclasses.field(repr=False)
     body: bytes
 
     def header(self, name, default=""):
--- a/src/coltsfootsail/_request_handler.py
+++ b/src/coltsfootsail/_request_handler.py
@@ -150,6 +150,8 @@
                 _request_context.RETRY_AFTER_S if delay_s is None else delay_s
             )
             headers.append(messages.retry_after(delay_s))
+        elif status == 401:
+            headers.append(messages.CHALLENGE)
         await resp.reply_json(_http.error_json(exc), status, headers)
 
     async def _wait_for_configuration(self):
--- a/src/coltsfootsail/_view.py
+++ b/src/coltsfootsail/_view.py
@@ -310,7 +310,7 @@
         :raises BadField: if it does not.
         """
         services = self.deployment.services
-        if self.deployment.version and server.service not in services:
+        if server.service not in services:
             raise exceptions.BadField(f"{server.name}: unknown service")
 
     def _apply_withheld_servers(self):
@@ -467,6 +467,8 @@
                 self.apply_entry(entry)
         self.era = snapshot.era
         self.revision = snapshot.revision
+        if not self.synced.is_set() and self.settled_era()[0].era < self.era:
+            self._freshness.note_new_era()
         self._notify_change(None)
         self.synced.set()
         self.populated.set()
@@ -502,8 +504,9 @@
         A store that came back from an older copy may show another version
         than the one in force, which proves nothing.
         """
-        if self._stored_version == self.deployment.version:
-            self._freshness.note_store_answer(sent_s)
+        self._freshness.note_store_answer(
+            sent_s, self._stored_version == self.deployment.version
+        )
 
     async def _watch(self, backoff):
         """Apply changes until all entries must be read again."""
--- a/src/coltsfootsail/platform/messages.py
+++ b/src/coltsfootsail/platform/messages.py
@@ -20,6 +20,7 @@
 PRIORITY = "coltsfootsail-request-priority"
 TENANT = "coltsfootsail-tenant"
 AUTHORIZATION = "authorization"
+CHALLENGE = ("www-authenticate", "Bearer")
 LAST_EVENT = "last-event-id"
 RESUMES = "resumes"
 RETRY_AFTER = "retry-after"
