--- a/src/coltsfootsail/_freshness.py
+++ b/src/coltsfootsail/_freshness.py
@@ -36,6 +36,7 @@
         self.limits = limits
         self._now = now
         self._proven_s = -math.inf
+        self._stated_s = -math.inf
         self._answered_s = -math.inf
         self._distrusted_until_s = -math.inf
 
@@ -48,9 +49,9 @@
         """Get the age of the proof, infinite if there is none."""
         return self._now() - self._proven_s
 
-    def is_due(self):
-        """Tell whether the proof has to be renewed."""
-        return self.age_s() > self.limits.refuse_s
+    def needs_peers(self):
+        """Tell whether the store has given no proof for too long."""
+        return self._now() - self._stated_s > self.limits.refuse_s
 
     def note_proof(self, proven_s):
         """Note the time for which the configuration is proven."""
@@ -65,6 +66,7 @@
         """
         self._answered_s = sent_s
         if is_in_force and sent_s >= self._distrusted_until_s:
+            self._stated_s = sent_s
             self.note_proof(sent_s)
 
     def note_new_era(self):
@@ -154,9 +156,9 @@
                 self._asked_s[node, number] = now_s
 
     async def run(self):
-        """Ask peers whenever the proof is getting old, until cancelled."""
+        """Ask peers while the store gives no proof, until cancelled."""
         while True:
-            if self._freshness.is_due():
+            if self._freshness.needs_peers():
                 self.ask()
                 await trio.sleep(ASK_INTERVAL_S)
             else:
