--- a/src/coltsfootsail/_settings.py
+++ b/src/coltsfootsail/_settings.py
@@ -257,7 +257,7 @@
 
 _POSITIVE_SECTIONS = ("lease", "limits", "ledger", "drain")
 _GATEWAY_POSITIVE = ("grace_s", "turn_s", "news_s", "retry_window_s")
-_GATEWAY_NOT_NEGATIVE = ("retry_ratio", "retry_extra")
+_GATEWAY_NOT_NEGATIVE = ("retry_ratio", "retry_extra", "revocation_s")
 
 
 def _address_problems(path, address):
