Replay of a key revoked under load

Cause: nothing showed under load what a revocation costs and whether it binds. Change: the pattern key_revoked of bench admission: six tenants, a key is revoked half way while a third of the nodes can't reach the store and one of these no other node either.

--- a/src/coltsfootsail/_arrivals.py
+++ b/src/coltsfootsail/_arrivals.py
@@ -225,12 +225,14 @@
     :param uniform: ``(share of the run) -> bool``, whether all adapters
         are equally popular, so that rare ones prevail.
     :param fault: ``none``, ``engine_gone``, ``engines_gone``, ``all_empty``,
-        ``all_busy`` or ``slow_weights``, injected half way through the run.
+        ``all_busy``, ``slow_weights`` or ``key_revoked``, injected half way
+        through the run.
     :param late_orders: ``(share of the run) -> float``, share of the orders
         that the engines leave unanswered and carry out later.
     :param leave_share: share of the callers who leave early.
     :param immediate_retry_share: share of the callers who retry a refused
         request immediately.
+    :param has_keys: whether requests need keys.
     """
 
     rate_factor: object = lambda kind, run_share: 1.0
@@ -240,6 +242,7 @@
     late_orders: object = lambda run_share: 0.0
     leave_share: float = 0.0
     immediate_retry_share: float = 0.0
+    has_keys: bool = False
 
 
 def _in_middle(run_share):
@@ -282,6 +285,7 @@
         ),
         leave_share=0.3,
     ),
+    "key_revoked": LoadPattern(fault="key_revoked", has_keys=True),
 }
 
 
--- a/src/coltsfootsail/_bench_admission.py
+++ b/src/coltsfootsail/_bench_admission.py
@@ -7,6 +7,7 @@
 
 import collections
 import dataclasses
+import math
 import random
 
 import h11
@@ -31,6 +32,9 @@
 STARTUP_S = 8.0  # time to claim the engines and load the base models
 REGISTER_INTERVAL_S = 1.2  # how often an engine updates its entry
 MAX_RETRIES = 1
+REVOCATION_S = 5.0
+KEYS = tuple(f"key-{number}" for number in range(6))
+REVOKED_KEY = KEYS[0]
 # Adapters with fewer requests do not count as never served.
 FREQUENT_REQUESTS = 4
 
@@ -43,14 +47,23 @@
     :param first_s: time from the first attempt to the first event.
     :param refused_s: longest time that an attempt waited for its refusal,
         None if none was refused.
+    :param key: the caller's key, empty for none.
+    :param sent_s: when the last attempt was sent.
     """
 
     arrival: _arrivals.Arrival
     end: str
+    key: str = ""
+    sent_s: float = 0.0
     first_s: float | None = None
     refused_s: float | None = None
 
 
+def _tenants(keys):
+    """Make the configuration of tenants, one for each key."""
+    return [{"name": f"t-{key}", "apiKeys": [key]} for key in keys]
+
+
 def _configuration(size):
     routes = [
         users.route(
@@ -91,6 +104,7 @@
         self.outcomes = []
         self.engines = []
         self.gateways = []
+        self.revoked_s = math.inf
         self.weights = batch.WeightStore(size.full_speed_loads)
         self._pattern = pattern
         self._arrivals = _arrivals.make_arrivals(size, pattern, length_s, seed)
@@ -101,6 +115,10 @@
         self._node_names = [f"g{number}" for number in range(size.nodes)]
         self._callers = _http.HttpClient(self._network.network("callers"))
         self._engine_scopes = {}
+        self._configuration = _configuration(size)
+        self._key_rng = random.Random(f"keys/{seed}")
+        if pattern.has_keys:
+            self._configuration["tenants"] = _tenants(KEYS)
 
     async def run(self):
         """Start the deployment and send all arrivals to it."""
@@ -121,7 +139,7 @@
             "store:1",
             self._store.connection_handler("store:1"),
         )
-        self._store.put("op/config", _configuration(self.size))
+        self._store.put("op/config", self._configuration)
         for number in range(self.size.engines):
             await self._start_engine(number, nursery)
         for number in range(self.size.plain_servers):
@@ -135,6 +153,11 @@
             settings = _demo_gateways.node_settings(
                 name, {**addresses, "store": "store:1"}, self._node_names
             )
+            if self._pattern.has_keys:
+                changed = dataclasses.replace(
+                    settings.gateway, revocation_s=REVOCATION_S
+                )
+                settings = dataclasses.replace(settings, gateway=changed)
             network = self._network.network(name)
             gateway = _gateway.Gateway(settings, network)
             self.gateways.append(gateway)
@@ -223,6 +246,21 @@
     async def _slow_weights(self):
         self.weights.full_speed_loads = SLOW_WEIGHTS_LOADS
 
+    async def _revoke_key(self):
+        """Revoke a key while a third of the nodes can't reach the store.
+
+        One of these can't reach the other nodes either.
+        """
+        isolated = self._node_names[0]
+        for name in self._node_names[::3]:
+            self._network.cut(name, "store")
+        for name in self._node_names[1:]:
+            self._network.cut(isolated, name)
+        changed = {**self._configuration, "version": 2}
+        changed["tenants"] = _tenants(KEYS[1:])
+        self._store.put("op/config", changed)
+        self.revoked_s = trio.current_time()
+
     async def _refuse_at_all_engines(self):
         """Let all engines ask for a pause of ``BUSY_S``."""
         until_s = trio.current_time() + BUSY_S
@@ -241,6 +279,8 @@
         if arrival.leaves_after_s is not None:
             until_s = min(until_s, begun_s + arrival.leaves_after_s)
         outcome = CallOutcome(arrival, "failed")
+        if self._pattern.has_keys:
+            outcome.key = self._key_rng.choice(KEYS)
         self.outcomes.append(outcome)
         with trio.CancelScope(deadline=until_s) as scope:
             for attempt in range(1 + MAX_RETRIES):
@@ -263,6 +303,9 @@
         sent_s = trio.current_time()
         left_s = until_s - sent_s
         headers = _headers(outcome.arrival, left_s, self._rng)
+        if outcome.key:
+            headers.append((messages.AUTHORIZATION, f"Bearer {outcome.key}"))
+        outcome.sent_s = sent_s
         try:
             async with self._callers.exchange(address) as exchange:
                 await exchange.send(
@@ -274,6 +317,8 @@
                     after_s = trio.current_time() - sent_s
                     outcome.refused_s = max(outcome.refused_s or 0.0, after_s)
                     return float(exchange.header("retry-after", "0.3"))
+                if status == 401:
+                    outcome.end = "refused"
                 if status == 200:
                     await self._read_answer(exchange, outcome, begun_s)
         except (OSError, trio.BrokenResourceError, h11.ProtocolError):
@@ -303,6 +348,7 @@
     "all_empty": Simulation._restart_all_engines,
     "all_busy": Simulation._refuse_at_all_engines,
     "slow_weights": Simulation._slow_weights,
+    "key_revoked": Simulation._revoke_key,
 }
 _LISTENER_PORTS = (
     ("caller", 80),
@@ -402,6 +448,27 @@
     return sum(not served[name] for name in frequent)
 
 
+def _summarise_revocation(simulation):
+    """Summarise the requests that were sent after a key was revoked.
+
+    ``served_late`` counts those with that key that were served although they
+    were sent after the bound.
+    """
+    since_s = simulation.revoked_s
+    after = [o for o in simulation.outcomes if o.sent_s > since_s]
+    revoked = [o for o in after if o.key == REVOKED_KEY]
+    late = [o for o in revoked if o.sent_s > since_s + REVOCATION_S]
+    others = [o for o in after if o.key != REVOKED_KEY]
+    return {
+        "asked": len(revoked),
+        "served": sum(o.end in _SERVED for o in revoked),
+        "asked_late": len(late),
+        "served_late": sum(o.end in _SERVED for o in late),
+        "others_asked": len(others),
+        "others_served": sum(o.end in _SERVED for o in others),
+    }
+
+
 def summarise(simulation):
     """Summarise a run.
 
@@ -443,6 +510,7 @@
         ),
         "adapters_never_served": _count_never_served(simulation.outcomes),
         "seconds": _ends_by_second(simulation),
+        "revocation": _summarise_revocation(simulation),
     }
 
 
@@ -519,3 +587,8 @@
             f"refused at once {row['refused_at_once']:.2f}  "
             f"first event p50 {row['first_p50_s']} s"
         )
+    if result["revocation"]["asked"]:
+        yield "revoked key: " + "  ".join(
+            f"{name.replace('_', ' ')} {count}"
+            for name, count in result["revocation"].items()
+        )
