Enforce workspaces' quotas over all nodes

Cause: a workspace could use its limit at each node, since no node knew what the others had granted.

Change: every node lends an equal share of each quota to the holder of a pool, which grants tokens from one bucket; nodes far below the limit spend on credit and report afterwards. The decisions of both sides are pure.

--- a/src/coltsfootsail/_gateway.py
+++ b/src/coltsfootsail/_gateway.py
@@ -33,6 +33,7 @@
 from coltsfootsail import _peers
 from coltsfootsail import _poison
 from coltsfootsail import _popularity
+from coltsfootsail import _quotas
 from coltsfootsail import _reach
 from coltsfootsail import _records
 from coltsfootsail import _relays
@@ -278,6 +279,16 @@
             self.now,
             self.metrics.count,
         )
+        self.quotas = _quotas.Quotas(
+            self._name,
+            gateway_settings,
+            self.view,
+            self.lease,
+            self.mesh,
+            lambda: self.readiness() == "ready",
+            self.now,
+            self.metrics.count,
+        )
         self.request_handler = _request_handler.RequestHandler(self)
 
     def _grant_controller(self, server_name):
@@ -370,6 +381,7 @@
         self.crash_checks.keep(self.view.servers)
         self.crashes.note_stored()
         self.reach.keep(self.view.servers)
+        self.quotas.note_view()
         self.owned_engines.turn_away_from_unavailable()
         if changed is None:
             self.mesh.dial_now()
@@ -486,6 +498,7 @@
             await nursery.start(self.limited_servers.run)
             await nursery.start(self.crashes.run)
             await nursery.start(self.reach.run)
+            nursery.start_soon(self.quotas.run)
             nursery.start_soon(self._run_sweep)
             nursery.start_soon(self._watch_clock)
             _logs.state(
--- a/src/coltsfootsail/_metrics.py
+++ b/src/coltsfootsail/_metrics.py
@@ -44,6 +44,9 @@
     "ledger": "Ledger results by kind",
     "tokens": "Events relayed to callers",
     "orders": "Orders to engines, by answer",
+    "quota_granted": "Use of quotas that was granted, by workspace",
+    "quota_refused": "Use of quotas that was refused, by workspace",
+    "quota_refunded": "Use of quotas that was given back, by workspace",
 }
 
 
@@ -58,6 +61,8 @@
     "nodes": "Nodes registered in the store",
     "waiting": "Requests that wait for a start, by engine owned",
     "running": "Requests started and not ended, by engine owned",
+    "quota_use": "Share of each quota held here that was used in its window",
+    "quota_lent_share": "Share of each quota that is lent to this node",
 }
 HISTOGRAMS = {
     "queue_seconds": "Wait for a start at the engine's owner, by service",
--- a/src/coltsfootsail/_pages.py
+++ b/src/coltsfootsail/_pages.py
@@ -25,6 +25,7 @@
     def __init__(self, gateway):
         self._gateway = gateway
         self._register_gauges(gateway.metrics.register_gauge)
+        gateway.quotas.register_gauges(gateway.metrics.register_gauge)
 
     def _register_gauges(self, register):
         gateway = self._gateway
--- a/src/coltsfootsail/_peers.py
+++ b/src/coltsfootsail/_peers.py
@@ -83,6 +83,7 @@
 
     def _on_link_up(self, node):
         self._count("peer_links", "up")
+        self._gateway.quotas.note_link(node)
         self._tell_what_is_known(node)
 
     def _tell_what_is_known(self, node):
@@ -111,6 +112,7 @@
         self._gateway.grant_server.drop_node(node)
         self._gateway.grant_client.drop_node(node)
         self._gateway.reach.forget(node)
+        self._gateway.quotas.drop_node(node)
 
     def _on_message(self, node, msg):
         handler = _HANDLERS.get(type(msg))
@@ -191,6 +193,12 @@
     def _on_server_check_reply(self, node, msg):
         self._gateway.crash_checks.handle_reply(msg)
 
+    def _on_quota_report(self, node, msg):
+        self._gateway.quotas.handle_report(node, msg)
+
+    def _on_quota_reply(self, node, msg):
+        self._gateway.quotas.handle_reply(node, msg)
+
     def _peer_addresses(self):
         """List the other nodes of the region.
 
@@ -253,4 +261,6 @@
     _wire.CutOff: PeerHandler._on_cut_off,
     _wire.ServerCheck: PeerHandler._on_server_check,
     _wire.ServerCheckReply: PeerHandler._on_server_check_reply,
+    _wire.QuotaReport: PeerHandler._on_quota_report,
+    _wire.QuotaReply: PeerHandler._on_quota_reply,
 }
--- a/src/coltsfootsail/_request_handler.py
+++ b/src/coltsfootsail/_request_handler.py
@@ -70,8 +70,9 @@
             context = self._create_context(req, meta)
             labels = context.labels
             try:
-                gateway.crashes.check_allowed(context)
-                await self._forward(context, resp)
+                async with gateway.quotas.charged(context):
+                    gateway.crashes.check_allowed(context)
+                    await self._forward(context, resp)
             finally:
                 gateway.crashes.end_trials(context)
         except exceptions.ColtsfootsailError as exc:
--- a/src/coltsfootsail/_token_bucket.py
+++ b/src/coltsfootsail/_token_bucket.py
@@ -3,6 +3,8 @@
 The code has no clock: each call states the time.
 """
 
+import math
+
 ROUNDING = 1e-9  # of tokens, by which a sum of additions may fall short
 
 
@@ -36,7 +38,23 @@
         """Get the time until a number of tokens has been added."""
         self._refill(now_s)
         missing = count - self._tokens
-        return 0.0 if missing <= ROUNDING else missing / self.per_s
+        if missing <= ROUNDING:
+            return 0.0
+        return missing / self.per_s if self.per_s else math.inf
+
+    def level(self, now_s):
+        """Get the number of tokens, which is negative after an overdraft."""
+        self._refill(now_s)
+        return self._tokens
+
+    def room(self, now_s):
+        """Get the number of tokens that may be added before it is full."""
+        return self._burst - self.level(now_s)
+
+    def add(self, count, now_s):
+        """Add tokens, or take them even if there are too few."""
+        self._refill(now_s)
+        self._tokens = min(self._burst, self._tokens + count)
 
     def try_take(self, now_s):
         """Take one token if there is one.
--- a/src/coltsfootsail/_wire.py
+++ b/src/coltsfootsail/_wire.py
@@ -506,8 +506,9 @@
     :param stamp_s: the last stamp of the holder, on its own clock; 0.0 for
         none.
     :param is_lent: whether the sender's entitlement is lent to the holder.
-    :param uses: tuples of workspace, tokens wanted, and tokens spent since
-        the last report, less those given back.
+    :param uses: tuples of workspace, tokens wanted, tokens spent since the
+        last report (negative if given back), and time in seconds from the
+        receipt of the stamp until the tokens that are given back were spent.
     """
 
     number: int
--- a/src/coltsfootsail/exceptions.py
+++ b/src/coltsfootsail/exceptions.py
@@ -145,6 +145,13 @@
     status = 429
 
 
+class OverQuota(Refusal):
+    """The workspace has used what its quota allows at this time."""
+
+    code = "over_quota"
+    status = 429
+
+
 class QueueFull(Refusal):
     """The queue for the endpoint is full."""
 
--- /dev/null
+++ b/tests/test_quota.py
@@ -0,0 +1,275 @@
+"""Tests for quotas over all nodes: the bound in each window, and the use."""
+
+import dataclasses
+import functools
+
+import pytest
+
+from coltsfootsail import _quota
+from coltsfootsail import _quota_pool
+from coltsfootsail import _wire
+from tests import quota_world
+
+WARM_S = 12.0
+
+
+def _load(world, length_s, per_s, names=None, sizes=(500, 2600)):
+    """Send requests of callers at a rate of tokens for some time."""
+    due = 0.0
+    for _ in range(round(length_s / quota_world.STEP_S)):
+        world.step()
+        due += per_s * quota_world.STEP_S
+        while due > 0:
+            cost = world.rng.uniform(*sizes)
+            due -= cost
+            world.call(world.rng.choice(names or world.names), cost)
+
+
+def _kill_one(world):
+    world.kill(world.rng.choice(world.names), world.rng.choice((0.1, 3, 20)))
+
+
+def _kill_all(world):
+    for name in world.names:
+        world.kill(name, world.rng.choice((0.3, 0.3, 2.0, 9.0)))
+
+
+def _kill_again_and_again(world):
+    name = world.rng.choice(world.names)
+    for _ in range(4):
+        world.kill(name, 0.2)
+        _load(world, 1.7, world.quota.per_s * 1.5)
+
+
+def _suspend(world):
+    for name in world.rng.sample(world.names, 1 + len(world.names) // 3):
+        world.nodes[name].awake_s = world.now_s + world.rng.choice(
+            (1.0, 4.0, 8.0, 30.0)
+        )
+
+
+def _cut_from_some(world):
+    one = world.rng.choice(world.names)
+    for other in world.rng.sample(world.names, len(world.names) // 2):
+        world.cut_off((one, other))
+
+
+def _split(world):
+    half = len(world.names) // 2
+    for one in world.names[:half]:
+        for other in world.names[half:]:
+            world.cut_off((one, other))
+
+
+def _split_with_store(world):
+    _split(world)
+    for one in world.names[: len(world.names) // 2]:
+        world.cut_off((one, "store"))
+
+
+def _cut_store(world):
+    for name in world.names:
+        world.cut_off((name, "store"))
+
+
+def _heal(world):
+    world.cut.clear()
+    world.disagree, world.delay_s = 0.0, 0.004
+
+
+def _disagree(world):
+    world.disagree = world.rng.choice((0.3, 1.0))
+
+
+def _delay(world):
+    world.delay_s = world.rng.choice((0.1, 1.0, 4.0))
+
+
+def _join(world):
+    name = f"n{len(world.names)}"
+    world.names.append(name)
+    world.down_until_s[name] = 0.0
+    world.nodes[name] = quota_world.Node(name)
+
+
+FAULTS = (
+    _kill_one,
+    _kill_all,
+    _kill_again_and_again,
+    _suspend,
+    _cut_from_some,
+    _split,
+    _split_with_store,
+    _cut_store,
+    _disagree,
+    _delay,
+    _heal,
+    _join,
+)
+
+
+@pytest.mark.parametrize("seed", range(24))
+def test_no_window_exceeds_the_quota_whatever_fails(seed):
+    """Guards against quotas granted twice after faults of any order."""
+    per_s = (2_000.0, 20_000.0, 150_000.0)[seed % 3]
+    quota = quota_world.make_quota(
+        per_s, per_s * (0.0, 0.5, 2.0, 6.0)[seed % 4]
+    )
+    nodes = (1, 2, 5, 16)[seed % 4]
+    world = quota_world.World(nodes, quota, seed, refunds=0.3 * (seed % 2))
+    rng = world.rng
+    _load(world, WARM_S, per_s * 1.2)
+    for _ in range(14):
+        rng.choice(FAULTS)(world)
+        load = rng.choice((0.0, 0.3, 1.0, 3.0))
+        names = rng.choice((None, rng.sample(world.names, 1)))
+        _load(world, rng.choice((0.5, 3.0, 8.0)), per_s * load, names)
+    _heal(world)
+    world.refunds = 0.0
+    _load(world, 25.0, per_s * 3)
+    assert world.worst_window() <= 1.0
+    used = world.spent(world.now_s - 8.0, world.now_s - 0.5)
+    assert used >= 0.9 * 7.5 * per_s
+
+
+@pytest.mark.parametrize("fault", FAULTS)
+def test_no_window_exceeds_the_quota_around_one_fault(fault):
+    """Guards against a fault that gives a full bucket or a credit again."""
+    quota = quota_world.make_quota()
+    for idle_s in (0.0, 8.0):
+        world = quota_world.World(9, quota, 3)
+        _load(world, WARM_S, quota.per_s * 1.2)
+        _load(world, idle_s, 0.0)
+        _load(world, 0.4, quota.per_s * 30)
+        fault(world)
+        _load(world, 12.0, quota.per_s * 3)
+        assert world.worst_window() <= 1.0
+
+
+def test_refusals_after_a_queue_do_not_let_a_window_exceed_the_quota():
+    """Guards against tokens given back late and spent at once."""
+    quota = quota_world.make_quota()
+    world = quota_world.World(5, quota, 1, refunds=0.7)
+    _load(world, 30.0, quota.per_s * 4)
+    world.refunds = 0.0
+    _load(world, 10.0, quota.per_s * 4)
+    assert world.worst_window() <= 1.0
+
+
+@pytest.mark.parametrize("nodes", [1, 2, 77])
+def test_the_whole_quota_can_be_used_also_at_nodes_without_load_before(nodes):
+    """Guards against a share of the limit that no caller can use."""
+    quota = quota_world.make_quota(150_000.0, 300_000.0)
+    world = quota_world.World(nodes, quota, 1)
+    load = functools.partial(_load, world, 12.0, quota.per_s * 1.1)
+    load()
+    load()
+    steady = world.spent(world.now_s - 11.0, world.now_s - 1.0)
+    assert steady >= 0.98 * 10.0 * quota.per_s
+    load(world.names[-5:])
+    moved = world.spent(world.now_s - 11.0, world.now_s - 1.0)
+    assert moved >= 0.98 * 10.0 * quota.per_s
+    assert world.worst_window() <= 1.0
+
+
+def test_a_lowered_limit_binds_within_three_seconds():
+    """Guards against tokens of the old limit that are spent later."""
+    quota = quota_world.make_quota()
+    world = quota_world.World(9, quota, 1)
+    _load(world, WARM_S, quota.per_s * 0.5)
+    world.quota = lower = dataclasses.replace(
+        quota, per_s=2000.0, burst=4000.0
+    )
+    _load(world, 3.0, quota.per_s * 0.5)
+    since_s = world.now_s
+    _load(world, 8.0, quota.per_s * 2)
+    bound = (8 * lower.per_s + lower.burst) * 1.1 + quota_world.RULES.slack
+    assert world.spent(since_s, world.now_s) <= bound
+
+
+def test_a_tenant_far_below_its_limit_spends_without_asking():
+    """Guards against a round trip on the path of each request."""
+    quota = quota_world.make_quota(150_000.0, 300_000.0)
+    world = quota_world.World(9, quota, 1)
+    _load(world, 15.0, 15_000.0)
+    since_s = world.now_s
+    _load(world, 5.0, 15_000.0)
+    waited = [e for e in world.begun if e[0] >= since_s and e[1] > e[0]]
+    assert not waited
+    assert not [sent_s for sent_s, _ in world.refused if sent_s >= since_s]
+
+
+def _pool(burst=100.0):
+    """Make a pool that is full, at 10 tokens a second."""
+    rules = _quota_pool.QuotaRules(8.0, 0.0, 0.0)
+    quota = dataclasses.replace(
+        quota_world.make_quota(10.0, burst), counts_tokens=False
+    )
+    pool = _quota_pool.QuotaPool("n0", rules, quota, 0.0)
+    pool.advance(quota, 1, 0.0)
+    pool.lend("n1", 1000.0, 0.0)
+    pool.advance(quota, 1, 20.0)
+    return pool
+
+
+def test_the_stated_wait_is_true_and_refused_retries_do_not_move_it():
+    """Guards against callers that are sent away again when they return."""
+    pool = _pool()
+    assert pool.request(90.0, 20.0) == (True, 0.0)
+    for now_s in (20.0, 22.0, 24.5):
+        granted, wait_s = pool.request(60.0, now_s)
+        assert not granted
+        assert now_s + wait_s == pytest.approx(25.0)
+    assert pool.request(60.0, 25.0) == (True, 0.0)
+
+
+def test_a_request_larger_than_any_bucket_is_refused_with_a_time():
+    """Guards against a request that waits for ever."""
+    granted, wait_s = _pool().request(150.0, 20.0)
+    assert not granted
+    assert wait_s == _quota_pool.NEVER_WAIT_S
+
+
+def test_what_was_given_back_late_fits_only_where_the_bucket_had_room():
+    """Guards against tokens that a full bucket could not have saved up."""
+    pool = _pool()
+    pool.spend(70.0, 20.0)
+    pool.spend(30.0, 21.0)
+    pool.refund(30.0, 21.0, 21.1)
+    assert pool.request(41.0, 21.1) == (True, 0.0)
+    pool.advance(pool._quota, 1, 31.2)
+    assert pool.request(100.0, 31.2) == (True, 0.0)
+    pool.refund(41.0, 21.1, 31.3)
+    assert not pool.request(2.0, 31.3)[0]
+
+
+def test_reports_with_an_old_stamp_lend_nothing():
+    """Guards against entitlements that count at two holders."""
+    holder = _quota_pool.PoolHolder("n0", quota_world.RULES)
+    quotas = {"w": quota_world.make_quota()}
+    uses = (("w", 0.0, 0.0, 0.0),)
+
+    def report(number, stamp_s, now_s):
+        msg = _wire.QuotaReport(number, stamp_s, True, uses)
+        holder.handle("n1", msg, quotas, 2, now_s)
+        return holder.lent_shares()
+
+    assert report(1, 0.0, 100.0) == {}
+    assert report(2, 100.0, 103.0) == {}
+    assert report(3, 103.0, 103.1) == {"w": 0.5}
+    assert report(4, 103.0, 106.0) == {}
+
+
+def test_nodes_that_may_still_run_are_counted():
+    """Guards against shares that grow while a cut-off node spends its own."""
+    membership = _quota.Membership()
+    both = {"n0": False, "n1": False}
+    for now_s in range(10):
+        membership.note(both, True, float(now_s))
+    assert membership.count(9.0) == 2
+    membership.note({"n0": False}, True, 10.0)
+    assert membership.count(10.0) == 2
+    for now_s in range(11, 18):
+        membership.note({"n0": False}, True, float(now_s))
+    assert membership.count(17.0) == 1
+    assert membership.count(23.0) is None
