--- a/src/coltsfootsail/standins/network.py
+++ b/src/coltsfootsail/standins/network.py
@@ -39,6 +39,7 @@
     :param closed: the source closed the connection.
     :param broken: the target closed it, or a host's connections broke.
     :param lost: data sent from now on is dropped.
+    :param unpowered: one end's host has lost power.
     :param held: data stays in ``chunks`` until the fault is removed.
     :param event: set to wake the tasks that wait for a change.
     """
@@ -50,6 +51,7 @@
     closed: bool = False
     broken: bool = False
     lost: bool = False
+    unpowered: bool = False
     held: bool = False
     event: trio.Event = dataclasses.field(default_factory=trio.Event)
 
@@ -127,7 +129,8 @@
             if self._net.fault(self._outbound) is LinkFault.SILENT:
                 self._outbound.lost = True
             self._outbound.closed = True
-            self._inbound.broken = True
+            if not self._outbound.unpowered:
+                self._inbound.broken = True
             self._outbound.wake()
             self._inbound.wake()
         await trio.lowlevel.checkpoint()
@@ -220,6 +223,15 @@
                 pipe.broken = True
         self._wake_all()
 
+    def lose_power(self, host):
+        """Drop all further data on a host's connections.
+
+        The far ends do not learn that they have ended.
+        """
+        for pipe in self._pipes:
+            if host in (pipe.source, pipe.target):
+                pipe.lost = pipe.unpowered = True
+
     def break_between(self, source, target):
         """Break the open connections between two hosts."""
         ends = {source, target}
