Record the versions of streams in the store

Cause: after a loss of all nodes no node knew at which software version a stream began.

Every node sees them through its watch, also older builds, which ignore keys with an unknown prefix. The origin of a stream is looked up in memory, among peers, then in the records; records that disagree, or that name a further version of the service, make it unknown. Logs and counters state the source.

--- a/src/coltsfootsail/_gateway.py
+++ b/src/coltsfootsail/_gateway.py
@@ -42,6 +42,7 @@
 from coltsfootsail import _server_limits
 from coltsfootsail import _server_states
 from coltsfootsail import _stream_origins
+from coltsfootsail import _stream_writer
 from coltsfootsail import _upstream
 from coltsfootsail import _view
 from coltsfootsail import _wire
@@ -136,8 +137,25 @@
             self.now,
         )
 
+        self.stream_writer = _stream_writer.StreamWriter(
+            (self._name, self._incarnation),
+            self.kv,
+            self.now,
+            self._node_count,
+            _stream_origins.KEEP_S,
+            self.metrics.count,
+        )
         self.stream_origins = _stream_origins.StreamOrigins(
-            self.view, self.mesh, self.now
+            self.view,
+            self.mesh,
+            self.now,
+            _stream_origins.StreamStore(
+                self.view.stream_slots,
+                self.stream_writer.record,
+                self._wait_until_populated,
+            ),
+            network.wall,
+            self.metrics.count,
         )
         self.crash_checks = _crash_checks.CrashChecks(
             self.view,
@@ -302,6 +320,11 @@
             return NODE_COUNT_DEFAULT
         return self._max_nodes_seen + NODE_COUNT_RESERVE
 
+    async def _wait_until_populated(self):
+        """Wait at the node's start until the store's entries were read."""
+        with trio.move_on_after(_request_handler.CONFIGURATION_WAIT_S):
+            await self.view.populated.wait()
+
     def readiness(self):
         """Tell whether callers should use this node.
 
@@ -481,6 +504,7 @@
                 self.view,
             )
             nursery.start_soon(self.peers.run)
+            nursery.start_soon(self.stream_writer.run)
             nursery.start_soon(self.claims.run)
             nursery.start_soon(self.owned_engines.run)
             await nursery.start(self.limited_servers.run)
--- a/src/coltsfootsail/_keys.py
+++ b/src/coltsfootsail/_keys.py
@@ -14,6 +14,7 @@
 WAITS = STATE + "waits/"
 STRIKES = STATE + "strikes/"
 BLAMED_PARTS = STATE + "blamed-parts/"
+STREAMS = STATE + "streams/"
 ERA = STATE + "era"
 CONFIG_ROOT = STATE + "config"
 CHUNKS = DATA + "chunks/"
@@ -52,6 +53,14 @@
     return BLAMED_PARTS + digest.hexdigest()
 
 
+def stream_slot(node, incarnation, slot):
+    """Key of a batch of streams that began at one incarnation of a node.
+
+    It is attached to a lease of its own, so that it outlives the node.
+    """
+    return f"{STREAMS}{node}/{incarnation}/{slot:04d}"
+
+
 def chunk(digest):
     """Key of a configuration chunk, by its hash in hex."""
     return CHUNKS + digest
--- a/src/coltsfootsail/_metrics.py
+++ b/src/coltsfootsail/_metrics.py
@@ -33,6 +33,10 @@
     "others reach, and the ends",
     "poisoned_parts": "Parts of prompts that were blamed for crashes, or "
     "cleared",
+    "streams_taken_up": "Streams that callers took up, by where their "
+    "software version was found",
+    "stream_records": "Streams recorded in the store, the writes of them, "
+    "and those that failed",
     "kv_calls": "Calls to the KV service, by kind",
     "kv_state": "Changes of the KV service's reachability",
     "store_eras": "Returns of the store from an older copy",
--- a/src/coltsfootsail/_records.py
+++ b/src/coltsfootsail/_records.py
@@ -128,6 +128,25 @@
     crashes: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StreamGroup:
+    """Streams that began at one software version of a service.
+
+    :param digests: digests of their request ids, one after the other.
+    """
+
+    service: str
+    software: str
+    digests: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StreamSlot:
+    """Streams that began at one node within some seconds."""
+
+    groups: tuple[StreamGroup, ...] = ()
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Operation:
     """Sets or deletes one entry of the configuration.
--- a/src/coltsfootsail/_stream_origins.py
+++ b/src/coltsfootsail/_stream_origins.py
@@ -5,11 +5,13 @@
 take its stream up at any node, also after the first one has failed.  While a
 service has servers of several versions, the node at which a stream begins
 therefore tells some others, chosen by a hash of the request's id, and a node
-that does not know a stream asks them.
+that does not know a stream asks them.  Streams are also recorded in the store
+meanwhile, for the case that all nodes lose their memory.
 """
 
 import bisect
 import collections
+import collections.abc
 import dataclasses
 import functools
 import hashlib
@@ -17,6 +19,8 @@
 
 import trio
 
+from coltsfootsail import _logs
+from coltsfootsail import _stream_records
 from coltsfootsail import _wire
 
 COPIES = 3  # nodes that are told of a stream
@@ -44,6 +48,22 @@
     origin: Origin
     noted_s: float
     is_own: bool
+    is_recorded: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StreamStore:
+    """What the store keeps of streams.
+
+    :param list_slots: lists the records as ``StreamSlot``.
+    :param record: ``(request id, service, software)`` records a stream.
+    :param wait_until_read: async, waits at a node's start until the records
+        were read, for as long as requests are held.
+    """
+
+    list_slots: collections.abc.Callable = tuple
+    record: collections.abc.Callable = lambda *stream: None
+    wait_until_read: collections.abc.Callable = trio.lowlevel.checkpoint
 
 
 def _position(text):
@@ -113,9 +133,24 @@
     :param view: a ``DeploymentView``.
     :param mesh: a ``Mesh``.
     :param now: closure that reads the clock.
+    :param store: a ``StreamStore``.
+    :param wall: closure that reads the time of day, None where servers do
+        not state when they started.
+    :param count: ``(counter, reason)``.
     """
 
-    def __init__(self, view, mesh, now):
+    def __init__(
+        self,
+        view,
+        mesh,
+        now,
+        store=None,
+        wall=None,
+        count=lambda counter, reason: None,
+    ):
+        self._store = store or StreamStore()
+        self._wall = wall
+        self._count = count
         self._view = view
         self._mesh = mesh
         self._now = now
@@ -127,10 +162,12 @@
         self._numbers = itertools.count(1)
         self._questions = {}
 
-    def _note(self, request_id, origin, is_own):
+    def _note(self, request_id, origin, is_own, is_recorded=False):
         self._drop_old()
         self._entries.pop(request_id, None)
-        self._entries[request_id] = _Entry(origin, self._now(), is_own)
+        self._entries[request_id] = _Entry(
+            origin, self._now(), is_own, is_recorded
+        )
 
     def _drop_old(self):
         oldest_s = self._now() - KEEP_S
@@ -177,36 +214,70 @@
         A node that has started lately relies on the store, which shows the
         engines that have left.
         """
-        versions = self._seen_s.get(service, ())
+        versions = set(self._seen_s.get(service, ()))
         if len(versions) != 1:
             return None
-        if self._now() - self._started_s < KEEP_S and any(
-            name not in self._view.servers
-            for name in self._view.previously_claimed()
+        if self._now() - self._started_s < KEEP_S and (
+            any(
+                name not in self._view.servers
+                for name in self._view.previously_claimed()
+            )
+            or self._are_all_new(service)
         ):
             return None
+        slots = self._store.list_slots()
+        if _stream_records.list_versions(slots, service) - versions:
+            return None
         return Origin(service, next(iter(versions)))
 
+    def _are_all_new(self, service):
+        """Tell whether all servers of a service have started lately.
+
+        They may have replaced others of the same names.
+        """
+        if self._wall is None:
+            return False
+        oldest_ms = (self._wall() - KEEP_S) * 1000
+        born_ms = [
+            server.born_ms
+            for server in self._view.servers.values()
+            if server.service == service
+        ]
+        return bool(born_ms) and min(born_ms) > max(0, oldest_ms)
+
     def _is_view_recent(self):
         contact_s = self._view.last_contact_s
         return contact_s is not None and (
             self._now() - contact_s < CONTACT_MAX_S
         )
 
-    def note_begun(self, request_id, origin):
-        """Note that a stream began, or was taken up, at this node."""
-        self._note(request_id, origin, is_own=True)
+    def note_begun(self, request_id, origin, is_recorded=True):
+        """Note that a stream began, or was taken up, at this node.
+
+        :param is_recorded: whether it is recorded in the store while its
+            service has servers of several versions.
+        """
+        self._note(request_id, origin, True, is_recorded)
         if origin.service in self._with_several:
             self._tell(request_id, origin)
+            if is_recorded:
+                self._record(request_id, origin)
+
+    def _record(self, request_id, origin):
+        self._store.record(request_id, origin.service, origin.software)
 
     def _tell_own(self, service):
+        self._drop_old()
         own = [
-            (request_id, entry.origin)
+            (request_id, entry)
             for request_id, entry in self._entries.items()
             if entry.is_own and entry.origin.service == service
         ]
-        for request_id, origin in own[-RETELL_MAX:]:
-            self._tell(request_id, origin)
+        for request_id, entry in own[-RETELL_MAX:]:
+            self._tell(request_id, entry.origin)
+        for request_id, entry in own:
+            if entry.is_recorded:
+                self._record(request_id, entry.origin)
 
     def _tell(self, request_id, origin):
         msg = _wire.StreamBegun(request_id, origin.service, origin.software)
@@ -253,17 +324,41 @@
         :param service: the service that it is sent to now.
         :returns: an ``Origin``, or None if it is not known.
         """
+        origin, source = await self._find(request_id, service)
+        self._count("streams_taken_up", source)
+        _logs.detail(
+            "stream_taken_up",
+            id=request_id,
+            source=source,
+            software="" if origin is None else origin.software,
+        )
+        return origin
+
+    async def _find(self, request_id, service):
+        """Find where a stream began, and from which source.
+
+        :returns: tuple of ``Origin`` or None, and the source.
+        """
         origin = self._get(request_id)
         if origin is not None:
-            return origin
-        if not request_id:
-            return self._only_origin(service)
-        question = await self._ask(request_id, service)
-        if question.known is not None:
-            return question.known
-        if self._is_view_recent():
-            return self._only_origin(service)
-        return question.only
+            return origin, "memory"
+        only = None
+        if request_id:
+            question = await self._ask(request_id, service)
+            if question.known is not None:
+                return question.known, "peer"
+            only = question.only
+        await self._store.wait_until_read()
+        stored = _stream_records.find_versions(
+            self._store.list_slots(), request_id
+        )
+        if len(stored) > 1:
+            return None, "conflict"
+        if stored:
+            return Origin(*stored.pop()), "store"
+        if not request_id or self._is_view_recent():
+            only = self._only_origin(service)
+        return only, "unknown" if only is None else "only_version"
 
     async def _ask(self, request_id, service):
         """Ask other nodes where a stream began.
--- a/src/coltsfootsail/_streams.py
+++ b/src/coltsfootsail/_streams.py
@@ -436,7 +436,9 @@
         origin = _stream_origins.Origin(context.service, server.software)
         meta = context.meta
         for request_id in {meta.request_id, meta.resumes} - {""}:
-            self._gateway.stream_origins.note_begun(request_id, origin)
+            self._gateway.stream_origins.note_begun(
+                request_id, origin, context.route.resumable
+            )
 
     async def _relay_error_response(self, exchange, sink, resp):
         if sink.started:
--- a/src/coltsfootsail/_view.py
+++ b/src/coltsfootsail/_view.py
@@ -43,6 +43,7 @@
     (_keys.WAITS, _records.Wait),
     (_keys.ERA, _records.SettledEra),
     (_keys.BLAMED_PARTS, _records.BlamedPart),
+    (_keys.STREAMS, _records.StreamSlot),
 )
 _NO_SETTLED_ERA = (_records.SettledEra(_eras.FIRST_ERA), 0)
 
@@ -154,6 +155,14 @@
         """
         return list(self._records[_keys.BLAMED_PARTS].values())
 
+    def stream_slots(self):
+        """List the records of streams that began at any node.
+
+        :returns: list of ``StreamSlot``.
+        """
+        slots = self._records[_keys.STREAMS].values()
+        return [record for record, _ in slots]
+
     def settled_era(self):
         """Get the era in which no holder of an earlier one can order.
 
