--- a/src/coltsfootsail/_stream_records.py
+++ b/src/coltsfootsail/_stream_records.py
@@ -14,10 +14,11 @@
 DIGEST_BYTES = 8
 INTERVAL_MIN_S = 0.25  # between the writes of one node
 WRITES_PER_S_MAX = 200.0  # of all nodes together
-SLOT_DIGESTS_MAX = 128
+SLOT_DIGESTS_MAX = 32  # a batch that follows goes to another slot
+BATCH_DIGESTS_MAX = 4096  # of one slot
 SLOT_AGE_MAX_S = 15.0  # from its first stream to its last
-SLOTS_MAX = 4096  # of one node; beyond, the oldest is written over
-SLOTS_PER_WRITE_MAX = 64
+SLOTS_MAX = 1024  # of one node; beyond, the oldest is written over
+SLOTS_PER_WRITE_MAX = 16
 
 
 def write_interval_s(nodes):
@@ -85,10 +86,15 @@
     digests: dict = dataclasses.field(default_factory=dict)
     size: int = 0
 
-    def has_room(self, now_s):
-        """Tell whether streams may be added."""
+    def has_room(self, now_s, is_changed):
+        """Tell whether streams may be added.
+
+        :param is_changed: whether it is to be written in any case, so that
+            another stream costs no further write.
+        """
+        size_max = BATCH_DIGESTS_MAX if is_changed else SLOT_DIGESTS_MAX
         is_young = now_s - self.opened_s < SLOT_AGE_MAX_S
-        return is_young and self.size < SLOT_DIGESTS_MAX
+        return is_young and self.size < size_max
 
     def add(self, digest, version, now_s):
         """Add a stream."""
@@ -145,7 +151,8 @@
         :param version: pair of service and software version.
         """
         slot = self._slots.get(self._current)
-        if slot is None or not slot.has_room(now_s):
+        is_changed = self._current in self._unwritten
+        if slot is None or not slot.has_room(now_s, is_changed):
             slot = self._open(now_s)
         slot.add(make_digest(request_id), version, now_s)
         self._unwritten.setdefault(self._current, 0)
