Check the configuration of gateways before it is written

Cause: an operator learned of a mistake in the JSON document only from a gateway that did not apply it, or from refused requests.

Change: config check takes a JSON document too. Exit codes 0, 1 and 2. TOML documents are checked as before.

--- a/src/coltsfootsail/_cli_config.py
+++ b/src/coltsfootsail/_cli_config.py
@@ -12,18 +12,39 @@
 from coltsfootsail import _options
 from coltsfootsail import _schema
 from coltsfootsail import exceptions
+from coltsfootsail.platform import config_changes
+from coltsfootsail.platform import config_check
 from coltsfootsail import sessions
 
 
-@cappa.command(name="check", help="Check a configuration file.")
+@cappa.command(
+    name="check",
+    help="Check a configuration file.",
+    description=(
+        "Example: coltsfootsail config check new.json --against now.json. "
+        "A JSON file is checked as the configuration of gateways: exit code "
+        "0 without findings, 1 with warnings, 2 with errors."
+    ),
+)
 @dataclasses.dataclass
 class ConfigCheck:
     """Check a configuration document."""
 
-    file: typing.Annotated[str, cappa.Arg(help="TOML file.")]
+    file: typing.Annotated[
+        str, cappa.Arg(help="TOML file, or JSON file of gateways.")
+    ]
+    against: typing.Annotated[
+        str,
+        cappa.Arg(
+            long="--against", help="JSON file with the version in force."
+        ),
+    ] = ""
     json: _options.Json = False
 
     def __call__(self):
+        data = _read_bytes(self.file)
+        if self.against or _is_of_gateways(self.file, data):
+            return _check_gateways(data, self.against, self.json)
         document = read_document(self.file)
         count = len(document.adapters)
         value = {"ok": True, "adapters": count}
@@ -31,6 +52,63 @@
         return _options.EXIT_OK
 
 
+def _is_of_gateways(path, data):
+    return path.endswith(".json") or data.lstrip().startswith(b"{")
+
+
+def _read_bytes(path):
+    try:
+        with open(path, "rb") as file:
+            return file.read()
+    except OSError as exc:
+        problem = _schema.Problem(path, str(exc), "a readable file")
+        raise exceptions.DocumentError([problem]) from exc
+
+
+def _check_gateways(data, against, as_json):
+    """Check a configuration of gateways, and print what differs.
+
+    :param data: bytes of the new configuration.
+    :param against: name of the file with the one in force, empty for none.
+    :returns: the exit code.
+    """
+    in_force, findings = None, []
+    if against:
+        old_data = _read_bytes(against)
+        in_force, _ = config_check.load(old_data)
+        # The version in force may have warnings that the new one removes.
+        findings = [
+            dataclasses.replace(each, place=f"{against}: {each.place}")
+            for each in config_check.check(old_data)
+            if each.level == "error"
+        ]
+    findings += config_check.check(data, in_force)
+    levels = {each.level for each in findings}
+    changes = []
+    if against and "error" not in levels:
+        new, _ = config_check.load(data)
+        changes = list(config_changes.list_changes(in_force, new))
+    value = {
+        "findings": [dataclasses.asdict(each) for each in findings],
+        "changes": [dataclasses.asdict(each) for each in changes],
+    }
+    _options.show(value, as_json, _check_lines(findings, changes))
+    if "error" in levels:
+        return _options.EXIT_USAGE
+    return _options.EXIT_FAILED if levels else _options.EXIT_OK
+
+
+def _check_lines(findings, changes):
+    for each in findings:
+        yield f"{each.level}: {each.place or 'document'}: {each.text}"
+    for each in changes:
+        values = f": {each.old or '-'} -> {each.new or '-'}"
+        shown = values if each.kind == "changed" else ""
+        yield f"{each.kind}: {each.place}{shown}"
+    if not findings:
+        yield "ok"
+
+
 def read_document(path):
     """Read a configuration document from a TOML file.
 
