Admit fairly between workspaces, and project every start

Cause: the owner of an engine queued by priority and arrival alone, so a workspace with many times its usual load pushed out the others, and a queued request learned only when its time was up that it had no chance.

Change: start-time fair queueing over workspaces within a priority (_fair_share); while a request of a workspace waits, each arrival and decision projects all starts (_projection) and turns away at once what can no longer start in time; return times are spread (_return_times). The largest tenth yields for its work only while it is served nearly as often as all (_large_requests). Memory is reserved for the greatest answer; the caller's hint only estimates work. The test of the request headers had the hint as the length for both and now states both. Refusals of owners are counted by reason and workspace.

--- a/src/coltsfootsail/_adapter_slots.py
+++ b/src/coltsfootsail/_adapter_slots.py
@@ -14,6 +14,7 @@
 COLD_LOAD_S = 0.30  # load from the weight store, with the wait for it
 WARM_LOAD_S = 0.06  # load of an adapter that the engine held recently
 RECENT_MAX = 100  # recently held adapters, which load faster
+RUN_MIN_S = 0.01  # shortest mean run time in estimates
 BLOCKED_TIMEOUT_S = 6.0  # until an order that waits for runs may be repeated
 LOAD_SETTLE_S = 0.6  # no eviction earlier: the load may be in progress
 # If an adapter is missing this long after its last order, the known state
@@ -100,15 +101,66 @@
         turn_s = excess * run_s / max(1, count)
         return turn_s + COLD_LOAD_S * (1 + absent_ahead // LOADS_MAX)
 
+    def load_waits_s(self, requests, now_s, run_s):
+        """Estimate the waits of requests for their adapters.
+
+        An adapter slot becomes free when its running requests end, but not
+        while a request before wants its adapter.
+
+        :param requests: ``AdmissionRequest`` in the order of their starts.
+        :param run_s: mean run time of requests.
+        :returns: list of seconds.
+        """
+        wanted, absent = set(), set()
+        waits_s = []
+        for request in requests:
+            adapter, version = request.adapter, request.version
+            slot = self.held.get(adapter)
+            is_held = slot is not None and slot.version >= version
+            if "/" not in adapter:
+                waits_s.append(0.0)
+            elif is_held and not slot.blocked:
+                waits_s.append(max(0.0, slot.ready_s - now_s))
+            elif slot is not None:
+                waits_s.append(COLD_LOAD_S + (run_s if slot.running else 0.0))
+            else:
+                ahead = len(absent - {adapter})
+                waits_s.append(self._turn_s(ahead, wanted, run_s))
+                absent.add(adapter)
+            wanted.add(adapter)
+        return waits_s
+
+    def _turn_s(self, absent_ahead, wanted, run_s):
+        """Estimate the wait for a slot and a load behind other loads."""
+        free = self._engine.adapter_slots - len(self.held)
+        ends_per_s = 0.0
+        for adapter, slot in self.held.items():
+            if adapter in wanted:
+                continue
+            if not slot.running:
+                free += 1
+                continue
+            ends_per_s += 1.0 / max(RUN_MIN_S, run_s)
+        load_s = COLD_LOAD_S * (1 + absent_ahead // LOADS_MAX)
+        excess = absent_ahead + 1 - free
+        if excess <= 0:
+            return load_s
+        # Without a slot that becomes free, one does after the run of the
+        # requests that wait for it.
+        per_s = ends_per_s or 1.0 / max(RUN_MIN_S, run_s)
+        return excess / per_s + load_s
+
     def loads_in_progress(self, now_s):
         """Count the loads in progress."""
         return sum(slot.ready_s > now_s for slot in self.held.values())
 
-    def plan(self, wanted, now_s, loads_max=LOADS_MAX):
+    def plan(self, wanted, now_s, loads_max=LOADS_MAX, yielding=frozenset()):
         """Choose the next order.
 
         :param wanted: pairs of adapter and version, most urgent first.
         :param loads_max: loads in progress at which no other begins.
+        :param yielding: wanted adapters that may be unloaded for those that
+            are not among them.
         :returns: a ``PlannedOrder`` or None.
         """
         if self.sequence is None:
@@ -132,7 +184,10 @@
                 return None
             if len(self.held) < self._engine.adapter_slots:
                 return PlannedOrder(True, adapter, version)
-            victim = self._eviction_victim(wanted_names, now_s)
+            kept = wanted_names
+            if adapter not in yielding:
+                kept = wanted_names - yielding
+            victim = self._eviction_victim(kept, now_s)
             return PlannedOrder(False, victim) if victim else None
         return None
 
--- a/src/coltsfootsail/_arrivals.py
+++ b/src/coltsfootsail/_arrivals.py
@@ -64,6 +64,7 @@
     :param plain_servers: number of servers of the plain service.
     :param plain_slots: requests that each of them runs at once.
     :param plain_work_s: how long each request runs there.
+    :param workspaces: number of workspaces that the requests are made for.
     """
 
     kinds: tuple
@@ -82,6 +83,7 @@
     plain_servers: int = 0
     plain_slots: int = 6
     plain_work_s: float = 0.09
+    workspaces: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -93,6 +95,7 @@
         None.
     :param retries_immediately: whether the caller repeats a refused request
         without the wait that the refusal asks for.
+    :param workspace: name of the workspace that it is made for.
     """
 
     at_s: float
@@ -102,6 +105,7 @@
     output_tokens: int
     leaves_after_s: float | None = None
     retries_immediately: bool = False
+    workspace: str = ""
 
 
 def _kind(
@@ -205,7 +209,31 @@
     engines=1,
     plain_servers=3,
 )
+# Engines whose adapter slots bind before their other capacity does.
+TENANTS = dataclasses.replace(
+    GROWN,
+    kinds=(
+        _kind("paid", 20.6, (350, 1110), 43, 0.3, 15.0, 2.6, 0.78),
+        dataclasses.replace(
+            _kind("free", 5.0, (350, 1110), 43, 0.3, 25.0, 1.3, 0.39),
+            objective_s=2.0,
+        ),
+        dataclasses.replace(
+            _kind("letter", 13.0, (155, 491), 17, 0.3, 8.0, 1.8, 0.55),
+            objective_s=0.8,
+        ),
+    ),
+    nodes=3,
+    engines=4,
+    slots=48,
+    kv_tokens=129_425,
+    adapter_slots=16,
+    adapters=2000,
+    full_speed_loads=9,
+    workspaces=16,
+)
 SIZES = {
+    "tenants": TENANTS,
     "counter": COUNTER,
     "shop": SHOP,
     "shop-grown": GROWN,
@@ -231,6 +259,8 @@
     :param leave_share: share of the callers who leave early.
     :param immediate_retry_share: share of the callers who retry a refused
         request immediately.
+    :param hot_factor: ``(share of the run) -> factor`` on the rate of the
+        first workspace.
     """
 
     rate_factor: object = lambda kind, run_share: 1.0
@@ -240,12 +270,28 @@
     late_orders: object = lambda run_share: 0.0
     leave_share: float = 0.0
     immediate_retry_share: float = 0.0
+    hot_factor: object = lambda run_share: 1.0
+
+
+HOT_FACTOR = 7.5
+HOT_SHARE = (0.4, 0.4 + 6.5 / 40.0)  # 6.5 s of a run of 40 s
 
 
 def _in_middle(run_share):
     return 0.35 <= run_share < 0.6
 
 
+def _hot_factor(run_share):
+    return HOT_FACTOR if HOT_SHARE[0] <= run_share < HOT_SHARE[1] else 1.0
+
+
+def _too_little_room(kind, run_share):
+    """Send 1.7 times of all requests, and 2.4 times of the free ones."""
+    if not _in_middle(run_share):
+        return 1.0
+    return 2.4 if kind.name == "free" else 1.7
+
+
 PATTERNS = {
     "quiet": LoadPattern(),
     "wave": LoadPattern(
@@ -259,6 +305,8 @@
         )
     ),
     "rare": LoadPattern(uniform=_in_middle),
+    "hot": LoadPattern(hot_factor=_hot_factor),
+    "little_room": LoadPattern(rate_factor=_too_little_room),
     "shift": LoadPattern(popularity_shift=0.5),
     "engine_gone": LoadPattern(fault="engine_gone"),
     "engines_gone": LoadPattern(fault="engines_gone"),
@@ -342,12 +390,13 @@
             at_s += rng.expovariate(kind.rate_per_s * factor)
             if at_s >= length_s:
                 break
-            arrivals.append(
-                _make_arrival(at_s, kind, size, pattern, rng, adapters)
-            )
+            arrivals.append(_make_arrival(at_s, kind, size, pattern, rng))
     arrivals.sort(key=lambda arrival: arrival.at_s)
+    arrivals = _with_workspaces(arrivals, size, seed)
+    # The others are the same with and without the hot workspace.
+    arrivals += _hot_arrivals(size, pattern, length_s, seed)
     share_per_s = 1.0 / length_s
-    return [
+    arrivals = [
         dataclasses.replace(
             arrival,
             adapter=adapters.draw(
@@ -358,9 +407,40 @@
         )
         for arrival in arrivals
     ]
+    arrivals.sort(key=lambda arrival: arrival.at_s)
+    return arrivals
+
+
+def _with_workspaces(arrivals, size, seed):
+    if not size.workspaces:
+        return arrivals
+    rng = random.Random(f"workspaces/{seed}")
+    return [
+        dataclasses.replace(
+            arrival, workspace=f"w{rng.randrange(size.workspaces)}"
+        )
+        for arrival in arrivals
+    ]
+
+
+def _hot_arrivals(size, pattern, length_s, seed):
+    """Draw what the first workspace sends beside its usual load."""
+    if not size.workspaces:
+        return []
+    rng = random.Random(f"hot/{seed}")
+    arrivals = []
+    for kind in size.kinds:
+        extra_per_s = (HOT_FACTOR - 1.0) * kind.rate_per_s / size.workspaces
+        at_s = rng.expovariate(extra_per_s)
+        while at_s < length_s:
+            if pattern.hot_factor(at_s / length_s) > 1.0:
+                arrival = _make_arrival(at_s, kind, size, pattern, rng)
+                arrivals.append(dataclasses.replace(arrival, workspace="w0"))
+            at_s += rng.expovariate(extra_per_s)
+    return arrivals
 
 
-def _make_arrival(at_s, kind, size, pattern, rng, adapters):
+def _make_arrival(at_s, kind, size, pattern, rng):
     leaves_after_s = None
     if rng.random() < pattern.leave_share:
         leaves_after_s = rng.uniform(0.5, 3.0)
--- a/src/coltsfootsail/_bench_admission.py
+++ b/src/coltsfootsail/_bench_admission.py
@@ -31,6 +31,8 @@
 STARTUP_S = 8.0  # time to claim the engines and load the base models
 REGISTER_INTERVAL_S = 1.2  # how often an engine updates its entry
 MAX_RETRIES = 1
+WORKSPACE_HEADER = "bench-workspace"  # names the workspace, without keys
+HOT_WORKSPACE = "w0"
 # Adapters with fewer requests do not count as never served.
 FREQUENT_REQUESTS = 4
 
@@ -137,6 +139,8 @@
             )
             network = self._network.network(name)
             gateway = _gateway.Gateway(settings, network)
+            if self.size.workspaces:
+                _attach_workspaces(gateway.engine_selector)
             self.gateways.append(gateway)
             nursery.start_soon(gateway.run)
 
@@ -312,11 +316,23 @@
 )
 
 
+def _attach_workspaces(selector):
+    """Take the workspaces of requests from a header of the bench."""
+    make_request = selector.grant_request
+
+    def grant_request(context):
+        workspace = context.req.header(WORKSPACE_HEADER)
+        return dataclasses.replace(make_request(context), workspace=workspace)
+
+    selector.grant_request = grant_request
+
+
 def _headers(arrival, left_s, rng):
     kind = arrival.kind
     unshared_tokens = arrival.prompt_tokens - kind.shared_tokens
     request_id = f"{rng.getrandbits(64):016x}"
     headers = [
+        *([(WORKSPACE_HEADER, arrival.workspace)] * bool(arrival.workspace)),
         ("host", users.HOST),
         (messages.REQUEST_ID, request_id),
         (messages.DEADLINE, str(round(left_s * 1000))),
@@ -351,22 +367,60 @@
     credit = (
         ends["in_time"] * kind.in_time_credit + ends["late"] * kind.late_credit
     )
+    waits_s = sorted(o.refused_s for o in outcomes if o.refused_s is not None)
     return {
         "asked": len(outcomes),
+        "refusal_p50_s": _quantile(waits_s, 0.5),
+        "refusal_p90_s": _quantile(waits_s, 0.9),
+        "refusal_max_s": _quantile(waits_s, 1.0),
         **{name: ends[name] for name in _ENDS},
         "in_time_share": _ratio(ends["in_time"], answerable),
         "served_share": _ratio(ends["in_time"] + ends["late"], answerable),
         "largest_served_share": _largest_served_share(outcomes),
         "credit": _ratio(credit, answerable * kind.in_time_credit),
         "refused_at_once": _refused_at_once_share(outcomes),
-        "first_p50_s": round(first_times[len(first_times) // 2], 3)
-        if first_times
-        else None,
-        "first_p99_s": (
-            round(first_times[int(len(first_times) * 0.99)], 3)
-            if first_times
-            else None
-        ),
+        "first_p50_s": _quantile(first_times, 0.5),
+        "first_p99_s": _quantile(first_times, 0.99),
+    }
+
+
+def _quantile(values, fraction):
+    """Get a quantile of sorted values, None without values."""
+    if not values:
+        return None
+    index = min(len(values) - 1, int(len(values) * fraction))
+    return round(values[index], 3)
+
+
+def _summarise_workspaces(simulation):
+    """Summarise the hot workspace and all others, in and out of its time."""
+    if not simulation.size.workspaces:
+        return {}
+    begin, end = _arrivals.HOT_SHARE
+    groups = collections.defaultdict(list)
+    for outcome in simulation.outcomes:
+        arrival = outcome.arrival
+        is_hot = arrival.workspace == HOT_WORKSPACE
+        is_during = begin <= arrival.at_s / simulation.length_s < end
+        name = "hot" if is_hot else "others"
+        name = f"{name} {'during' if is_during else 'outside'}"
+        groups[name].append(outcome)
+        groups[f"{name} {arrival.kind.name}"].append(outcome)
+    return {
+        name: _summarise_ends(outcomes)
+        for name, outcomes in sorted(groups.items())
+    }
+
+
+def _summarise_ends(outcomes):
+    ends = collections.Counter(outcome.end for outcome in outcomes)
+    waits_s = sorted(o.refused_s for o in outcomes if o.refused_s is not None)
+    return {
+        "asked": len(outcomes),
+        **{name: ends[name] for name in _ENDS},
+        "in_time_share": _ratio(ends["in_time"], len(outcomes)),
+        "refusal_p50_s": _quantile(waits_s, 0.5),
+        "refusal_p90_s": _quantile(waits_s, 0.9),
     }
 
 
@@ -429,6 +483,7 @@
     run_counts = [len(engine.runs) for engine in simulation.engines]
     return {
         "kinds": kinds,
+        "workspaces": _summarise_workspaces(simulation),
         "credit": _ratio(credit, sum(full_credits.values())),
         "loads": simulation.weights.loads,
         "orders": sum(len(engine.orders) for engine in simulation.engines),
@@ -517,5 +572,16 @@
             f"late {row['late']:4}  refused {row['refused']:4}  "
             f"failed {row['failed']:4}  credit {row['credit']:.3f}  "
             f"refused at once {row['refused_at_once']:.2f}  "
-            f"first event p50 {row['first_p50_s']} s"
+            f"first event p50 {row['first_p50_s']} s, "
+            f"largest tenth served {row['largest_served_share']:.2f} of "
+            f"{row['served_share']:.2f}, refusals after p50 "
+            f"{row['refusal_p50_s']} s, p90 {row['refusal_p90_s']} s"
+        )
+    for name, row in result["workspaces"].items():
+        yield (
+            f"{name:21} asked {row['asked']:5}  in time {row['in_time']:5}  "
+            f"late {row['late']:4}  refused {row['refused']:4}  "
+            f"failed {row['failed']:4}  in time {row['in_time_share']:.3f}, "
+            f"refusals after p50 {row['refusal_p50_s']} s, "
+            f"p90 {row['refusal_p90_s']} s"
         )
--- a/src/coltsfootsail/_engine_controller.py
+++ b/src/coltsfootsail/_engine_controller.py
@@ -31,6 +31,8 @@
 REPORT_POLL_S = 0.15  # between reports while an order is in progress
 
 OrderAnswer = engines.OrderAnswer
+# Reasons that the counter names otherwise.
+_COUNTED_REASONS = {_admission.MEMORY_REASON: "memory"}
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -187,8 +189,12 @@
         request = create_admission_request(next(self._numbers))
         if "/" in request.adapter:
             self._popularity.add(request.adapter, self._now())
-        rejection = self.queue.add(request, self._load_wait_s(request))
+        request = self._with_load_work(request)
+        rejection = self.queue.add(
+            request, self._load_wait_s(request), self._load_waits_s
+        )
         if rejection is not None:
+            self._count_turned_away(rejection)
             reply(rejection)
             return request.number
 
@@ -216,6 +222,26 @@
             self.queue.mean_run_s,
         )
 
+    def _load_waits_s(self, requests):
+        """Estimate how long requests have to wait for their adapters."""
+        return self.adapter_slots.load_waits_s(
+            requests, self._now(), self.queue.mean_run_s
+        )
+
+    def _with_load_work(self, request):
+        """Add the engine time that the load of its adapter takes."""
+        if not request.workspace or self.holds_adapter(request):
+            return request
+        load_work_s = _adapter_slots.COLD_LOAD_S / _adapter_slots.LOADS_MAX
+        return dataclasses.replace(request, load_work_s=load_work_s)
+
+    def _count_turned_away(self, decision):
+        reason = _COUNTED_REASONS.get(decision.reason, decision.reason)
+        labels = dataclasses.replace(
+            self._labels, workspace=decision.request.workspace
+        )
+        self._count("owner_refusals", reason, labels=labels)
+
     def end_grant(self, number, grant_request, use):
         """Remove a request that has ended or been withdrawn.
 
@@ -298,10 +324,15 @@
             return
         self._apply_limit()
         for decision in self.queue.decide(
-            self._now(), self._is_ready, self._load_wait_s
+            self._now(),
+            self._is_ready,
+            self._load_wait_s,
+            self._load_waits_s,
         ):
             if isinstance(decision, _admission.Grant):
                 self._record_grant(decision.request)
+            else:
+                self._count_turned_away(decision)
             self._deliver(decision)
 
     def _record_grant(self, request):
@@ -375,7 +406,9 @@
             return await self._refresh_slots()
         now_s = self._now()
         plan = self.adapter_slots.plan(
-            self.queue.wanted_adapters(now_s), now_s
+            self.queue.wanted_adapters(now_s),
+            now_s,
+            yielding=self.queue.yielding_adapters(now_s),
         )
         if plan is None:
             return False
--- a/src/coltsfootsail/_engine_selection.py
+++ b/src/coltsfootsail/_engine_selection.py
@@ -123,6 +123,7 @@
             until_s=context.until_s,
             may_move=not context.moved,
             workspace=context.workspace_name,
+            expected_tokens=prompt.expected_tokens,
         )
 
     def has_engine(self, context):
--- a/src/coltsfootsail/_exporter.py
+++ b/src/coltsfootsail/_exporter.py
@@ -72,6 +72,8 @@
         attributes["route"] = labels.route
     if labels.service:
         attributes["service"] = labels.service
+    if labels.workspace:
+        attributes["workspace"] = labels.workspace
     return attributes
 
 
--- a/src/coltsfootsail/_grants.py
+++ b/src/coltsfootsail/_grants.py
@@ -65,9 +65,11 @@
     :param parts: pairs of a prompt part's id and its token count.
     :param objective_s: absolute time by which the first event is due.
     :param until_s: absolute time at which the request expires.
+    :param output_tokens: greatest length of the answer.
     :param may_move: whether another engine may be asked instead.
     :param workspace: name of the workspace that the request is made for,
         empty for none.
+    :param expected_tokens: expected length of the answer, 0 if not known.
     """
 
     adapter: str
@@ -80,6 +82,7 @@
     until_s: float
     may_move: bool = False
     workspace: str = ""
+    expected_tokens: int = 0
 
 
 class PrefixCacheEstimate:
@@ -176,6 +179,7 @@
                 objective_s=request.objective_s,
                 until_s=request.until_s,
                 workspace=request.workspace,
+                output_tokens=request.expected_tokens or request.output_tokens,
             )
 
         def on_decision(decision):
@@ -215,6 +219,7 @@
             now_s + msg.until_s,
             msg.may_move,
             getattr(msg, "workspace", ""),
+            getattr(msg, "expected_tokens", 0),
         )
 
         def reply(decision):
@@ -384,7 +389,9 @@
         if request.workspace and self._mesh.knows(
             owner, _wire.WorkspaceGrantRequest
         ):
-            msg = _wire.WorkspaceGrantRequest(*fields, request.workspace)
+            msg = _wire.WorkspaceGrantRequest(
+                *fields, request.workspace, request.expected_tokens
+            )
 
         def end(use):
             outcome = use.outcome
--- a/src/coltsfootsail/_metrics.py
+++ b/src/coltsfootsail/_metrics.py
@@ -19,6 +19,8 @@
     "clock_steps": "Steps of the host's time of day, forward or back",
     "server_statements": "Statements of servers that they leave or are busy",
     "turned_away": "Starts that owners did not grant, by reason",
+    "owner_refusals": "Requests that this node turned away as an engine's "
+    "owner, by reason and workspace",
     "retries_denied": "Attempts not made, by reason",
     "forwards": "Requests passed on to the owner",
     "loads": "Adapter loads that succeeded, by cause",
@@ -77,10 +79,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Labels:
-    """Route and service that a measurement belongs to; empty for none."""
+    """What a measurement belongs to; empty for none."""
 
     route: str = ""
     service: str = ""
+    workspace: str = ""
 
 
 NO_LABELS = Labels()
@@ -120,7 +123,7 @@
         if len(self._routes) < ROUTES_MAX:
             self._routes.add(labels.route)
             return labels
-        return Labels(OTHER_ROUTES, labels.service)
+        return dataclasses.replace(labels, route=OTHER_ROUTES)
 
     def count(self, name, reason, amount=1, labels=NO_LABELS):
         """Add to a counter.
--- a/src/coltsfootsail/_wire.py
+++ b/src/coltsfootsail/_wire.py
@@ -458,9 +458,12 @@
     """A ``GrantRequest`` for a request of a workspace.
 
     :param workspace: name of the workspace.
+    :param expected_tokens: expected length of the answer, 0 if not known;
+        ``output_tokens`` is the greatest.
     """
 
     workspace: str = ""
+    expected_tokens: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/coltsfootsail/platform/messages.py
+++ b/src/coltsfootsail/platform/messages.py
@@ -74,9 +74,11 @@
 
     :param model: name of the base model.
     :param adapter: adapter key, or the model's name if it names no adapter.
-    :param output_tokens: the expected length if the caller gives a hint,
-        otherwise the maximum.
+    :param output_tokens: greatest length of the answer; the caller's hint if
+        it states no maximum.
     :param parts: pairs of a prompt part's id and its token count.
+    :param expected_tokens: length that the caller's hint gives, at most the
+        greatest one; that one without a hint.
     """
 
     model: str
@@ -84,6 +86,7 @@
     prompt_tokens: int
     output_tokens: int
     parts: tuple = ()
+    expected_tokens: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -134,16 +137,15 @@
         return None
     prompt, _, output = req.header(TOKENS).partition(",")
     prompt_tokens = _parse_number(prompt) or 0
-    output_tokens = _parse_number(output) or 0
-    hint = _parse_number(req.header(LENGTH_HINT))
-    if hint:
-        output_tokens = min(hint, output_tokens or hint)
+    hint = _parse_number(req.header(LENGTH_HINT)) or 0
+    output_tokens = _parse_number(output) or hint
     return Prompt(
         model=model_name.partition("/")[0],
         adapter=model_name,
         prompt_tokens=int(prompt_tokens),
         output_tokens=int(output_tokens),
         parts=parts,
+        expected_tokens=int(min(hint or output_tokens, output_tokens)),
     )
 
 
--- a/tests/test_contract_users.py
+++ b/tests/test_contract_users.py
@@ -166,7 +166,12 @@
     )
     assert metadata.deadline_s == 15.0
     assert metadata.prompt == messages.Prompt(
-        "m", "m/a3", 1460, 60, (("5c", 800), ("91", 410), ("e4", 250))
+        "m",
+        "m/a3",
+        1460,
+        80,
+        (("5c", 800), ("91", 410), ("e4", 250)),
+        expected_tokens=60,
     )
 
 
