--- a/src/coltsfootsail/_metrics.py
+++ b/src/coltsfootsail/_metrics.py
@@ -20,6 +20,8 @@
     "clock_steps": "Steps of the host's time of day, forward or back",
     "server_statements": "Statements of servers that they leave or are busy",
     "turned_away": "Starts that owners did not grant, by reason",
+    "owner_refusals": "Requests that this node turned away as an engine's "
+    "owner, by reason and workspace",
     "retries_denied": "Attempts not made, by reason",
     "forwards": "Requests passed on to the owner",
     "loads": "Adapter loads that succeeded, by cause",
@@ -142,7 +144,7 @@
         if len(self._routes) < ROUTES_MAX:
             self._routes.add(labels.route)
             return labels
-        return Labels(OTHER_ROUTES, labels.service)
+        return dataclasses.replace(labels, route=OTHER_ROUTES)
 
     def count(self, name, reason, amount=1, labels=NO_LABELS):
         """Add to a counter.
