Learn the speed of engines; forget servers that start again

Cause: engines of different speeds were placed and chosen alike, and a server that restarts under its id was taken to hold what it held before.

Change: owners learn a speed level from ended streams and tell all nodes; rendezvous hashing is weighted by it, and the expected run time counts in the choice of an engine. A later born drops what was learned of the start before.

--- a/src/coltsfootsail/_admission.py
+++ b/src/coltsfootsail/_admission.py
@@ -137,6 +137,11 @@
         elif self._limit_bucket.per_s != per_s:
             self._limit_bucket.set_rate(per_s, burst, now_s)
 
+    def forget_speed(self):
+        """Forget how fast the server was, after it has started again."""
+        self._mean_run_s = INITIAL_RUN_S
+        self._reading_speed = _reading_speed.ReadingSpeed()
+
     def set_slots(self, slots):
         """Change how many requests run at once."""
         self._slots = slots
--- a/src/coltsfootsail/_arrivals.py
+++ b/src/coltsfootsail/_arrivals.py
@@ -8,10 +8,13 @@
 import bisect
 import dataclasses
 import itertools
+import math
 import random
 
 from coltsfootsail import exceptions
 
+SWING_S = 13.0  # length of a wave of demand
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RequestKind:
@@ -61,6 +64,7 @@
         each goes at full speed.
     :param prompt_tokens_per_s: how fast an engine reads prompts.
     :param step_s: time of a decoding step of an engine.
+    :param speeds: factors on the speed of the engines, given to them in turn.
     :param plain_servers: number of servers of the plain service.
     :param plain_slots: requests that each of them runs at once.
     :param plain_work_s: how long each request runs there.
@@ -79,6 +83,7 @@
     full_speed_loads: int
     prompt_tokens_per_s: float = 19_100.0
     step_s: float = 0.00887
+    speeds: tuple = (1.0,)
     plain_servers: int = 0
     plain_slots: int = 6
     plain_work_s: float = 0.09
@@ -176,6 +181,21 @@
     tokens_per_event=5,
     full_speed_loads=64,
 )
+# Engines of one speed, and the same number of three speeds.
+EVEN = dataclasses.replace(
+    GROWN,
+    kinds=(
+        _kind("note", 113.0, (350, 1110), 43, 0.3, 15.0, 2.6, 0.78),
+        _kind("summary", 16.0, (350, 1110), 43, 0.3, 25.0, 1.3, 0.39),
+        _kind("caption", 70.0, (155, 491), 17, 0.3, 8.0, 1.8, 0.55),
+    ),
+    engines=45,
+    slots=24,
+    adapter_slots=11,
+    full_speed_loads=64,
+    step_s=0.00947,
+)
+UNEVEN = dataclasses.replace(EVEN, speeds=(0.6, 1.0, 1.6))
 # Engines that read and decode faster, for more callers.
 FAST = dataclasses.replace(
     SHOP,
@@ -211,6 +231,8 @@
     "shop-grown": GROWN,
     "few-slots": FEW_SLOTS,
     "fast": FAST,
+    "even": EVEN,
+    "uneven": UNEVEN,
 }
 
 
@@ -220,6 +242,8 @@
 
     :param rate_factor: ``(kind, share of the run) -> factor`` on the rate
         of the kind.
+    :param swing: share by which all rates rise and fall in waves of
+        ``SWING_S``.
     :param popularity_shift: share of the run after which other adapters
         are the popular ones, or None.
     :param uniform: ``(share of the run) -> bool``, whether all adapters
@@ -234,6 +258,7 @@
     """
 
     rate_factor: object = lambda kind, run_share: 1.0
+    swing: float = 0.0
     popularity_shift: float | None = None
     uniform: object = lambda run_share: False
     fault: str = "none"
@@ -241,6 +266,11 @@
     leave_share: float = 0.0
     immediate_retry_share: float = 0.0
 
+    def factor(self, kind, at_s, length_s):
+        """Get the factor on the rate of a kind at a time of the run."""
+        wave = 1.0 + self.swing * math.sin(2.0 * math.pi * at_s / SWING_S)
+        return wave * self.rate_factor(kind, at_s / length_s)
+
 
 def _in_middle(run_share):
     return 0.35 <= run_share < 0.6
@@ -248,6 +278,7 @@
 
 PATTERNS = {
     "quiet": LoadPattern(),
+    "swing": LoadPattern(swing=0.55),
     "wave": LoadPattern(
         rate_factor=lambda kind, run_share: (
             2.2 if _in_middle(run_share) else 1.0
@@ -338,7 +369,7 @@
     for kind in size.kinds:
         at_s = 0.0
         while True:
-            factor = pattern.rate_factor(kind, at_s / length_s)
+            factor = pattern.factor(kind, at_s, length_s)
             at_s += rng.expovariate(kind.rate_per_s * factor)
             if at_s >= length_s:
                 break
--- a/src/coltsfootsail/_bench_admission.py
+++ b/src/coltsfootsail/_bench_admission.py
@@ -142,11 +142,12 @@
 
     async def _start_engine(self, number, nursery):
         size = self.size
+        factor = size.speeds[number % len(size.speeds)]
         speed = batch.ServerSpec(
             slots=size.slots,
             memory_tokens=size.kv_tokens,
-            step_s=size.step_s,
-            prefill_tokens_per_s=size.prompt_tokens_per_s,
+            step_s=size.step_s / factor,
+            prefill_tokens_per_s=size.prompt_tokens_per_s * factor,
             stride=size.tokens_per_event,
             cold_s=size.load_s,
         )
--- a/src/coltsfootsail/_crashes.py
+++ b/src/coltsfootsail/_crashes.py
@@ -21,6 +21,9 @@
 # A request is sent again only after its server's check, or after this time.
 CHECK_WAIT_S = 0.3
 STORE_TIMEOUT_S = 10.0
+# A server that starts again under its name within this time after it broke
+# off a request has crashed, although it accepts connections.
+RESTART_NOTICE_S = 10.0
 TRIAL_TURN_S = 5.0  # in which one node may try a blamed part
 TRIAL_RETRY_S = 1.0  # for callers of other nodes meanwhile
 
@@ -51,6 +54,7 @@
         self._evidence = _poison_parts.PartEvidence()
         self._trials = {}
         self._stored_revisions = {}
+        self._interruptions = []
 
     def check_allowed(self, context):
         """Refuse a request that would crash its server.
@@ -130,9 +134,33 @@
             if finding is _crash_checks.Finding.CRASHED:
                 self._add_strike(server, context)
                 self._add_evidence(server, context)
+            elif server.born_ms:
+                self._note_interruption(server, context)
         finally:
             context.crash_checked.set()
 
+    def _note_interruption(self, server, context):
+        """Remember a request whose server may turn out to have restarted."""
+        now_s = self._now()
+        if self._view.born_ms(server.name) > server.born_ms:
+            self._add_strike(server, context)
+            self._add_evidence(server, context)
+            return
+        oldest_s = now_s - RESTART_NOTICE_S
+        recent = [each for each in self._interruptions if each[0] > oldest_s]
+        self._interruptions = [*recent, (now_s, server, context)]
+
+    def note_restarted(self, name):
+        """Take the requests that a server's restart broke off as crashes."""
+        oldest_s = self._now() - RESTART_NOTICE_S
+        pending, self._interruptions = self._interruptions, []
+        for at_s, server, context in pending:
+            if server.name != name:
+                self._interruptions.append((at_s, server, context))
+            elif at_s > oldest_s:
+                self._add_strike(server, context)
+                self._add_evidence(server, context)
+
     def _add_strike(self, server, context):
         count = self.strikes.add(context.fingerprint)
         _logs.state(
--- a/src/coltsfootsail/_engine_controller.py
+++ b/src/coltsfootsail/_engine_controller.py
@@ -17,6 +17,7 @@
 from coltsfootsail import _admission
 from coltsfootsail import _answer_times
 from coltsfootsail import _crash_checks
+from coltsfootsail import _engine_speed
 from coltsfootsail import _grants
 from coltsfootsail import _logs
 from coltsfootsail import _metrics
@@ -50,6 +51,11 @@
         sent anything now.
     :param find: ``async (server) -> Finding``, finds out why a server did not
         accept a connection.
+    :param speeds: the node's ``ServerSpeeds``.
+    :param born_ms: ``(server name) -> int``, the latest known start of a
+        server, 0 if none is known.
+    :param note_start: ``(server name, born_ms)``, called with the start that
+        a server states in an answer; calls ``restart`` if it is a later one.
     """
 
     client: object
@@ -61,6 +67,9 @@
     refusals_per_s: object
     takes_requests: object
     find: object
+    speeds: object
+    born_ms: object
+    note_start: object
 
 
 class EngineController:
@@ -86,13 +95,11 @@
         self._refusals_per_s = dependencies.refusals_per_s
         self._takes_requests = dependencies.takes_requests
         self._find = dependencies.find
+        self._speeds = dependencies.speeds
+        self._note_start = dependencies.note_start
+        self._born_ms = dependencies.born_ms(server.name)
         self._nursery = None
         self._labels = _metrics.Labels(service=server.service)
-        self._load_ordered_s = {}
-        self.adapter_slots = _adapter_slots.AdapterSlots(
-            engine, dependencies.popularity.rate
-        )
-        self._prefix_cache = _grants.PrefixCacheEstimate()
         self.queue = _admission.AdmissionQueue(
             engine.slots, engine.memory_tokens
         )
@@ -100,11 +107,53 @@
         self._replies = {}
         self._has_ordered = False
         self._is_read_early = False
-        self._answer_times = _answer_times.AnswerTimes(ORDER_TIMEOUT_MAX_S)
-        self._down_until_s = 0.0
+        self._begin_start()
         self._admission_wake = trio.Event()
         self._orders_wake = trio.Event()
 
+    def _begin_start(self):
+        """Begin to learn of a start of the engine."""
+        self._speed = _engine_speed.EngineSpeed()
+        self._load_ordered_s = {}
+        self.adapter_slots = _adapter_slots.AdapterSlots(
+            self._engine, self._popularity.rate
+        )
+        self._prefix_cache = _grants.PrefixCacheEstimate()
+        self._answer_times = _answer_times.AnswerTimes(ORDER_TIMEOUT_MAX_S)
+        self._down_until_s = 0.0
+
+    def restart(self, server, born_ms):
+        """Forget all of the engine, which has started again.
+
+        The requests that ran on it have ended; the nodes that sent them find
+        out by their connections.  The next order follows a report.
+
+        :param server: its ``Server`` as registered now.
+        :param born_ms: its present start.
+        """
+        self.server = server
+        if born_ms <= self._born_ms:
+            return
+        self._born_ms = born_ms
+        for number in list(self.queue.running):
+            self.queue.withdraw(number)
+        self.queue.forget_speed()
+        self._begin_start()
+        self.turn_away_waiting("no model yet")
+        self._orders_wake.set()
+
+    def _is_outdated(self, born_ms):
+        """Note the start that an answer states.
+
+        :returns: whether the answer is from before the latest start.
+        """
+        if born_ms > self._born_ms:
+            self._note_start(self.server.name, born_ms)
+            if self._born_ms:
+                self.restart(self.server, born_ms)
+            self._born_ms = born_ms
+        return 0 < born_ms < self._born_ms
+
     def is_down(self):
         """Tell whether the engine has just refused a connection."""
         return self._now() < self._down_until_s
@@ -240,6 +289,9 @@
             return
         if was_running:
             self.adapter_slots.end(request.adapter)
+            self._speeds.note_run(
+                self._speed, self.server, use.events, use.stream_s
+            )
         self._admission_wake.set()
         self._orders_wake.set()
 
@@ -402,6 +454,9 @@
                 await self._check_unreachable("report")
             return False
         self._claims.note_answer(self.server.name)
+        if self._is_outdated(report.born_ms):
+            self._count("report_failures", "outdated")
+            return False
         self.adapter_slots.apply_report(report, self._now())
         for adapter in [
             a for a in self._load_ordered_s if a not in self.adapter_slots.held
@@ -422,9 +477,9 @@
         )
         self._claims.note_order(name)
         self._has_ordered = True
-        sent_s = self._now()
+        sent_s, born_ms = self._now(), self._born_ms
         try:
-            answer = await engines.send_order(
+            reply = await engines.send_order(
                 self._client,
                 self.server,
                 order,
@@ -434,6 +489,14 @@
             await self._on_unanswered(exc)
             return
         self._claims.note_answer(name)
+        self._is_outdated(reply.born_ms)
+        if born_ms and born_ms != self._born_ms:
+            # The engine has started again since its state was read: the
+            # order may have matched its new count by chance.
+            self._count("order_failures", "restarted")
+            self.adapter_slots.sequence = None
+            return
+        answer = reply.answer
         self._answer_times.add(self._now() - sent_s)
         self._count("orders", answer.value)
         _logs.detail(
--- a/src/coltsfootsail/_engine_selection.py
+++ b/src/coltsfootsail/_engine_selection.py
@@ -6,6 +6,10 @@
 that costs more than another load.  This answers a few popular adapters
 among many rare ones: the popular ones spread over engines, the rare ones
 take one adapter slot each.
+
+The order is weighted by the engines' speeds, because a slow engine holds its
+adapter slots for longer.  Of engines of different speeds, the one at which a
+request is expected to end first costs least.
 """
 
 from coltsfootsail import _adapter_slots
@@ -13,6 +17,7 @@
 from coltsfootsail import _grants
 from coltsfootsail import _placement
 from coltsfootsail import _popularity
+from coltsfootsail import _reading_speed
 from coltsfootsail import _server_states
 from coltsfootsail import _wire
 
@@ -22,6 +27,7 @@
 LOAD_COST_S = 3 * _adapter_slots.COLD_LOAD_S
 HOT_RATE_PER_S = 1.0  # above this request rate a load costs less
 RANK_COST_S = 0.02  # per place in the order, to keep adapters on few engines
+STEP_S = 0.009  # of a common engine, while no other step time is known
 RATE_HALF_LIFE_S = 20.0  # of this node's request counts
 REFUSED_PAUSE_S = 1.0  # an engine is not chosen after a refused connection
 # An owner that leaves a ping unanswered for longer is not asked for grants.
@@ -47,9 +53,12 @@
     :param is_usable: ``(server name) -> bool``, whether requests can be sent
         there from this node in some way.
     :param now: closure that reads the clock.
+    :param speeds: the node's ``ServerSpeeds``.
     """
 
-    def __init__(self, node, view, mesh, backlog, states, is_usable, now):
+    def __init__(
+        self, node, view, mesh, backlog, states, is_usable, now, speeds
+    ):
         self._node = node
         self._view = view
         self._mesh = mesh
@@ -57,6 +66,7 @@
         self._states = states
         self._is_usable = is_usable
         self._now = now
+        self._speeds = speeds
         self._down_until_s = {}
         self._named_owners = {}
         self._cached_generation = None
@@ -74,6 +84,10 @@
             del self._down_until_s[name]
         self._down_until_s[server.name] = now_s + REFUSED_PAUSE_S
 
+    def forget(self, name):
+        """Forget that an engine refused connections before its restart."""
+        self._down_until_s.pop(name, None)
+
     def count_request(self, adapter):
         """Count a caller's request in the adapter's request rate.
 
@@ -127,7 +141,7 @@
 
     def has_engine(self, context):
         """Tell whether an engine may serve a request, now or soon."""
-        _, names = self._engines(context)
+        _, names, _ = self._engines(context)
         return any(
             name not in context.limited and self._states.takes_requests(name)
             for name in names.values()
@@ -139,9 +153,14 @@
         They have the software version that began its stream.  If any of
         them hold the base model, only those are listed.
 
-        :returns: sorted tuple of addresses, dict of address to name.
+        :returns: sorted tuple of addresses, dict of address to name, and
+            tuple of the speed level of each.
         """
-        generation = self._view.generation, self._states.generation
+        generation = (
+            self._view.generation,
+            self._states.generation,
+            self._speeds.generation,
+        )
         if self._cached_generation != generation:
             self._cached_generation = generation
             self._engines_cache.clear()
@@ -158,7 +177,9 @@
             engines.sort(key=lambda engine: engine.created)
             with_model = [e for e in engines if model in e.models]
             names = {e.address: e.name for e in with_model or engines}
-            cached = tuple(sorted(names)), names
+            addresses = tuple(sorted(names))
+            levels = tuple(self._speeds.level(names[a]) for a in addresses)
+            cached = addresses, names, levels
             self._engines_cache[key] = cached
         return cached
 
@@ -209,7 +230,7 @@
         An adapter has its own order; requests for a base model go to the
         engine with the smallest backlog.
         """
-        addresses, names = self._engines(context)
+        addresses, names, levels = self._engines(context)
         if "/" in request.adapter:
             count = (
                 COMPARED_ENGINES
@@ -217,8 +238,8 @@
                 + len(context.avoided)
                 + len(self._down_until_s)
             )
-            addresses = _placement.rendezvous_ranking(
-                request.adapter, addresses, count
+            addresses = _placement.weighted_ranking(
+                request.adapter, addresses, levels, count
             )
         else:
             addresses = sorted(
@@ -252,6 +273,7 @@
             load_cost_s = 0.0 if is_loaded or not rank else load_penalty_s
             cost = self._backlog(server.name) + load_cost_s
             cost += RANK_COST_S * rank
+            cost += self._extra_run_s(server, request, is_loaded)
             if best is None or cost < best[0]:
                 best = (cost, server, owner)
             if rank + 1 >= COMPARED_ENGINES and best is not None:
@@ -260,6 +282,21 @@
             return None
         return best[1], best[2], request
 
+    def _extra_run_s(self, server, request, is_loaded):
+        """Estimate how much longer a request runs than on a common engine.
+
+        :returns: seconds, exactly 0 for an engine of the nominal level.
+        """
+        slowness = 1.0 / self._speeds.level(server.name) - 1.0
+        if not slowness:
+            return 0.0
+        tokens = request.prompt_tokens
+        if is_loaded and request.parts:
+            tokens = request.parts[-1][1]
+        read_s = tokens / _reading_speed.ASSUMED_TOKENS_PER_S
+        step_s = self._speeds.step_s(server.service) or STEP_S
+        return slowness * (read_s + request.output_tokens * step_s)
+
     def _is_told(self, owner, message):
         """Tell whether an engine's owner is told what the engine states.
 
--- a/src/coltsfootsail/_gateway.py
+++ b/src/coltsfootsail/_gateway.py
@@ -37,9 +37,11 @@
 from coltsfootsail import _records
 from coltsfootsail import _relays
 from coltsfootsail import _request_handler
+from coltsfootsail import _restarted_servers
 from coltsfootsail import _retries
 from coltsfootsail import _seeds
 from coltsfootsail import _server_limits
+from coltsfootsail import _server_speeds
 from coltsfootsail import _server_states
 from coltsfootsail import _stream_origins
 from coltsfootsail import _upstream
@@ -98,7 +100,11 @@
             self.kv, self.now, lease.ttl_s, lease.margin_s
         )
         self.view = _view.DeploymentView(
-            self.kv, self.now, self._on_view_change, gateway_settings.news_s
+            self.kv,
+            self.now,
+            self._on_view_change,
+            gateway_settings.news_s,
+            self._on_server_restart,
         )
         hello = _wire.Hello(
             self._name, settings.node.region, self._incarnation
@@ -116,6 +122,14 @@
             self.mesh.broadcast,
             _server_limits.REFUSALS,
         )
+        self.speeds = _server_speeds.ServerSpeeds(
+            self.view,
+            self.now,
+            self.metrics.count,
+            self.mesh.broadcast,
+            self._claimant,
+            self._name,
+        )
         self.states = _server_states.ServerStates(
             self.view,
             self.limits,
@@ -188,6 +202,9 @@
             self.refusals.per_s,
             self.states.takes_requests,
             self.reach.find,
+            self.speeds,
+            self.view.born_ms,
+            self.view.note_start,
         )
         self.owned_engines = _owned.OwnedEngines(
             self.claims, self.view, self.states, dependencies
@@ -224,6 +241,7 @@
             self.states,
             self.reach.is_usable,
             self.now,
+            self.speeds,
         )
         rng = random.Random(zlib.crc32(self._name.encode()))
         self.balancer = _load_balancer.LoadBalancer(
@@ -366,6 +384,7 @@
         self.states.note_servers()
         self.limits.keep(self.view.servers)
         self.refusals.keep(self.view.servers)
+        self.speeds.keep(self.view.servers)
         self.limited_servers.keep(self.view.servers)
         self.crash_checks.keep(self.view.servers)
         self.crashes.note_stored()
@@ -383,6 +402,17 @@
             self.grant_client.leave_server(name)
         self.owned_engines.turn_away_if_closed(name)
 
+    def _on_server_restart(self, name):
+        """Forget a server's start before, and its connections."""
+        _restarted_servers.forget(self, name)
+        address = self.view.servers[name].address
+        self._nursery.start_soon(self.server_client.forget, address)
+
+    def _claimant(self, server_name):
+        """Get the node that holds an engine's claim, None if none does."""
+        claim = self.view.claim(server_name)
+        return None if claim is None else claim[0].node
+
     def _tell_owner(self, msg):
         """Tell an engine's owner what the engine stated to this node.
 
--- a/src/coltsfootsail/_grants.py
+++ b/src/coltsfootsail/_grants.py
@@ -49,11 +49,15 @@
     :param first_event_s: time from the grant's use to the first event; 0.0
         if there was none.
     :param node: the other node that used it, empty for this one.
+    :param events: events that were received.
+    :param stream_s: time between the first event and the last one.
     """
 
     outcome: GrantOutcome = GrantOutcome.DONE
     first_event_s: float = 0.0
     node: str = ""
+    events: int = 0
+    stream_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -253,7 +257,9 @@
         end = self._remote_grants.pop((node, msg.number), None)
         if end is not None and msg.outcome in set(GrantOutcome):
             outcome = GrantOutcome(msg.outcome)
-            end(GrantUse(outcome, msg.first_event_s, node))
+            events = getattr(msg, "events", 0)
+            stream_s = getattr(msg, "stream_s", 0.0)
+            end(GrantUse(outcome, msg.first_event_s, node, events, stream_s))
 
     def drop_node(self, node):
         """End all grants and requests of a node whose link is down."""
@@ -391,7 +397,12 @@
             knows_full = self._mesh.knows(owner, _wire.ServerBrittle)
             if outcome is GrantOutcome.FULL and not knows_full:
                 outcome = GrantOutcome.DONE
-            msg = _wire.GrantEnd(number, str(outcome), use.first_event_s)
+            fields = number, str(outcome), use.first_event_s
+            msg = _wire.GrantEnd(*fields)
+            if use.events and self._mesh.knows(owner, _wire.StreamedGrantEnd):
+                msg = _wire.StreamedGrantEnd(
+                    *fields, use.events, float(use.stream_s)
+                )
             self._mesh.send(owner, msg)
 
         pending = _PendingGrant(server_name, owner)
--- a/src/coltsfootsail/_metrics.py
+++ b/src/coltsfootsail/_metrics.py
@@ -18,6 +18,10 @@
     "server_limits": "Limits that servers named, changed and ended",
     "clock_steps": "Steps of the host's time of day, forward or back",
     "server_statements": "Statements of servers that they leave or are busy",
+    "engine_levels": "Speed levels of engines that were raised, lowered or "
+    "forgotten",
+    "server_restarts": "Servers that started again under their names, by "
+    "service",
     "turned_away": "Starts that owners did not grant, by reason",
     "retries_denied": "Attempts not made, by reason",
     "forwards": "Requests passed on to the owner",
@@ -51,6 +55,7 @@
     "configuration_version": "Version of the configuration in force",
     "configuration_age_seconds": "Time since the store was last heard",
     "servers": "Servers that take requests, by service",
+    "engine_speeds": "Engines by speed level, as this node places adapters",
     "claims": "Engines that this node gives orders to",
     "lease_left_seconds": "How long the node may still trust its lease",
     "open_requests": "Requests of callers under way",
--- a/src/coltsfootsail/_owned.py
+++ b/src/coltsfootsail/_owned.py
@@ -72,6 +72,15 @@
         ]:
             del self._peer_backlogs[name]
 
+    def restart(self, name, born_ms):
+        """Forget all of an engine that has started again.
+
+        :param born_ms: its present start.
+        """
+        self._peer_backlogs.pop(name, None)
+        if name in self.controllers:
+            self.controllers[name].restart(self._view.servers[name], born_ms)
+
     def turn_away_from_unavailable(self):
         """Reject requests that wait for engines which are gone or leaving."""
         for name in self.controllers:
--- a/src/coltsfootsail/_pages.py
+++ b/src/coltsfootsail/_pages.py
@@ -37,6 +37,7 @@
             "configuration_age_seconds", lambda: _optional_gauge(view.age_s())
         )
         register("servers", view.service_counts)
+        register("engine_speeds", gateway.speeds.gauge)
         register("claims", lambda: {"": len(gateway.claims.held)})
         register("lease_left_seconds", lambda: {"": lease.left_s()})
         register(
--- a/src/coltsfootsail/_peers.py
+++ b/src/coltsfootsail/_peers.py
@@ -93,6 +93,7 @@
             *gateway.refusals.messages(),
             *gateway.crashes.messages(),
             *gateway.reach.messages(),
+            *gateway.speeds.messages(node, set(self.mesh.linked_nodes())),
         ):
             self.mesh.send(node, msg)
         for server in gateway.states.stated_leaving():
@@ -155,8 +156,11 @@
     def _on_server_brittle(self, node, msg):
         self._gateway.refusals.learn(msg, node)
 
+    def _on_server_speed(self, node, msg):
+        self._gateway.speeds.learn(msg, node)
+
     def _on_server_leaving(self, node, msg):
-        self._gateway.states.note_leaving(msg.server, f"node {node}")
+        self._gateway.states.learn_leaving(msg.server, node)
 
     def _on_server_busy(self, node, msg):
         self._gateway.states.learn_busy(msg, node)
@@ -237,11 +241,13 @@
     _wire.WorkspaceGrantRequest: PeerHandler._on_grant_request,
     _wire.GrantReply: PeerHandler._on_grant_reply,
     _wire.GrantEnd: PeerHandler._on_grant_end,
+    _wire.StreamedGrantEnd: PeerHandler._on_grant_end,
     _wire.ReleaseRequest: PeerHandler._on_release_request,
     _wire.Released: PeerHandler._on_released,
     _wire.DeploymentUpdate: PeerHandler._on_deployment_update,
     _wire.ServerLimit: PeerHandler._on_server_limit,
     _wire.ServerBrittle: PeerHandler._on_server_brittle,
+    _wire.ServerSpeed: PeerHandler._on_server_speed,
     _wire.ServerLeaving: PeerHandler._on_server_leaving,
     _wire.ServerBusy: PeerHandler._on_server_busy,
     _wire.StreamBegun: PeerHandler._on_stream_begun,
--- a/src/coltsfootsail/_placement.py
+++ b/src/coltsfootsail/_placement.py
@@ -8,8 +8,10 @@
 import enum
 import functools
 import hashlib
+import math
 
 RANK_CACHE_SIZE = 8192
+HASH_RANGE = 2.0**64
 PREFERRED_ENDPOINTS = 3  # first endpoints of an adapter's ranking
 RANK_COST = 0.1  # per rank, so that an adapter stays on few endpoints
 
@@ -60,6 +62,33 @@
     return tuple(ranked[:count])
 
 
+@functools.lru_cache(maxsize=RANK_CACHE_SIZE)
+def weighted_ranking(key, names, weights, count=PREFERRED_ENDPOINTS):
+    """Rank names for a key by weighted rendezvous hash.
+
+    A name comes first with a probability that is its share of all weights.
+    A changed weight moves only the keys that this name wins or loses.  With
+    equal weights the ranking is that of ``rendezvous_ranking``.
+
+    :param key: the item to place.
+    :param names: tuple of the names to rank.
+    :param weights: tuple of the weight of each name, above 0.
+    :param count: number of names to return.
+    :returns: tuple of names, best first.
+    """
+    if len(set(weights)) <= 1:
+        return rendezvous_ranking(key, names, count)
+
+    def rank(pair):
+        name, weight = pair
+        score = _score(name, key)
+        share = (score + 0.5) / HASH_RANGE
+        return weight / -math.log(share) if share < 1.0 else math.inf, score
+
+    ranked = sorted(zip(names, weights, strict=True), key=rank, reverse=True)
+    return tuple(name for name, _ in ranked[:count])
+
+
 def _serving_cost(residence, load):
     """Get the cost of serving an adapter on an endpoint.
 
--- a/src/coltsfootsail/_server_states.py
+++ b/src/coltsfootsail/_server_states.py
@@ -24,6 +24,9 @@
 # this share of the wait after its end.
 RETURN_SPREAD_SHARE = 0.25
 RETURN_SPREAD_MIN_S = 0.2
+# Nodes that have not heard of a server's restart may still tell for this time
+# what it stated before.
+RESTART_NEWS_S = 3.0
 BUSY_NODES_MIN = 2  # nodes that a server asks for a pause, to be busy for all
 
 
@@ -91,6 +94,7 @@
         self._told_busy_s = {}
         self._cold = {}
         self._problems = {}
+        self._restarted_s = {}
         self.generation = 0
 
     def state(self, name):
@@ -183,6 +187,30 @@
             self._on_closed(name)
         return is_new
 
+    def _has_just_restarted(self, name):
+        restarted_s = self._restarted_s.get(name)
+        if restarted_s is None:
+            return False
+        return self._now() < restarted_s + RESTART_NEWS_S
+
+    def learn_leaving(self, name, node):
+        """Note that a server told another node that it leaves."""
+        if not self._has_just_restarted(name):
+            self.note_leaving(name, f"node {node}")
+
+    def forget(self, name):
+        """Forget what a server stated before it started again."""
+        self._restarted_s[name] = self._now()
+        for table in (
+            self._leaving,
+            self._busy_until_s,
+            self._told_busy_s,
+            self._cold,
+            self._problems,
+        ):
+            table.pop(name, None)
+        self.generation += 1
+
     def _note_busy(self, name, retry_after_s):
         before_s = self.busy_s(name)
         if retry_after_s <= before_s:
@@ -198,6 +226,8 @@
 
         :param msg: a ``ServerBusy``.
         """
+        if self._has_just_restarted(msg.server):
+            return
         now_s = self._now()
         told_s = {
             each: until_s
@@ -268,6 +298,7 @@
             self._told_busy_s,
             self._cold,
             self._problems,
+            self._restarted_s,
         ):
             for name in [name for name in table if name not in registered]:
                 if not self.busy_s(name):
--- a/src/coltsfootsail/_streams.py
+++ b/src/coltsfootsail/_streams.py
@@ -80,6 +80,15 @@
         self.started = False
         self.first_event_s = None
         self.longest_pause_s = 0.0
+        self.run_events = 0
+        self.run_stream_s = 0.0
+        self._run_from_s = None
+
+    def begin_run(self):
+        """Note that another server is about to send the events."""
+        self.run_events = 0
+        self.run_stream_s = 0.0
+        self._run_from_s = None
 
     async def start(self, exchange):
         """Send the response head, unless that of an earlier server was."""
@@ -102,13 +111,19 @@
         if not events:
             return False
         self.before_events()
-        self._note_time()
+        data_fields = len(_DATA_FIELD.findall(events))
+        self._note_time(data_fields)
         with _caller_errors():
             await self._resp.write(events)
-        return _DATA_FIELD.search(events) is not None
+        return data_fields > 0
 
-    def _note_time(self):
+    def _note_time(self, data_fields):
         now_s = self._now()
+        if data_fields:
+            if self._run_from_s is None:
+                self._run_from_s = now_s
+            self.run_events += data_fields
+            self.run_stream_s = now_s - self._run_from_s
         if self.first_event_s is None:
             self.first_event_s = now_s
         else:
@@ -279,6 +294,11 @@
                 finally:
                     if sink.first_event_s is not None and not context.begun:
                         use.first_event_s = sink.first_event_s - granted_s
+                    use.events = sink.run_events
+                    use.stream_s = sink.run_stream_s
+                    gateway.speeds.note_stream(
+                        server, use.events, use.stream_s
+                    )
         except (exceptions.TurnedAway, exceptions.OwnerSilent) as exc:
             self._count(
                 "turned_away", _turn_away_reason(exc), labels=context.labels
@@ -352,6 +372,7 @@
         self, context, sink, resp, server, grant_request, owner
     ):
         gateway = self._gateway
+        sink.begin_run()
         self._send_policy.remaining_s(context)
         self._send_policy.authorize_send(context, server)
         last_event_id = sink.splitter.last_id if sink.started else None
--- a/src/coltsfootsail/_view.py
+++ b/src/coltsfootsail/_view.py
@@ -55,6 +55,7 @@
         server.draining,
         server.models,
         server.software,
+        server.born_ms,
     )
 
 
@@ -70,12 +71,22 @@
     :param on_change: called with the set of changed keys, or None when
         all may have changed.
     :param propagation_s: a change must be applied within this time.
+    :param on_restart: ``(server name)``, called when a server is found to
+        have started again under its name.
     """
 
-    def __init__(self, kv, now, on_change, propagation_s=2.0):
+    def __init__(
+        self,
+        kv,
+        now,
+        on_change,
+        propagation_s=2.0,
+        on_restart=lambda name: None,
+    ):
         self._kv = kv
         self._now = now
         self._on_change = on_change
+        self._on_restart = on_restart
         self._started_s = now()
         self._store_returned_s = None
         self._unconfirmed = set()
@@ -98,6 +109,7 @@
         self.revision = 0
         self.era = _eras.FIRST_ERA
         self._departed = _departed.DepartedServers()
+        self._starts = _departed.ServerStarts()
         self.last_contact_s = None
         self.synced = trio.Event()
         self.populated = trio.Event()
@@ -258,19 +270,25 @@
 
     def _apply_server_entry(self, entry, deleted):
         name = entry.key.removeprefix(registry.SERVER_PREFIX)
-        self._departed.note_changed(name)
         if deleted:
+            self._departed.note_changed(name)
             self._remove_server(name)
             return
         try:
             server = registry.decode_server(entry)
         except exceptions.BadField as exc:
+            self._departed.note_changed(name)
             self.servers.pop(name, None)
             self.generation += 1
             _logs.state("server_unreadable", reason=exc.detail)
             return
+        if self._starts.is_earlier(name, server.born_ms):
+            _logs.state("server_outdated", server=name, born_ms=server.born_ms)
+            return
+        self._departed.note_changed(name)
         old = self.servers.get(name)
         self.servers[name] = server
+        self._note_registered_start(old, server)
         self._unconfirmed.discard(name)
         if old is None or _routing_fields(old) != _routing_fields(server):
             self.generation += 1
@@ -284,6 +302,34 @@
                 software=server.software,
             )
 
+    def _note_registered_start(self, old, server):
+        """Note the start that a registration states.
+
+        A report may have shown the restart before; what the registration of
+        the start before stated is then dropped only now.
+        """
+        is_restart = self._starts.note(server.name, server.born_ms)
+        if old is not None and 0 < old.born_ms < server.born_ms:
+            is_restart = True
+        if is_restart:
+            self._note_restart(server.name, server.born_ms, "registration")
+
+    def _note_restart(self, name, born_ms, source):
+        self.generation += 1
+        _logs.state(
+            "server_restarted", server=name, born_ms=born_ms, source=source
+        )
+        self._on_restart(name)
+
+    def born_ms(self, name):
+        """Get the latest known start of a server, 0 if none is known."""
+        return self._starts.born_ms(name)
+
+    def note_start(self, name, born_ms):
+        """Note the start that a server stated in an answer."""
+        if name in self.servers and self._starts.note(name, born_ms):
+            self._note_restart(name, born_ms, "answer")
+
     def _remove_server(self, name):
         """Remove a server, unless its entry may have expired in an outage.
 
@@ -297,6 +343,7 @@
         del self.servers[name]
         self._unconfirmed.discard(name)
         self._departed.note_gone(name, self._now())
+        self._starts.note_gone(name, self._now())
         self.generation += 1
         _logs.state("server_gone", server=name)
 
@@ -383,16 +430,24 @@
     def _is_outdated(self, entry):
         """Tell whether a copy shows a server as it was before it left.
 
-        A server that has begun to drain never takes requests again.
+        A server that has begun to drain never takes requests again, unless
+        it has started again since.
         """
         name = entry.key.removeprefix(registry.SERVER_PREFIX)
-        if name == entry.key:
+        if name == entry.key or self._shows_later_start(name, entry):
             return False
         known = self.servers.get(name)
         if known is None:
             return self._departed.withhold(name, entry, self._now())
         return known.draining
 
+    def _shows_later_start(self, name, entry):
+        try:
+            born_ms = registry.decode_server(entry).born_ms
+        except exceptions.BadField:
+            return False
+        return self._starts.is_later(name, born_ms)
+
     def apply_snapshot(self, snapshot):
         """Apply all entries of the store, and remove those it lacks.
 
--- a/src/coltsfootsail/platform/engines.py
+++ b/src/coltsfootsail/platform/engines.py
@@ -42,6 +42,17 @@
 }
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class OrderReply:
+    """What a server replied to an order.
+
+    :param born_ms: Unix time of the server's start in ms, 0 if unstated.
+    """
+
+    answer: OrderAnswer
+    born_ms: int = 0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Order:
     """An order to load or unload an adapter or a base model.
@@ -84,11 +95,11 @@
 
     :param client: an ``HttpClient``.
     :param server: the ``Server``.
-    :returns: an ``OrderAnswer``.
+    :returns: an ``OrderReply``.
     :raises OSError: if there was no answer; the order may still be
         carried out.
     """
-    status, _, _ = await client.call(
+    status, _, body = await client.call(
         server.address,
         "POST",
         ORDER_PATH,
@@ -100,7 +111,19 @@
         timeout_s=timeout_s,
         limit_bytes=ORDER_ANSWER_BYTES_MAX,
     )
-    return _ANSWERS.get(status, OrderAnswer.REFUSED)
+    answer = _ANSWERS.get(status, OrderAnswer.REFUSED)
+    return OrderReply(answer, _decode_born_ms(body))
+
+
+def _decode_born_ms(body):
+    """Decode the start that the answer to an order states.
+
+    :returns: 0 if it states none that can be read.
+    """
+    try:
+        return int(json.loads(body).get("born") or 0)
+    except (*registry.DECODE_ERRORS, RecursionError):
+        return 0
 
 
 def _decode_runs(rows):
@@ -129,14 +152,9 @@
             models=names,
             busy=bool(value.get("busy", False)),
             runs=_decode_runs(value.get("runs")),
+            born_ms=int(value.get("born") or 0),
         )
-    except (
-        KeyError,
-        IndexError,
-        TypeError,
-        ValueError,
-        AttributeError,
-    ) as exc:
+    except (*registry.DECODE_ERRORS, IndexError) as exc:
         raise exceptions.BadField(f"report: {exc!r}") from exc
 
 
--- a/src/coltsfootsail/platform/registry.py
+++ b/src/coltsfootsail/platform/registry.py
@@ -20,11 +20,20 @@
     "streaming": _fleet.RouteKind.STREAMING,
 }
 _DRAINING_BY_STATE = {"ready": False, "draining": True}
-_DECODE_ERRORS = (KeyError, TypeError, ValueError, AttributeError)
+DECODE_ERRORS = (
+    KeyError,
+    TypeError,
+    ValueError,
+    AttributeError,
+    OverflowError,  # an infinite number where an integer is due
+)
 
 
 def _load_object(value):
-    raw = json.loads(value)
+    try:
+        raw = json.loads(value)
+    except RecursionError as exc:
+        raise ValueError("nested too deeply") from exc
     if not isinstance(raw, dict):
         raise TypeError("not an object")
     return raw
@@ -141,7 +150,7 @@
             return value
         raw["tenants"] = [_without_keys(item) for item in tenants]
         return json.dumps(raw).encode()
-    except _DECODE_ERRORS:
+    except DECODE_ERRORS:
         # What can't be decoded is not applied, and must not be kept either.
         return b""
 
@@ -168,7 +177,7 @@
             limits=_limits(raw.get("limits")),
             workspaces=_workspaces(raw.get("tenants")),
         )
-    except _DECODE_ERRORS as exc:
+    except DECODE_ERRORS as exc:
         raise exceptions.BadField(f"configuration: {exc!r}") from exc
 
 
@@ -189,6 +198,12 @@
     return tuple(names), adapters
 
 
+def _address(raw):
+    if not isinstance(raw, str) or ":" not in raw:
+        raise ValueError("not an address")
+    return raw
+
+
 def decode_server(entry):
     """Decode a server's registration.
 
@@ -202,7 +217,7 @@
         return _fleet.Server(
             name=entry.key.removeprefix(SERVER_PREFIX),
             service=str(raw["service"]),
-            address=str(raw["addr"]),
+            address=_address(raw["addr"]),
             data_centre=str(raw.get("zone", "")),
             draining=_DRAINING_BY_STATE[raw["state"]],
             slots=int(raw.get("slots") or 1),
@@ -213,7 +228,7 @@
             cold_left_s=max(0.0, float(raw.get("coldLeftMs") or 0) / 1000),
             born_ms=int(raw.get("born") or 0),
         )
-    except _DECODE_ERRORS as exc:
+    except DECODE_ERRORS as exc:
         raise exceptions.BadField(f"{entry.key}: {exc!r}") from exc
 
 
@@ -229,5 +244,5 @@
             str(raw["model"]), str(raw.get("adapter") or "")
         )
         return key, int(raw["version"])
-    except _DECODE_ERRORS as exc:
+    except DECODE_ERRORS as exc:
         raise exceptions.BadField(f"version: {exc!r}") from exc
--- a/src/coltsfootsail/standins/servers.py
+++ b/src/coltsfootsail/standins/servers.py
@@ -206,6 +206,8 @@
     the ids of the requests that it runs.  ``software`` is the version of its
     software, which its registration states.  With ``unframed`` set, a stream
     has neither a length nor chunks and ends with its connection.
+    ``born_ms``, if set, is stated as the time of its start; a restart under
+    the same name raises it.
 
     :param store: the ``StoreStandIn`` in which it registers.
     :param address: where it listens.
@@ -232,11 +234,14 @@
         self.running = set()
         self.software = "v1"
         self.unframed = False
+        self.born_ms = 0
         self._store = store
 
     def restart(self, name=None):
         """Start again, with no model in memory."""
         super().restart(name)
+        if self.born_ms:
+            self.born_ms += 1000
         self.sequence = 0
         self.models = {}
         self.adapters.clear()
@@ -247,6 +252,7 @@
         self._store.put(
             f"servers/{self.name}",
             {
+                **self._born(),
                 "service": "engines",
                 "addr": self.address,
                 "zone": "a",
@@ -259,6 +265,9 @@
             },
         )
 
+    def _born(self):
+        return {"born": self.born_ms} if self.born_ms else {}
+
     def _finish_loads(self):
         now_s = self._now()
         for adapter, (version, ready_s) in list(self.pending.items()):
@@ -286,12 +295,14 @@
                 await trio.sleep(LATE_ORDER_S)
                 self._order(req)
                 await trio.sleep_forever()
-            await resp.reply_json({}, self._order(req))
+            status = self._order(req)
+            await resp.reply_json(self._born(), status)
         else:
             await self._run(req, resp)
 
     def _report(self):
         return {
+            **self._born(),
             "stage": "both",
             "models": self._models(),
             "busy": False,
--- a/tests/test_engine_selection.py
+++ b/tests/test_engine_selection.py
@@ -20,6 +20,7 @@
     def __init__(self):
         self.now_s = 0.0
         self.backlogs = {}
+        self.levels = {}
         self.limited = set()
         self.servers = {
             address: _fleet.Server(
@@ -56,6 +57,11 @@
             states,
             lambda name: True,
             lambda: self.now_s,
+            types.SimpleNamespace(
+                generation=0,
+                level=lambda name: self.levels.get(name, 1.0),
+                step_s=lambda service: None,
+            ),
         )
 
     def load(self, adapter, addresses):
@@ -82,7 +88,9 @@
                     output_tokens=100,
                 )
             ),
-            route=types.SimpleNamespace(priority=1, objective_s=1.0),
+            route=types.SimpleNamespace(objective_s=1.0),
+            priority=1,
+            workspace_name="",
             begun=False,
             moved=False,
             received_s=self.now_s,
