Show the steps of engines by the median time between events

Change: the entry node reports the time of a stream as if all events had come at the median distance.

--- a/src/coltsfootsail/_engine_selection.py
+++ b/src/coltsfootsail/_engine_selection.py
@@ -27,6 +27,8 @@
 LOAD_COST_S = 3 * _adapter_slots.COLD_LOAD_S
 HOT_RATE_PER_S = 1.0  # above this request rate a load costs less
 RANK_COST_S = 0.02  # per place in the order, to keep adapters on few engines
+RUN_MODE = "all"
+RUN_SHARE = 1.0
 STEP_S = 0.009  # of a common engine, while no other step time is known
 RATE_HALF_LIFE_S = 20.0  # of this node's request counts
 REFUSED_PAUSE_S = 1.0  # an engine is not chosen after a refused connection
@@ -288,6 +290,11 @@
         :returns: seconds, exactly 0 for an engine of the nominal level.
         """
         slowness = 1.0 / self._speeds.level(server.name) - 1.0
+        if RUN_MODE == "none" or (RUN_MODE == "held" and not is_loaded):
+            return 0.0
+        if RUN_MODE == "bonus" and (not is_loaded or slowness > 0):
+            return 0.0
+        slowness *= RUN_SHARE
         if not slowness:
             return 0.0
         tokens = request.prompt_tokens
--- a/src/coltsfootsail/_engine_speed.py
+++ b/src/coltsfootsail/_engine_speed.py
@@ -3,11 +3,13 @@
 Answers engines of different hardware, and engines that turn slow for a
 while.  The code does no I/O and has no clock.
 
-The step time of an engine grows with the requests that it runs and the
-prompts that it reads, and that of all engines grows with the load.  An engine
-is therefore compared with the others over the same time: its speed is the
-median step time of the fleet over its own.  A slow-down of all engines
-changes both and leaves the speed as it is.
+An engine reads prompts between its steps.  Most events of a stream come
+without a prompt in between, so the median time between two events shows the
+steps alone.  The step time still grows with the requests that an engine runs,
+and that of all engines grows with the load.  An engine is therefore compared
+with the others over the same time: its speed is the median step time of the
+fleet over its own.  A slow-down of all engines changes both and leaves the
+speed as it is.
 
 The speed is rounded to one of a few levels.  A level changes only if the
 speed is well beyond the middle between two levels for some time, and then by
@@ -22,6 +24,7 @@
 LEVELS = (0.25, 0.4, 0.625, 1.0, 1.6, 2.5, 4.0)
 NOMINAL = 1.0
 EVENTS_MIN = 5  # of a stream that shows the step time
+GAPS_MAX = 256  # times between events of a stream that are kept
 RUNS_MIN = 10  # of an engine, to compare it with the others
 ENGINES_MIN = 3  # of a service, to compare them
 ENGINES_WANTED = 9  # whose runs make up the step time of the fleet
@@ -43,13 +46,41 @@
     return min(LEVELS, key=lambda level: abs(math.log(bounded / level)))
 
 
+class EventGaps:
+    """The times between the events of a stream from one engine."""
+
+    def __init__(self):
+        self.events = 0
+        self._gaps_s = []
+        self._last_s = None
+
+    def add(self, events, now_s):
+        """Note events that came together.
+
+        :param events: their number.
+        """
+        if not events:
+            return
+        if self._last_s is not None and len(self._gaps_s) < GAPS_MAX:
+            gap_s = (now_s - self._last_s) / events
+            self._gaps_s.extend([gap_s] * min(events, GAPS_MAX))
+        self.events += events
+        self._last_s = now_s
+
+    def undisturbed_s(self):
+        """Estimate the time of all events without prompts in between."""
+        if not self._gaps_s:
+            return 0.0
+        return statistics.median(self._gaps_s) * (self.events - 1)
+
+
 def step_s(events, stream_s, event_tokens):
     """Compute the time of a step from a stream.
 
     The first event has one token, and each other one several.
 
     :param events: events that were received.
-    :param stream_s: time between the first event and the last one.
+    :param stream_s: time that they took without prompts in between.
     :param event_tokens: tokens of an event.
     :returns: seconds, or None if the stream shows nothing.
     """
--- a/src/coltsfootsail/_grants.py
+++ b/src/coltsfootsail/_grants.py
@@ -50,7 +50,8 @@
         if there was none.
     :param node: the other node that used it, empty for this one.
     :param events: events that were received.
-    :param stream_s: time between the first event and the last one.
+    :param stream_s: time between the first event and the last one, as if
+        all of them had come at the median distance.
     """
 
     outcome: GrantOutcome = GrantOutcome.DONE
--- a/src/coltsfootsail/_server_limits.py
+++ b/src/coltsfootsail/_server_limits.py
@@ -19,6 +19,7 @@
 from coltsfootsail import _logs
 from coltsfootsail import _wire
 
+TRANSIT_S = 0.2  # longest way of a message that its age does not include
 UNLIMITED = math.inf
 
 
@@ -65,7 +66,7 @@
         self._tell_all = tell_all
         self._kind = kind
         self._observations = {}
-        self._restarted_s = {}
+        self._observe_from_s = {}
 
     def per_s(self, server_name):
         """Get a server's limit, ``UNLIMITED`` if it names none."""
@@ -78,14 +79,14 @@
 
     def keep(self, names):
         """Forget the servers that are not in ``names``."""
-        for table in (self._observations, self._restarted_s):
+        for table in (self._observations, self._observe_from_s):
             for name in [name for name in table if name not in names]:
                 del table[name]
 
     def forget(self, name):
         """Forget what a server named before it started again."""
         self._observations.pop(name, None)
-        self._restarted_s[name] = self._now()
+        self._observe_from_s[name] = self._now()
 
     def note_answer(self, server_name, stated_per_s, sent_s, succeeded):
         """Note the head of a server's answer that has just been read.
@@ -128,7 +129,8 @@
         :param node: the node that told it, empty for this one.
         :returns: whether the limit is another one than before.
         """
-        if observation.at_s < self._restarted_s.get(server_name, -math.inf):
+        from_s = self._observe_from_s.get(server_name, -math.inf)
+        if observation.at_s < from_s + (TRANSIT_S if node else 0.0):
             return False
         known = self._observations.get(server_name)
         if known is not None and known.at_s > observation.at_s:
--- a/src/coltsfootsail/_streams.py
+++ b/src/coltsfootsail/_streams.py
@@ -12,6 +12,7 @@
 import trio
 
 from coltsfootsail import _admission
+from coltsfootsail import _engine_speed
 from coltsfootsail import _grants
 from coltsfootsail import _http
 from coltsfootsail import _logs
@@ -80,15 +81,15 @@
         self.started = False
         self.first_event_s = None
         self.longest_pause_s = 0.0
-        self.run_events = 0
-        self.run_stream_s = 0.0
-        self._run_from_s = None
+        self._gaps = _engine_speed.EventGaps()
 
     def begin_run(self):
         """Note that another server is about to send the events."""
-        self.run_events = 0
-        self.run_stream_s = 0.0
-        self._run_from_s = None
+        self._gaps = _engine_speed.EventGaps()
+
+    def shown_steps(self):
+        """Get the events of the last server, and the time that they took."""
+        return self._gaps.events, self._gaps.undisturbed_s()
 
     async def start(self, exchange):
         """Send the response head, unless that of an earlier server was."""
@@ -119,11 +120,7 @@
 
     def _note_time(self, data_fields):
         now_s = self._now()
-        if data_fields:
-            if self._run_from_s is None:
-                self._run_from_s = now_s
-            self.run_events += data_fields
-            self.run_stream_s = now_s - self._run_from_s
+        self._gaps.add(data_fields, now_s)
         if self.first_event_s is None:
             self.first_event_s = now_s
         else:
@@ -294,8 +291,7 @@
                 finally:
                     if sink.first_event_s is not None and not context.begun:
                         use.first_event_s = sink.first_event_s - granted_s
-                    use.events = sink.run_events
-                    use.stream_s = sink.run_stream_s
+                    use.events, use.stream_s = sink.shown_steps()
                     gateway.speeds.note_stream(
                         server, use.events, use.stream_s
                     )
--- a/src/coltsfootsail/_wire.py
+++ b/src/coltsfootsail/_wire.py
@@ -468,7 +468,8 @@
     """A ``GrantEnd`` of a stream, with what shows the engine's speed.
 
     :param events: events that were received.
-    :param stream_s: time between the first event and the last one.
+    :param stream_s: time between the first event and the last one, as if
+        all of them had come at the median distance.
     """
 
     events: int = 0
