--- a/src/coltsfootsail/_server_limits.py
+++ b/src/coltsfootsail/_server_limits.py
@@ -19,6 +19,7 @@
 from coltsfootsail import _logs
 from coltsfootsail import _wire
 
+TRANSIT_S = 0.2  # longest way of a message that its age does not include
 UNLIMITED = math.inf
 
 
@@ -65,6 +66,7 @@
         self._tell_all = tell_all
         self._kind = kind
         self._observations = {}
+        self._observe_from_s = {}
 
     def per_s(self, server_name):
         """Get a server's limit, ``UNLIMITED`` if it names none."""
@@ -77,8 +79,14 @@
 
     def keep(self, names):
         """Forget the servers that are not in ``names``."""
-        for name in [n for n in self._observations if n not in names]:
-            del self._observations[name]
+        for table in (self._observations, self._observe_from_s):
+            for name in [name for name in table if name not in names]:
+                del table[name]
+
+    def forget(self, name):
+        """Forget what a server named before it started again."""
+        self._observations.pop(name, None)
+        self._observe_from_s[name] = self._now()
 
     def note_answer(self, server_name, stated_per_s, sent_s, succeeded):
         """Note the head of a server's answer that has just been read.
@@ -121,6 +129,9 @@
         :param node: the node that told it, empty for this one.
         :returns: whether the limit is another one than before.
         """
+        from_s = self._observe_from_s.get(server_name, -math.inf)
+        if observation.at_s < from_s + (TRANSIT_S if node else 0.0):
+            return False
         known = self._observations.get(server_name)
         if known is not None and known.at_s > observation.at_s:
             return False
--- a/src/coltsfootsail/_streams.py
+++ b/src/coltsfootsail/_streams.py
@@ -12,6 +12,7 @@
 import trio
 
 from coltsfootsail import _admission
+from coltsfootsail import _engine_speed
 from coltsfootsail import _grants
 from coltsfootsail import _http
 from coltsfootsail import _logs
@@ -80,6 +81,15 @@
         self.started = False
         self.first_event_s = None
         self.longest_pause_s = 0.0
+        self._gaps = _engine_speed.EventGaps()
+
+    def begin_run(self):
+        """Note that another server is about to send the events."""
+        self._gaps = _engine_speed.EventGaps()
+
+    def shown_steps(self):
+        """Get the events of the last server, and the time that they took."""
+        return self._gaps.events, self._gaps.undisturbed_s()
 
     async def start(self, exchange):
         """Send the response head, unless that of an earlier server was."""
@@ -102,13 +112,15 @@
         if not events:
             return False
         self.before_events()
-        self._note_time()
+        data_fields = len(_DATA_FIELD.findall(events))
+        self._note_time(data_fields)
         with _caller_errors():
             await self._resp.write(events)
-        return _DATA_FIELD.search(events) is not None
+        return data_fields > 0
 
-    def _note_time(self):
+    def _note_time(self, data_fields):
         now_s = self._now()
+        self._gaps.add(data_fields, now_s)
         if self.first_event_s is None:
             self.first_event_s = now_s
         else:
@@ -285,6 +297,10 @@
                 finally:
                     if sink.first_event_s is not None and not context.begun:
                         use.first_event_s = sink.first_event_s - granted_s
+                    use.events, use.stream_s = sink.shown_steps()
+                    gateway.speeds.note_stream(
+                        server, use.events, use.stream_s
+                    )
         except (exceptions.TurnedAway, exceptions.OwnerSilent) as exc:
             self._count(
                 "turned_away", _turn_away_reason(exc), labels=context.labels
@@ -358,6 +374,7 @@
         self, context, sink, resp, server, grant_request, owner
     ):
         gateway = self._gateway
+        sink.begin_run()
         self._send_policy.remaining_s(context)
         self._send_policy.authorize_send(context, server)
         last_event_id = sink.splitter.last_id if sink.started else None
--- a/src/coltsfootsail/platform/registry.py
+++ b/src/coltsfootsail/platform/registry.py
@@ -24,12 +24,12 @@
     "streaming": _fleet.RouteKind.STREAMING,
 }
 _DRAINING_BY_STATE = {"ready": False, "draining": True}
-_DECODE_ERRORS = (
+DECODE_ERRORS = (
     KeyError,
     TypeError,
     ValueError,
     AttributeError,
-    OverflowError,
+    OverflowError,  # an infinite number where an integer is due
     RecursionError,
 )
 _REQUIRED = object()
@@ -41,7 +41,10 @@
 
 
 def _load_object(value):
-    raw = json.loads(value)
+    try:
+        raw = json.loads(value)
+    except RecursionError as exc:
+        raise ValueError("nested too deeply") from exc
     if not isinstance(raw, dict):
         raise TypeError("not an object")
     return raw
@@ -60,7 +63,7 @@
     except exceptions.BadField as exc:
         joint = "" if exc.detail.startswith("[") else "."
         raise exceptions.BadField(f"{path}{joint}{exc.detail}") from None
-    except _DECODE_ERRORS as exc:
+    except DECODE_ERRORS as exc:
         raise exceptions.BadField(f"{path}: {type(exc).__name__}") from None
 
 
@@ -253,7 +256,7 @@
             return value
         raw["tenants"] = [_without_keys(item) for item in tenants]
         return json.dumps(raw).encode()
-    except (exceptions.BadField, *_DECODE_ERRORS):
+    except (exceptions.BadField, *DECODE_ERRORS):
         # What can't be decoded is not applied, and must not be kept either.
         return b""
 
