--- a/src/coltsfootsail/_arrivals.py
+++ b/src/coltsfootsail/_arrivals.py
@@ -300,16 +300,16 @@
     has_keys: bool = False
     hot_factor: object = lambda run_share: 1.0
 
-
-HOT_FACTOR = 7.5
-HOT_SHARE = (0.4, 0.4 + 6.5 / 40.0)  # 6.5 s of a run of 40 s
-
     def factor(self, kind, at_s, length_s):
         """Get the factor on the rate of a kind at a time of the run."""
         wave = 1.0 + self.swing * math.sin(2.0 * math.pi * at_s / SWING_S)
         return wave * self.rate_factor(kind, at_s / length_s)
 
 
+HOT_FACTOR = 7.5
+HOT_SHARE = (0.4, 0.4 + 6.5 / 40.0)  # 6.5 s of a run of 40 s
+
+
 def _in_middle(run_share):
     return 0.35 <= run_share < 0.6
 
