--- a/src/coltsfootsail/_quotas.py
+++ b/src/coltsfootsail/_quotas.py
@@ -96,10 +96,12 @@
         :raises OverQuota: if there are too few.
         """
         workspace = context.workspace
-        if workspace is None or workspace.quota is None:
+        cost = 0.0
+        if workspace is not None and workspace.quota is not None:
+            cost = workspace.quota.cost(context.meta.tokens)
+        if cost <= 0:
             yield
             return
-        cost = workspace.quota.cost(context.meta.tokens)
         begun_s = self._now()
         await self._acquire(workspace, cost)
         self._count("quota_granted", workspace.name, cost)
@@ -385,6 +387,7 @@
         flushes = 0
         while True:
             await self._wake.wait()
+            self._refresh()
             self._advance()
             self._return_lent()
             if flushes % REPORT_FLUSHES == 0:
