Grant requests of all sizes alike while a quota is used up

Cause: a bucket that is nearly empty has room for small requests only, so that large ones starve above the limit.

Change: each request needs the tokens of the largest one of the last time; a refusal is remembered for all sizes.

--- a/src/coltsfootsail/_quota.py
+++ b/src/coltsfootsail/_quota.py
@@ -29,8 +29,8 @@
 # has no share for a while.
 SILENCE_HOLD_S = 5.0
 PAUSE_MIN_S = 1.0  # between two looks at holders, if this node was suspended
-# Requests are refused without asking the holder for this time after it has
-# refused one that is not larger.
+# Requests of any size are refused without asking the holder for this time
+# after it has refused one: it does not prefer small ones either.
 REFUSED_HOLD_S = 0.25
 
 
@@ -120,9 +120,9 @@
         spent.
     :param lent_to: the holder that may count the entitlement, or None.
     :param lent_number: number of the report that lent it last.
-    :param refused: cost of the request that was refused last, and from when
-        on there is room for it.
-    :param refused_hold_s: until when that is taken as known.
+    :param room_s: from when on there is room for the request that was
+        refused last.
+    :param room_hold_s: until when that is taken as known.
     """
 
     credit: float = 0.0
@@ -132,8 +132,8 @@
     lent_to: str | None = None
     lent_until_s: float = 0.0
     lent_number: int = 0
-    refused: tuple = (math.inf, 0.0)
-    refused_hold_s: float = 0.0
+    room_s: float = 0.0
+    room_hold_s: float = 0.0
 
 
 class _Holder:
@@ -189,13 +189,12 @@
         account.unsent += cost
         return True
 
-    def refused_s(self, workspace, cost, now_s):
-        """Get the known time until there is room for a request, or 0."""
+    def refused_s(self, workspace, now_s):
+        """Get the known time until there is room for requests, or 0."""
         account = self._account(workspace)
-        refused_cost, until_s = account.refused
-        if cost < refused_cost or now_s >= account.refused_hold_s:
+        if now_s >= account.room_hold_s:
             return 0.0
-        return max(0.0, until_s - now_s)
+        return max(0.0, account.room_s - now_s)
 
     def refund(self, workspace, cost, spent_s):
         """Give back tokens of a request that has not run.
@@ -333,10 +332,10 @@
             if granted:
                 self.refund(want.workspace, want.cost, sent_s)
             return
-        if not granted:
+        if not granted and wait_s < _quota_pool.NEVER_WAIT_S:
             account = self._account(want.workspace)
-            account.refused = (want.cost, now_s + wait_s)
-            account.refused_hold_s = now_s + REFUSED_HOLD_S
+            account.room_s = now_s + wait_s
+            account.room_hold_s = now_s + REFUSED_HOLD_S
         want.wake()
 
     def drop_holder(self, node):
--- a/src/coltsfootsail/_quota_pool.py
+++ b/src/coltsfootsail/_quota_pool.py
@@ -32,6 +32,10 @@
 NO_ROOM_WAIT_S = 1.5  # stated while nothing is lent
 NEVER_WAIT_S = 60.0  # stated for requests that no bucket will have room for
 ROOMS_MAX = 1000  # in the history of a bucket
+# All requests need the tokens of a large one to be granted.  Otherwise a
+# bucket that is nearly empty would serve only the smallest.
+LARGEST_HALF_LIFE_S = 10.0
+LARGEST_SHARE = 0.75  # of a bucket, that this may take at most
 SLOT_S = 0.25  # resolution of the use in the last window
 SLOTS_MAX = 120
 
@@ -140,6 +144,8 @@
         self._count = None
         self._bucket = _token_bucket.TokenBucket(0.0, 0.0, 0.0, now_s)
         self._burst = 0.0
+        self._largest = 0.0
+        self._largest_s = now_s
         self._history = _History(now_s)
         self._lenders = {}
         self._expire_from_s = math.inf
@@ -226,7 +232,8 @@
         :returns: tuple of whether they were taken, and the time until there
             is room.
         """
-        wait_s = self._bucket.wait_s(now_s, min(cost, self._burst))
+        needed = max(cost, self._large_cost(cost, now_s))
+        wait_s = self._bucket.wait_s(now_s, min(needed, self._burst))
         if not self._burst or math.isinf(wait_s):
             return False, NO_ROOM_WAIT_S
         if cost > self._burst:
@@ -236,6 +243,14 @@
         self.spend(cost, now_s)
         return True, 0.0
 
+    def _large_cost(self, cost, now_s):
+        """Get the cost of the largest request of the last time."""
+        age_s = now_s - self._largest_s
+        largest = self._largest * 0.5 ** (age_s / LARGEST_HALF_LIFE_S)
+        self._largest = max(cost, largest)
+        self._largest_s = now_s
+        return min(self._largest, LARGEST_SHARE * self._burst)
+
     def _credit_nodes(self):
         return max(self._count or 1, len(self._known), len(self._lenders))
 
--- a/src/coltsfootsail/_quotas.py
+++ b/src/coltsfootsail/_quotas.py
@@ -128,7 +128,7 @@
         for _ in range(ASKS_MAX):
             if self._spend_credit(workspace, cost):
                 return
-            wait_s = self._client.refused_s(name, cost, self._now())
+            wait_s = self._client.refused_s(name, self._now())
             if not wait_s:
                 left_s = begun_s + WAIT_MAX_S - self._now()
                 want = await self._ask(workspace, cost, left_s)
--- a/tests/quota_world.py
+++ b/tests/quota_world.py
@@ -152,7 +152,7 @@
         if node.client.try_spend(WORKSPACE, cost, share):
             self._begin(node, sent_s, cost)
             return
-        if node.client.refused_s(WORKSPACE, cost, sent_s):
+        if node.client.refused_s(WORKSPACE, sent_s):
             self.refused.append((sent_s, cost))
             return
 
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -176,6 +176,17 @@
     assert world.worst_window() <= 1.0
 
 
+def test_large_requests_are_served_as_often_as_small_ones():
+    """Guards against a bucket that is always emptied by small requests."""
+    quota = quota_world.make_quota()
+    world = quota_world.World(20, quota, 1)
+    _load(world, 40.0, 2 * quota.per_s, None, (400, 4000))
+    calls = [c for _, _, c in world.begun] + [c for _, c in world.refused]
+    served = [c for _, _, c in world.begun]
+    large = sum(c > 3640 for c in served) / sum(c > 3640 for c in calls)
+    assert large >= 0.5 * len(served) / len(calls)
+
+
 def test_the_quota_is_used_again_after_its_holder_was_suspended():
     """Guards against a return to a holder that can't count the nodes yet."""
     quota = quota_world.make_quota()
@@ -234,12 +245,12 @@
     pool = _pool()
     assert pool.request(90.0, 20.0) == (True, 0.0)
     for now_s in (20.0, 22.0, 24.5):
-        granted, wait_s = pool.request(60.0, now_s)
+        granted, wait_s = pool.request(80.0, now_s)
         assert not granted
-        assert now_s + wait_s == pytest.approx(25.0)
-    assert pool.request(60.0, 25.0) == (True, 0.0)
+        assert now_s + wait_s == pytest.approx(27.0)
+    assert pool.request(80.0, 27.0) == (True, 0.0)
     # Larger than any bucket: refused with a time, instead of waiting.
-    assert pool.request(150.0, 25.0) == (False, _quota_pool.NEVER_WAIT_S)
+    assert pool.request(150.0, 27.0) == (False, _quota_pool.NEVER_WAIT_S)
 
 
 def test_what_was_given_back_late_fits_only_where_the_bucket_had_room():
