--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -41,8 +41,11 @@
             writer,
             direct,
             options.poison_share,
+            systems.KEYS if options.keys else ("",),
         ):
             nursery.start_soon(caller.run, options.pause_s)
+        if options.keys:
+            nursery.start_soon(_revoke_key, system, writer, options)
         nursery.start_soon(_record_memory, system, writer)
         await _play_faults(system, options, rng, writer)
         await trio.sleep(SETTLE_S)
@@ -53,6 +56,13 @@
         nursery.cancel_scope.cancel()
 
 
+async def _revoke_key(system, writer, options):
+    """Revoke a key after a third of the time."""
+    await trio.sleep(options.seconds / 3)
+    await system.put_keys(3, systems.KEYS[1:])
+    writer.write(records.Revocation(records.now_s(), systems.KEYS[0]))
+
+
 async def _record_memory(system, writer):
     """Record the memory of all nodes until cancelled."""
     while True:
@@ -111,6 +121,7 @@
         _package_paths(directory, options.build),
         has_proxies=not options.poison_share,
         brittle=options.brittle,
+        has_keys=options.keys,
     )
     async with trio.open_nursery() as nursery:
         nursery.start_soon(_end_on_sigterm)
@@ -162,6 +173,9 @@
         default=0,
         help="refusals a second that plain servers bear, 0 for any number",
     )
+    parser.add_argument(
+        "--keys", action="store_true", help="need keys, and revoke one"
+    )
     parser.add_argument("--keep", action="store_true")
     parser.add_argument(
         "--build", default="", help="commit that nodes may run as well"
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -121,15 +121,19 @@
         read; a proxy between caller and node may reset at any moment.
     :param poison_share: share of the attempts at engines that have a part
         which crashes them.
+    :param key: its key, empty for none.
     """
 
-    def __init__(self, name, rng, nodes, writer, trusts_resets, poison_share):
+    def __init__(
+        self, name, rng, nodes, writer, trusts_resets, poison_share, key
+    ):
         self._name = name
         self._rng = rng
         self._nodes = nodes
         self._writer = writer
         self._trusts_resets = trusts_resets
         self._poison_share = poison_share
+        self._key = key
         self._kept = None
         self._number = 0
 
@@ -201,6 +205,7 @@
             self._nodes[connection.address] if connection else "",
             connection.sent_s if connection else 0.0,
             protocol.stream_versions(body),
+            self._key,
         )
         self._writer.write(result)
         return answer, connection.address if connection else ""
@@ -246,6 +251,8 @@
             (protocol.KIND, kind.name),
             ("content-length", str(len(body))),
         ]
+        if self._key:
+            fields.append((messages.AUTHORIZATION, f"Bearer {self._key}"))
         if kind.name in ("stream", "resumable"):
             adapter = f"base/a{self._rng.randrange(ADAPTERS)}"
             fields += [
@@ -319,8 +326,10 @@
     return body == protocol.plain_body(content)
 
 
-def make_callers(count, seed, nodes, writer, trusts_resets, poison_share=0.0):
-    """Create callers with randomness of their own."""
+def make_callers(
+    count, seed, nodes, writer, trusts_resets, poison_share=0.0, keys=("",)
+):
+    """Create callers with randomness of their own, and keys in turn."""
     return [
         Caller(
             f"s{seed}c{number}",
@@ -329,6 +338,7 @@
             writer,
             trusts_resets,
             poison_share,
+            keys[number % len(keys)],
         )
         for number in range(count)
     ]
--- a/tests/soak/checker.py
+++ b/tests/soak/checker.py
@@ -10,6 +10,7 @@
 PROMISES = frozenset({408, 421, 429, 503})
 NOT_REPEATABLE = frozenset({"mutating", "stream"})
 OVERLAP_MAX_S = 0.4  # a run may go on after another one has taken over
+REVOCATION_S = 5.0  # after which no request with a revoked key may run
 TURN_S = 3.0  # between the orders of one holder and those of the next
 DELAY_S = 0.3  # orders sent before a fault may arrive this long after it
 LOSS_SLACK_S = 0.2  # a request that ends sooner may not have been read
@@ -68,6 +69,9 @@
     ``BUSY``: a node sent requests to a server that had asked for a pause.
     ``FALLS``: brittle servers had to refuse too many requests, too often.
     ``MEMORY``: a node's memory grew too far.
+    ``REVOKED``: a request ran that was sent too long after its key had been
+    revoked.
+    ``DENIED``: a caller was told that its key is unknown, which is not so.
     ``CRASHES``: requests with a part that had crashed several servers went on
     to reach servers.
 
@@ -100,9 +104,26 @@
         *_after_crashes(by_type),
         *_fallen_over(by_type),
         *_over_memory(by_type),
+        *_revoked(by_type),
     ]
 
 
+def _revoked(by_type):
+    """Find runs with revoked keys, and refusals of others."""
+    revoked = {each.key for each in by_type[records.Revocation]}
+    for result in by_type[records.Result]:
+        if result.status == 401 and result.key not in revoked:
+            yield Violation("DENIED", (result,))
+    runs = {each.attempt: each for each in by_type[records.RunBegin]}
+    for revocation in by_type[records.Revocation]:
+        bound_s = revocation.at_s + REVOCATION_S
+        for result in by_type[records.Result]:
+            is_late = result.key == revocation.key and result.sent_s > bound_s
+            if is_late and result.attempt in runs:
+                found = (revocation, runs[result.attempt], result)
+                yield Violation("REVOKED", found)
+
+
 def _group(items, key):
     groups = collections.defaultdict(list)
     for item in items:
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -46,6 +46,7 @@
     :param sent_s: when its last byte was sent.
     :param versions: of the software that wrote the events that the caller
         has, over all its attempts.
+    :param key: the caller's key, empty for none.
     """
 
     at_s: float
@@ -58,6 +59,15 @@
     node: str = ""
     sent_s: float = 0.0
     versions: tuple = ()
+    key: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Revocation:
+    """The store has acknowledged that a key is revoked."""
+
+    at_s: float
+    key: str
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -159,6 +169,7 @@
         RunBegin,
         RunEnd,
         Result,
+        Revocation,
         Fault,
         Order,
         Limit,
--- a/tests/soak/system.py
+++ b/tests/soak/system.py
@@ -16,6 +16,7 @@
 from coltsfootsail import _net
 from coltsfootsail.platform import messages
 from coltsfootsail.standins import users
+from tests.soak import checker
 from tests.soak import protocol
 from tests.soak import proxy
 from tests.soak import records
@@ -49,6 +50,7 @@
 grace_s = {grace_s}
 retry_extra = 58.0
 """
+KEYS = ("key-a", "key-b")  # the first one is revoked
 
 
 @dataclasses.dataclass(slots=True)
@@ -77,6 +79,7 @@
         accept connections also while their server is down.
     :param brittle: refusals a second that plain servers bear, 0 for any
         number.
+    :param has_keys: whether requests need keys.
     """
 
     def __init__(
@@ -90,6 +93,7 @@
         package_paths=(None,),
         has_proxies=True,
         brittle=0,
+        has_keys=False,
     ):
         self.directory = directory
         self.links = {}
@@ -100,6 +104,7 @@
         self._program = program or (sys.executable, "-m", CLOCK_NODE)
         self._package_paths = package_paths
         self._brittle = brittle
+        self._has_keys = has_keys
         self._server_address = "nodes/{}" if has_proxies else "{}"
         self._package_rng = random.Random(f"{seed}/packages")
         self._processes = {}
@@ -129,6 +134,8 @@
         """
         self._add("store", self._stand_in("store", "store", "store"))
         await self._launch("store")
+        if self._has_keys:
+            await self.put_keys(2, KEYS)
         await self._start_proxies(nursery)
         for server in (*ENGINES, *SHOPS):
             await self.start_server(server)
@@ -178,6 +185,8 @@
             grace_s=GRACE_S,
             **{part: at[f"{node}/{part}"] for part in PARTS},
         )
+        if self._has_keys:
+            text += f"revocation_s = {checker.REVOCATION_S}\n"
         path = self.directory / f"{node}.toml"
         path.write_text(text)
         return [*self._program, "node", "--settings", str(path)]
@@ -229,6 +238,13 @@
         value = base64.b64encode(json.dumps(entry).encode()).decode()
         await self._write(writes=[{"key": key, "value": value}])
 
+    async def put_keys(self, version, keys):
+        """Write a configuration with a tenant for each key."""
+        tenants = [{"name": f"t-{key}", "apiKeys": [key]} for key in keys]
+        raw = {**users.configuration(version), "tenants": tenants}
+        value = base64.b64encode(json.dumps(raw).encode()).decode()
+        await self._write(writes=[{"key": "op/config", "value": value}])
+
     async def deregister(self, server):
         """Delete a server's entry from the store."""
         await self._write(drop=[f"servers/{self.instance(server)}"])
--- a/tests/soak/unsafe_node.py
+++ b/tests/soak/unsafe_node.py
@@ -10,6 +10,7 @@
 from coltsfootsail import __main__ as program
 from coltsfootsail import _answer_memory
 from coltsfootsail import _claims
+from coltsfootsail import _fleet
 from coltsfootsail import _gateway
 from coltsfootsail import _http_client
 from coltsfootsail import _limited_servers
@@ -105,7 +106,19 @@
     _answer_memory.AnswerMemory.take = lambda self, size_bytes: True
 
 
+def _remember_keys():
+    known = {}
+    find = _fleet.KeyTable.find
+
+    def find_ever(self, key):
+        found = known[key] = find(self, key) or known.get(key)
+        return found
+
+    _fleet.KeyTable.find = find_ever
+
+
 REMOVALS = {
+    "remember_keys": _remember_keys,
     "read_without_bound": _read_without_bound,
     "ignore_brittle": _ignore_brittle,
     "forget_crashes": _forget_crashes,
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -276,6 +276,11 @@
             "CRASHES",
             ["--fault-share", "0", "--limits", "0", "--poison", "0.1"],
         ),
+        (
+            "remember_keys",
+            "REVOKED",
+            ["--keys", "--fault-share", "0", "--limits", "0"],
+        ),
         (
             "go_on_at_any_version",
             "ORDER",
