--- a/src/coltsfootsail/_access.py
+++ b/src/coltsfootsail/_access.py
@@ -74,7 +74,7 @@
 
         :raises MissingKey: if it has no key.
         :raises UnknownKey: if its key is not known.
-        :raises ConfigurationStale: if the configuration may be stale.
+        :raises ConfigurationUnproven: if the configuration may be stale.
         """
         if self.reason in _ERRORS:
             raise _ERRORS[self.reason]()
@@ -83,7 +83,7 @@
 _ERRORS = {
     Reason.MISSING_KEY: exceptions.MissingKey,
     Reason.UNKNOWN_KEY: exceptions.UnknownKey,
-    Reason.STALE: lambda: exceptions.ConfigurationStale(
+    Reason.STALE: lambda: exceptions.ConfigurationUnproven(
         retry_after_s=STALE_RETRY_S
     ),
 }
--- a/src/coltsfootsail/_metrics.py
+++ b/src/coltsfootsail/_metrics.py
@@ -51,6 +51,8 @@
 GAUGES = {
     "configuration_version": "Version of the configuration in force",
     "configuration_age_seconds": "Time since the store was last heard",
+    "configuration_proof_age_seconds": "Time for which the configuration has "
+    "not been proven to be the store's",
     "servers": "Servers that take requests, by service",
     "claims": "Engines that this node gives orders to",
     "lease_left_seconds": "How long the node may still trust its lease",
--- a/src/coltsfootsail/_pages.py
+++ b/src/coltsfootsail/_pages.py
@@ -1,5 +1,7 @@
 """HTTP pages of a gateway: readiness, addresses, metrics and status."""
 
+import math
+
 from coltsfootsail import _http
 from coltsfootsail import _records
 from coltsfootsail import exceptions
@@ -36,6 +38,10 @@
         register(
             "configuration_age_seconds", lambda: _optional_gauge(view.age_s())
         )
+        register(
+            "configuration_proof_age_seconds",
+            lambda: _finite_gauge(gateway.freshness.age_s()),
+        )
         register("servers", view.service_counts)
         register("claims", lambda: {"": len(gateway.claims.held)})
         register("lease_left_seconds", lambda: {"": lease.left_s()})
@@ -161,6 +167,10 @@
     return {} if value is None else {"": value}
 
 
+def _finite_gauge(value):
+    return {"": value} if math.isfinite(value) else {}
+
+
 def _engine_status(controller):
     adapters = sorted(controller.adapter_slots.held.items())
     return {
--- a/src/coltsfootsail/exceptions.py
+++ b/src/coltsfootsail/exceptions.py
@@ -131,10 +131,10 @@
     code = "missing_key"
 
 
-class ConfigurationStale(Refusal):
+class ConfigurationUnproven(Refusal):
     """The key can't be checked: the configuration may be out of date."""
 
-    code = "configuration_stale"
+    code = "configuration_unproven"
 
 
 class UnknownAdapter(Refusal):
