--- a/src/coltsfootsail/_adapter_slots.py
+++ b/src/coltsfootsail/_adapter_slots.py
@@ -14,7 +14,6 @@
 COLD_LOAD_S = 0.30  # load from the weight store, with the wait for it
 WARM_LOAD_S = 0.06  # load of an adapter that the engine held recently
 RECENT_MAX = 100  # recently held adapters, which load faster
-RUN_MIN_S = 0.01  # shortest mean run time in estimates
 BLOCKED_TIMEOUT_S = 6.0  # until an order that waits for runs may be repeated
 LOAD_SETTLE_S = 0.6  # no eviction earlier: the load may be in progress
 # If an adapter is missing this long after its last order, the known state
@@ -112,6 +111,9 @@
         :returns: list of seconds.
         """
         wanted, absent = set(), set()
+        idle = sum(not slot.running for slot in self.held.values())
+        busy = len(self.held) - idle
+        free = self._engine.adapter_slots - busy
         waits_s = []
         for request in requests:
             adapter, version = request.adapter, request.version
@@ -124,32 +126,15 @@
             elif slot is not None:
                 waits_s.append(COLD_LOAD_S + (run_s if slot.running else 0.0))
             else:
-                ahead = len(absent - {adapter})
-                waits_s.append(self._turn_s(ahead, wanted, run_s))
+                ahead = len(absent) - (adapter in absent)
+                waits_s.append(_turn_s(ahead, free, busy, run_s))
                 absent.add(adapter)
+            if slot is not None and adapter not in wanted:
+                busy -= slot.running > 0
+                free -= not slot.running
             wanted.add(adapter)
         return waits_s
 
-    def _turn_s(self, absent_ahead, wanted, run_s):
-        """Estimate the wait for a slot and a load behind other loads."""
-        free = self._engine.adapter_slots - len(self.held)
-        ends_per_s = 0.0
-        for adapter, slot in self.held.items():
-            if adapter in wanted:
-                continue
-            if not slot.running:
-                free += 1
-                continue
-            ends_per_s += 1.0 / max(RUN_MIN_S, run_s)
-        load_s = COLD_LOAD_S * (1 + absent_ahead // LOADS_MAX)
-        excess = absent_ahead + 1 - free
-        if excess <= 0:
-            return load_s
-        # Without a slot that becomes free, one does after the run of the
-        # requests that wait for it.
-        per_s = ends_per_s or 1.0 / max(RUN_MIN_S, run_s)
-        return excess / per_s + load_s
-
     def loads_in_progress(self, now_s):
         """Count the loads in progress."""
         return sum(slot.ready_s > now_s for slot in self.held.values())
@@ -323,3 +308,15 @@
                 new_slot.blocked = now_s - slot.since_s < BLOCKED_TIMEOUT_S
                 new_slot.since_s = slot.since_s
         self.sequence = report.sequence
+
+
+def _turn_s(absent_ahead, free, busy, run_s):
+    """Estimate the wait for a slot and a load behind other loads.
+
+    :param free: slots that are empty or can be emptied at once.
+    :param busy: slots that become free when running requests end.  Without
+        any, one does after the run of the requests that wait for it.
+    """
+    load_s = COLD_LOAD_S * (1 + absent_ahead // LOADS_MAX)
+    excess = max(0, absent_ahead + 1 - free)
+    return excess * run_s / max(1, busy) + load_s
--- a/src/coltsfootsail/_admission.py
+++ b/src/coltsfootsail/_admission.py
@@ -26,6 +26,7 @@
 import collections
 import dataclasses
 import math
+import typing
 
 from coltsfootsail import _fair_share
 from coltsfootsail import _large_requests
@@ -133,8 +134,7 @@
     reason: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Place:
+class _Place(typing.NamedTuple):
     """The place of a waiting request in the order of starts.
 
     :param is_late: whether it can no longer meet its objective.
@@ -149,10 +149,6 @@
     work_s: float = 0.0
 
 
-def _place_key(place):
-    return place.is_late, place.priority, place.start_tag, place.number
-
-
 def _no_loads(requests):
     return [0.0] * len(requests)
 
@@ -267,13 +263,6 @@
         excess = len(self.running) + ahead + 1 - self._slots
         return max(0, excess) * self._mean_run_s / self._slots
 
-    def _memory_wait_s(self, tokens):
-        """Estimate the wait until ``tokens`` fit beside what runs."""
-        excess = self._used_tokens + tokens - self._budget_tokens
-        if excess <= 0:
-            return 0.0
-        return excess * self._mean_run_s / self._budget_tokens
-
     def _expected_run_s(self, request):
         """Estimate the time from a request's start to its end."""
         if not request.output_tokens or not self._ended_tokens:
@@ -308,8 +297,8 @@
         groups = collections.defaultdict(list)
         for request in requests:
             is_late, priority, number = self._sort_key(request, now_s)
-            work_s = self._work_s(request)
-            groups[priority].append((is_late, number, request, work_s))
+            entry = is_late, number, request, self._work_s(request)
+            groups[priority].append(entry)
         places = []
         for priority, group in groups.items():
             group.sort()
@@ -325,7 +314,7 @@
                     group, start_tags, strict=True
                 )
             )
-        return sorted(places, key=_place_key)
+        return sorted(places)
 
     def wanted_adapters(self, now_s):
         """List the adapters that waiting requests need.
@@ -489,14 +478,20 @@
         return overdue, None
 
     def _bindings(self, now_s):
-        pause_s = max(0.0, self._next_start_s - now_s)
+        limit_starts, s_per_start = math.inf, 0.0
+        if self._limit_bucket is not None:
+            s_per_start = 1.0 / self._limit_bucket.per_s
+            wait_s = self._limit_bucket.wait_s(now_s, QUEUE_MAX)
+            limit_starts = QUEUE_MAX - wait_s / s_per_start
         return _projection.Bindings(
-            lambda tokens: (
-                pause_s + PROMPT_SPACING * self._reading_speed.read_s(tokens)
-            ),
-            self._slot_wait_s,
-            self._memory_wait_s,
-            lambda count: self._limit_wait_s(now_s, count),
+            pause_s=max(0.0, self._next_start_s - now_s),
+            read_s_per_token=PROMPT_SPACING * self._reading_speed.read_s(1),
+            slots=self._slots - len(self.running),
+            s_per_slot=self._mean_run_s / self._slots,
+            memory=self._budget_tokens - self._used_tokens,
+            s_per_memory=self._mean_run_s / max(1.0, self._budget_tokens),
+            limit_starts=limit_starts,
+            s_per_start=s_per_start,
         )
 
     def _may_stay(self, wait_s, left_s, is_new, factor):
--- a/src/coltsfootsail/_projection.py
+++ b/src/coltsfootsail/_projection.py
@@ -13,31 +13,44 @@
 class Bindings:
     """What the start of one more request has to wait for.
 
-    The three fields sum up the requests that are to start before it.
-
-    :param prefill_wait_s: ``(tokens) -> float``, the wait for the prefill of
-        prompts.
-    :param slot_wait_s: ``(count) -> float``, the wait for a free slot.
-    :param memory_wait_s: ``(tokens) -> float``, the wait for free memory.
-    :param limit_wait_s: ``(count) -> float``, the wait for the limit.
+    Each wait is proportional to what goes beyond a room.  The last three
+    fields sum up the requests that are to start before.
+
+    :param pause_s: until the next prompt may start.
+    :param read_s_per_token: pace of prompts.
+    :param slots: free slots.
+    :param s_per_slot: mean time until one more becomes free.
+    :param memory: free memory in tokens.
+    :param s_per_memory: mean time until one more token becomes free.
+    :param limit_starts: starts that the server's limit allows now.
+    :param s_per_start: time until it allows one more, 0 without a limit.
     """
 
-    prefill_wait_s: object
-    slot_wait_s: object
-    memory_wait_s: object
-    limit_wait_s: object
+    pause_s: float
+    read_s_per_token: float
+    slots: float
+    s_per_slot: float
+    memory: float
+    s_per_memory: float
+    limit_starts: float
+    s_per_start: float
     read_tokens: int = 0
     memory_tokens: int = 0
     count: int = 0
 
     def wait_s(self, request):
         """Get the wait of a request behind those that were added."""
-        return max(
-            self.prefill_wait_s(self.read_tokens),
-            self.slot_wait_s(self.count),
-            self.memory_wait_s(self.memory_tokens + request.memory_tokens),
-            self.limit_wait_s(self.count),
-        )
+        wait_s = self.pause_s + self.read_s_per_token * self.read_tokens
+        excess = self.count + 1 - self.slots
+        if excess > 0:
+            wait_s = max(wait_s, excess * self.s_per_slot)
+        excess = self.memory_tokens + request.memory_tokens - self.memory
+        if excess > 0:
+            wait_s = max(wait_s, excess * self.s_per_memory)
+        excess = self.count + 1 - self.limit_starts
+        if excess > 0:
+            wait_s = max(wait_s, excess * self.s_per_start)
+        return wait_s
 
     def add(self, request):
         """Let a request start before those that are asked for later."""
