--- a/src/coltsfootsail/_admission.py
+++ b/src/coltsfootsail/_admission.py
@@ -26,6 +26,7 @@
 import collections
 import dataclasses
 import math
+import typing
 
 from coltsfootsail import _fair_share
 from coltsfootsail import _large_requests
@@ -68,6 +69,10 @@
 SWAPS_MAX = 3  # requests that yield for their work, in one decision
 # Share of the time left to a request after which memory is kept free for it.
 MEMORY_WAIT_SHARE = 0.5
+# Adapter slots are scarce while requests run for this share of them.
+SCARCE_SHARE = 0.75
+OVER_SHARE = 2.0  # of the share of adapter slots that a workspace may use
+OWN_SLOTS_MIN = 2  # that each may use
 WORK_MIN_S = 0.001
 # Adapters that only requests this far above their workspace's fair share
 # wait for may be unloaded for others.
@@ -133,8 +138,7 @@
     reason: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Place:
+class _Place(typing.NamedTuple):
     """The place of a waiting request in the order of starts.
 
     :param is_late: whether it can no longer meet its objective.
@@ -149,10 +153,6 @@
     work_s: float = 0.0
 
 
-def _place_key(place):
-    return place.is_late, place.priority, place.start_tag, place.number
-
-
 def _no_loads(requests):
     return [0.0] * len(requests)
 
@@ -162,10 +162,12 @@
 
     :param slots: requests that the engine runs at once.
     :param memory_tokens: tokens that fit into its memory.
+    :param adapter_slots: adapters that the engine holds at once.
     """
 
-    def __init__(self, slots, memory_tokens):
+    def __init__(self, slots, memory_tokens, adapter_slots=math.inf):
         self._slots = slots
+        self._adapter_slots = adapter_slots
         self._budget_tokens = memory_tokens * MEMORY_SHARE
         self._used_tokens = 0
         self._next_start_s = 0.0
@@ -272,13 +274,6 @@
         excess = len(self.running) + ahead + 1 - self._slots
         return max(0, excess) * self._mean_run_s / self._slots
 
-    def _memory_wait_s(self, tokens):
-        """Estimate the wait until ``tokens`` fit beside what runs."""
-        excess = self._used_tokens + tokens - self._budget_tokens
-        if excess <= 0:
-            return 0.0
-        return excess * self._mean_run_s / self._budget_tokens
-
     def _expected_run_s(self, request):
         """Estimate the time from a request's start to its end."""
         if not request.output_tokens or not self._ended_tokens:
@@ -313,8 +308,8 @@
         groups = collections.defaultdict(list)
         for request in requests:
             is_late, priority, number = self._sort_key(request, now_s)
-            work_s = self._work_s(request)
-            groups[priority].append((is_late, number, request, work_s))
+            entry = is_late, number, request, self._work_s(request)
+            groups[priority].append(entry)
         places = []
         for priority, group in groups.items():
             group.sort()
@@ -330,7 +325,7 @@
                     group, start_tags, strict=True
                 )
             )
-        return sorted(places, key=_place_key)
+        return sorted(places)
 
     def wanted_adapters(self, now_s):
         """List the adapters that waiting requests need.
@@ -338,8 +333,12 @@
         :returns: pairs of adapter and version, most urgent first.
         """
         versions = {}
-        for place in self._order(self.waiting, now_s):
+        order = self._order(self.waiting, now_s)
+        held_back = self._held_back(order)
+        for place in order:
             request = place.request
+            if place.number in held_back:
+                continue
             versions.setdefault(request.adapter, request.version)
             versions[request.adapter] = max(
                 versions[request.adapter], request.version
@@ -363,6 +362,57 @@
             )
         return {name for name, s in leads_s.items() if s > YIELD_LEAD_S}
 
+    def _adapters_in_use(self):
+        """Get the workspaces whose requests run, for each adapter."""
+        workspaces = collections.defaultdict(set)
+        for request in self.running.values():
+            if "/" not in request.adapter:
+                continue
+            workspaces[request.adapter].add(request.workspace)
+        return workspaces
+
+    def _held_back(self, order):
+        """Find requests that leave adapter slots to other workspaces.
+
+        While adapter slots are scarce, a workspace that alone uses many times
+        its share of them starts no request that is not more urgent than one
+        of another workspace whose adapter is not in use.
+
+        :returns: set of numbers.
+        """
+        in_use = self._adapters_in_use()
+        if len(in_use) < SCARCE_SHARE * self._adapter_slots:
+            return set()
+        alone = collections.Counter(
+            next(iter(names)) for names in in_use.values() if len(names) == 1
+        )
+        active = set().union(
+            *in_use.values(), (place.request.workspace for place in order)
+        )
+        share = self._adapter_slots / len(active)
+        above = {
+            name
+            for name, count in alone.items()
+            if name and count > max(OWN_SLOTS_MIN, OVER_SHARE * share)
+        }
+        if not above:
+            return set()
+        urgency = min(
+            (
+                place.priority
+                for place in order
+                if place.request.workspace not in above
+                and "/" in place.request.adapter
+                and place.request.adapter not in in_use
+            ),
+            default=math.inf,
+        )
+        return {
+            place.number
+            for place in order
+            if place.request.workspace in above and place.priority >= urgency
+        }
+
     def _is_shared(self):
         """Tell whether requests of workspaces wait."""
         return any(request.workspace for request in self.waiting)
@@ -494,14 +544,20 @@
         return overdue, None
 
     def _bindings(self, now_s):
-        pause_s = max(0.0, self._next_start_s - now_s)
+        limit_starts, s_per_start = math.inf, 0.0
+        if self._limit_bucket is not None:
+            s_per_start = 1.0 / self._limit_bucket.per_s
+            wait_s = self._limit_bucket.wait_s(now_s, QUEUE_MAX)
+            limit_starts = QUEUE_MAX - wait_s / s_per_start
         return _projection.Bindings(
-            lambda tokens: (
-                pause_s + PROMPT_SPACING * self._reading_speed.read_s(tokens)
-            ),
-            self._slot_wait_s,
-            self._memory_wait_s,
-            lambda count: self._limit_wait_s(now_s, count),
+            pause_s=max(0.0, self._next_start_s - now_s),
+            read_s_per_token=PROMPT_SPACING * self._reading_speed.read_s(1),
+            slots=self._slots - len(self.running),
+            s_per_slot=self._mean_run_s / self._slots,
+            memory=self._budget_tokens - self._used_tokens,
+            s_per_memory=self._mean_run_s / max(1.0, self._budget_tokens),
+            limit_starts=limit_starts,
+            s_per_start=s_per_start,
         )
 
     def _may_stay(self, wait_s, left_s, is_new, factor):
@@ -660,8 +716,12 @@
         A start changes neither the order of the others nor what is ready.
         """
         grants = []
-        for place in self._order(self.waiting, now_s):
+        order = self._order(self.waiting, now_s)
+        held_back = self._held_back(order)
+        for place in order:
             request = place.request
+            if place.number in held_back:
+                continue
             if not is_ready(request.adapter, request.version):
                 continue
             if self._used_tokens + request.memory_tokens > self._budget_tokens:
