--- a/src/coltsfootsail/_engine_selection.py
+++ b/src/coltsfootsail/_engine_selection.py
@@ -27,8 +27,10 @@
 LOAD_COST_S = 3 * _adapter_slots.COLD_LOAD_S
 HOT_RATE_PER_S = 1.0  # above this request rate a load costs less
 RANK_COST_S = 0.02  # per place in the order, to keep adapters on few engines
-RUN_MODE = "all"
-RUN_SHARE = 1.0
+# Of the time by which an engine runs a request longer or shorter than a common
+# one.  In full it outweighs a load, and requests leave the engines that hold
+# their adapters for the fastest ones, which are then full.
+RUN_COST_SHARE = 0.2
 STEP_S = 0.009  # of a common engine, while no other step time is known
 RATE_HALF_LIFE_S = 20.0  # of this node's request counts
 REFUSED_PAUSE_S = 1.0  # an engine is not chosen after a refused connection
@@ -156,7 +158,7 @@
         them hold the base model, only those are listed.
 
         :returns: sorted tuple of addresses, dict of address to name, and
-            tuple of the speed level of each.
+            tuple of the speed level of each, empty if all are equal.
         """
         generation = (
             self._view.generation,
@@ -181,6 +183,8 @@
             names = {e.address: e.name for e in with_model or engines}
             addresses = tuple(sorted(names))
             levels = tuple(self._speeds.level(names[a]) for a in addresses)
+            if len(set(levels)) == 1:
+                levels = ()  # nothing to weigh, and faster to look up
             cached = addresses, names, levels
             self._engines_cache[key] = cached
         return cached
@@ -275,7 +279,7 @@
             load_cost_s = 0.0 if is_loaded or not rank else load_penalty_s
             cost = self._backlog(server.name) + load_cost_s
             cost += RANK_COST_S * rank
-            cost += self._extra_run_s(server, request, is_loaded)
+            cost += self._run_cost_s(server, request, is_loaded)
             if best is None or cost < best[0]:
                 best = (cost, server, owner)
             if rank + 1 >= COMPARED_ENGINES and best is not None:
@@ -284,17 +288,12 @@
             return None
         return best[1], best[2], request
 
-    def _extra_run_s(self, server, request, is_loaded):
-        """Estimate how much longer a request runs than on a common engine.
+    def _run_cost_s(self, server, request, is_loaded):
+        """Get the cost of a longer run than on a common engine.
 
         :returns: seconds, exactly 0 for an engine of the nominal level.
         """
         slowness = 1.0 / self._speeds.level(server.name) - 1.0
-        if RUN_MODE == "none" or (RUN_MODE == "held" and not is_loaded):
-            return 0.0
-        if RUN_MODE == "bonus" and (not is_loaded or slowness > 0):
-            return 0.0
-        slowness *= RUN_SHARE
         if not slowness:
             return 0.0
         tokens = request.prompt_tokens
@@ -302,7 +301,8 @@
             tokens = request.parts[-1][1]
         read_s = tokens / _reading_speed.ASSUMED_TOKENS_PER_S
         step_s = self._speeds.step_s(server.service) or STEP_S
-        return slowness * (read_s + request.output_tokens * step_s)
+        run_s = read_s + request.output_tokens * step_s
+        return RUN_COST_SHARE * slowness * run_s
 
     def _is_told(self, owner, message):
         """Tell whether an engine's owner is told what the engine states.
--- a/src/coltsfootsail/_engine_speed.py
+++ b/src/coltsfootsail/_engine_speed.py
@@ -3,13 +3,13 @@
 Answers engines of different hardware, and engines that turn slow for a
 while.  The code does no I/O and has no clock.
 
-An engine reads prompts between its steps.  Most events of a stream come
-without a prompt in between, so the median time between two events shows the
-steps alone.  The step time still grows with the requests that an engine runs,
-and that of all engines grows with the load.  An engine is therefore compared
-with the others over the same time: its speed is the median step time of the
-fleet over its own.  A slow-down of all engines changes both and leaves the
-speed as it is.
+An engine reads prompts between its steps.  Many events of a stream come
+without a prompt in between, so the lower quartile of the times between two
+events shows the steps alone.  The step time still grows with the requests
+that an engine runs, and that of all engines grows with the load.  An engine
+is therefore compared with the others over the same time: its speed is the
+median step time of the fleet over its own.  A slow-down of all engines
+changes both and leaves the speed as it is.
 
 The speed is rounded to one of a few levels.  A level changes only if the
 speed is well beyond the middle between two levels for some time, and then by
@@ -71,7 +71,8 @@
         """Estimate the time of all events without prompts in between."""
         if not self._gaps_s:
             return 0.0
-        return statistics.median(self._gaps_s) * (self.events - 1)
+        quartile_s = sorted(self._gaps_s)[len(self._gaps_s) // 4]
+        return quartile_s * (self.events - 1)
 
 
 def step_s(events, stream_s, event_tokens):
--- a/src/coltsfootsail/_grants.py
+++ b/src/coltsfootsail/_grants.py
@@ -51,7 +51,7 @@
     :param node: the other node that used it, empty for this one.
     :param events: events that were received.
     :param stream_s: time between the first event and the last one, as if
-        all of them had come at the median distance.
+        all had come at the lower quartile of their distances.
     """
 
     outcome: GrantOutcome = GrantOutcome.DONE
--- a/src/coltsfootsail/_placement.py
+++ b/src/coltsfootsail/_placement.py
@@ -72,7 +72,8 @@
 
     :param key: the item to place.
     :param names: tuple of the names to rank.
-    :param weights: tuple of the weight of each name, above 0.
+    :param weights: tuple of the weight of each name, above 0; empty if all
+        are equal.
     :param count: number of names to return.
     :returns: tuple of names, best first.
     """
--- a/src/coltsfootsail/_wire.py
+++ b/src/coltsfootsail/_wire.py
@@ -469,7 +469,7 @@
 
     :param events: events that were received.
     :param stream_s: time between the first event and the last one, as if
-        all of them had come at the median distance.
+        all had come at the lower quartile of their distances.
     """
 
     events: int = 0
