Estimate runs by the expected length; configure services in a test

The choice of an engine took the greatest length of an answer since that and the expected one are told apart. A registration of a service that is not configured names no server, so that the test of restarts states it.

--- a/src/coltsfootsail/_engine_selection.py
+++ b/src/coltsfootsail/_engine_selection.py
@@ -302,7 +302,7 @@
             tokens = request.parts[-1][1]
         read_s = tokens / _reading_speed.ASSUMED_TOKENS_PER_S
         step_s = self._speeds.step_s(server.service) or STEP_S
-        run_s = read_s + request.output_tokens * step_s
+        run_s = read_s + request.expected_tokens * step_s
         return RUN_COST_SHARE * slowness * run_s
 
     def _is_told(self, owner, message):
--- a/tests/test_engine_selection.py
+++ b/tests/test_engine_selection.py
@@ -86,6 +86,7 @@
                     parts=(),
                     prompt_tokens=1000,
                     output_tokens=100,
+                    expected_tokens=100,
                 )
             ),
             route=types.SimpleNamespace(objective_s=1.0),
--- a/tests/test_restarted_servers.py
+++ b/tests/test_restarted_servers.py
@@ -36,6 +36,10 @@
         on_restart=restarted.append,
     )
     view.restarted = restarted
+    configuration = json.dumps(users.configuration(1)).encode()
+    view.apply_entry(
+        _kv.Entry(registry.CONFIG_KEY, configuration, 1, 1, 0),
+    )
     view.apply_entry(_entry())
     return view
 
