Count nodes as registered before a quota appears

The time after which a registration counts began with the first quota, so that nobody had a share in the first 3 s of it.

--- a/src/coltsfootsail/_quotas.py
+++ b/src/coltsfootsail/_quotas.py
@@ -6,7 +6,7 @@
 ``REPORT_S``.  What is spent on credit is reported with the next one, or
 earlier if it is a good part of the credit.
 
-Nothing is sent or computed while no workspace has a quota.
+Nothing is sent while no workspace has a quota.
 """
 
 import contextlib
@@ -25,6 +25,7 @@
 
 REPORT_S = 1.2  # mean time between reports of all workspaces to a holder
 FLUSH_S = 0.3
+MEMBERS_CHECK_S = 2.0  # while no workspace has a quota
 REPORT_FLUSHES = round(REPORT_S / FLUSH_S)
 ASKS_MAX = 3  # of one request, if holders are lost meanwhile
 WAIT_MAX_S = 0.15  # of a request for a holder's reply
@@ -231,8 +232,7 @@
     def note_view(self):
         """Note a change of the view."""
         self._refresh()
-        if self._quotas:
-            self._note_members()
+        self._note_members()
 
     def note_link(self, node):
         """Note that the link to a node is up."""
@@ -386,7 +386,14 @@
         """Report until cancelled, while there are quotas."""
         flushes = 0
         while True:
-            await self._wake.wait()
+            if not self._quotas:
+                # Nodes that have been registered for long have a share of a
+                # quota as soon as it appears.
+                self._note_members()
+                with trio.move_on_after(MEMBERS_CHECK_S):
+                    await self._wake.wait()
+                if not self._quotas:
+                    continue
             self._refresh()
             self._advance()
             self._return_lent()
