--- a/src/coltsfootsail/_admission.py
+++ b/src/coltsfootsail/_admission.py
@@ -69,10 +69,6 @@
 SWAPS_MAX = 3  # requests that yield for their work, in one decision
 # Share of the time left to a request after which memory is kept free for it.
 MEMORY_WAIT_SHARE = 0.5
-# Adapter slots are scarce while requests run for this share of them.
-SCARCE_SHARE = 0.75
-OVER_SHARE = 2.0  # of the share of adapter slots that a workspace may use
-OWN_SLOTS_MIN = 2  # that each may use
 WORK_MIN_S = 0.001
 # Adapters that only requests this far above their workspace's fair share
 # wait for may be unloaded for others.
@@ -162,12 +158,10 @@
 
     :param slots: requests that the engine runs at once.
     :param memory_tokens: tokens that fit into its memory.
-    :param adapter_slots: adapters that the engine holds at once.
     """
 
-    def __init__(self, slots, memory_tokens, adapter_slots=math.inf):
+    def __init__(self, slots, memory_tokens):
         self._slots = slots
-        self._adapter_slots = adapter_slots
         self._budget_tokens = memory_tokens * MEMORY_SHARE
         self._used_tokens = 0
         self._next_start_s = 0.0
@@ -328,12 +322,8 @@
         :returns: pairs of adapter and version, most urgent first.
         """
         versions = {}
-        order = self._order(self.waiting, now_s)
-        held_back = self._held_back(order)
-        for place in order:
+        for place in self._order(self.waiting, now_s):
             request = place.request
-            if place.number in held_back:
-                continue
             versions.setdefault(request.adapter, request.version)
             versions[request.adapter] = max(
                 versions[request.adapter], request.version
@@ -357,57 +347,6 @@
             )
         return {name for name, s in leads_s.items() if s > YIELD_LEAD_S}
 
-    def _adapters_in_use(self):
-        """Get the workspaces whose requests run, for each adapter."""
-        workspaces = collections.defaultdict(set)
-        for request in self.running.values():
-            if "/" not in request.adapter:
-                continue
-            workspaces[request.adapter].add(request.workspace)
-        return workspaces
-
-    def _held_back(self, order):
-        """Find requests that leave adapter slots to other workspaces.
-
-        While adapter slots are scarce, a workspace that alone uses many times
-        its share of them starts no request that is not more urgent than one
-        of another workspace whose adapter is not in use.
-
-        :returns: set of numbers.
-        """
-        in_use = self._adapters_in_use()
-        if len(in_use) < SCARCE_SHARE * self._adapter_slots:
-            return set()
-        alone = collections.Counter(
-            next(iter(names)) for names in in_use.values() if len(names) == 1
-        )
-        active = set().union(
-            *in_use.values(), (place.request.workspace for place in order)
-        )
-        share = self._adapter_slots / len(active)
-        above = {
-            name
-            for name, count in alone.items()
-            if name and count > max(OWN_SLOTS_MIN, OVER_SHARE * share)
-        }
-        if not above:
-            return set()
-        urgency = min(
-            (
-                place.priority
-                for place in order
-                if place.request.workspace not in above
-                and "/" in place.request.adapter
-                and place.request.adapter not in in_use
-            ),
-            default=math.inf,
-        )
-        return {
-            place.number
-            for place in order
-            if place.request.workspace in above and place.priority >= urgency
-        }
-
     def _is_shared(self):
         """Tell whether requests of workspaces wait."""
         return any(request.workspace for request in self.waiting)
@@ -711,12 +650,8 @@
         A start changes neither the order of the others nor what is ready.
         """
         grants = []
-        order = self._order(self.waiting, now_s)
-        held_back = self._held_back(order)
-        for place in order:
+        for place in self._order(self.waiting, now_s):
             request = place.request
-            if place.number in held_back:
-                continue
             if not is_ready(request.adapter, request.version):
                 continue
             if self._used_tokens + request.memory_tokens > self._budget_tokens:
--- a/src/coltsfootsail/_engine_controller.py
+++ b/src/coltsfootsail/_engine_controller.py
@@ -96,7 +96,7 @@
         )
         self._prefix_cache = _grants.PrefixCacheEstimate()
         self.queue = _admission.AdmissionQueue(
-            engine.slots, engine.memory_tokens, engine.adapter_slots
+            engine.slots, engine.memory_tokens
         )
         self._numbers = itertools.count(1)
         self._replies = {}
