--- a/src/coltsfootsail/_engine_controller.py
+++ b/src/coltsfootsail/_engine_controller.py
@@ -103,7 +103,7 @@
         self._nursery = None
         self._labels = _metrics.Labels(service=server.service)
         self.queue = _admission.AdmissionQueue(
-            engine.slots, engine.memory_tokens, engine.adapter_slots
+            engine.slots, engine.memory_tokens
         )
         self._numbers = itertools.count(1)
         self._replies = {}
