--- a/src/coltsfootsail/_cli_bench.py
+++ b/src/coltsfootsail/_cli_bench.py
@@ -100,7 +100,10 @@
 
     size: typing.Annotated[
         str,
-        cappa.Arg(long="--size", help="shop, shop-grown, few-slots or fast."),
+        cappa.Arg(
+            long="--size",
+            help="shop, shop-grown, few-slots, fast, even or uneven.",
+        ),
     ] = "shop"
     pattern: typing.Annotated[
         str,
