Keep long prompts off slow engines whose streams they would hold up

Cause: on the deployment with uneven engines 476 of 1,539 streams had a pause of over 0.3 s and 221 a late first event, most of them on engines of speed 0.6. Such an engine reads 3,000 tokens in 0.26 s, in which none of its streams gets a token.

Change: a reading that takes more than 0.8 of the route's longest pause there costs more than another load. Nothing changes where all engines have the nominal level.

--- a/src/coltsfootsail/_engine_selection.py
+++ b/src/coltsfootsail/_engine_selection.py
@@ -32,6 +32,10 @@
 # their adapters for the fastest ones, which are then full.
 RUN_COST_SHARE = 0.2
 STEP_S = 0.009  # of a common engine, while no other step time is known
+# While an engine reads a prompt, the streams that it runs get no event.
+READING_SHARE = 0.8  # of the longest pause, that one prompt may take
+# A longer one makes all of them late, which is worse than another load.
+LATE_STREAMS_COST_S = 1.2 * LOAD_COST_S
 RATE_HALF_LIFE_S = 20.0  # of this node's request counts
 REFUSED_PAUSE_S = 1.0  # an engine is not chosen after a refused connection
 # An owner that leaves a ping unanswered for longer is not asked for grants.
@@ -280,7 +284,9 @@
             load_cost_s = 0.0 if is_loaded or not rank else load_penalty_s
             cost = self._backlog(server.name) + load_cost_s
             cost += RANK_COST_S * rank
-            cost += self._run_cost_s(server, request, is_loaded)
+            cost += self._run_cost_s(
+                server, request, is_loaded, context.route.gap_s
+            )
             if best is None or cost < best[0]:
                 best = (cost, server, owner)
             if rank + 1 >= COMPARED_ENGINES and best is not None:
@@ -289,12 +295,14 @@
             return None
         return best[1], best[2], request
 
-    def _run_cost_s(self, server, request, is_loaded):
+    def _run_cost_s(self, server, request, is_loaded, gap_s):
         """Get the cost of a longer run than on a common engine.
 
+        :param gap_s: the longest pause allowed between events, 0 for any.
         :returns: seconds, exactly 0 for an engine of the nominal level.
         """
-        slowness = 1.0 / self._speeds.level(server.name) - 1.0
+        level = self._speeds.level(server.name)
+        slowness = 1.0 / level - 1.0
         if not slowness:
             return 0.0
         tokens = request.prompt_tokens
@@ -303,7 +311,10 @@
         read_s = tokens / _reading_speed.ASSUMED_TOKENS_PER_S
         step_s = self._speeds.step_s(server.service) or STEP_S
         run_s = read_s + request.expected_tokens * step_s
-        return RUN_COST_SHARE * slowness * run_s
+        cost_s = RUN_COST_SHARE * slowness * run_s
+        if gap_s and read_s / level > READING_SHARE * gap_s:
+            cost_s += LATE_STREAMS_COST_S
+        return cost_s
 
     def _is_told(self, owner, message):
         """Tell whether an engine's owner is told what the engine states.
--- a/tests/test_engine_selection.py
+++ b/tests/test_engine_selection.py
@@ -69,7 +69,7 @@
         for address in addresses:
             self.servers[address].adapters[adapter] = 1
 
-    def choose(self, adapter, every_s=0.0, times=1):
+    def choose(self, adapter, every_s=0.0, times=1, tokens=1000):
         """Count requests for an adapter and choose an engine for the last.
 
         :returns: the address of the engine.
@@ -84,12 +84,12 @@
                     adapter=adapter,
                     model="base",
                     parts=(),
-                    prompt_tokens=1000,
+                    prompt_tokens=tokens,
                     output_tokens=100,
                     expected_tokens=100,
                 )
             ),
-            route=types.SimpleNamespace(objective_s=1.0),
+            route=types.SimpleNamespace(objective_s=1.0, gap_s=0.3),
             priority=1,
             workspace_name="",
             begun=False,
--- a/tests/test_engine_speeds.py
+++ b/tests/test_engine_speeds.py
@@ -215,6 +215,26 @@
     assert selection.choose("base/a1") == order[1]
 
 
+@pytest.mark.parametrize(("tokens", "stays"), [(1000, True), (3500, False)])
+def test_long_prompt_leaves_a_slow_engine(tokens, stays):
+    """Guards against readings that make all streams of an engine late."""
+    selection = test_engine_selection.SelectorHarness()
+    levels = {test_engine_selection.ENGINES[0]: 0.625}
+    selection.levels = levels
+    selection.selector._speeds.generation += 1
+    weights = tuple(levels.get(e, 1.0) for e in test_engine_selection.ENGINES)
+    adapter = next(
+        f"base/a{number}"
+        for number in range(100)
+        if _placement.weighted_ranking(
+            f"base/a{number}", test_engine_selection.ENGINES, weights, 1
+        )
+        == (test_engine_selection.ENGINES[0],)
+    )
+    chosen = selection.choose(adapter, tokens=tokens)
+    assert (chosen in levels) is stays
+
+
 def test_all_nodes_place_by_the_level_that_an_owner_has_learned():
     async def scenario(fleet):
         slow = fleet.engines[0]
