Give the test's stand-in of a request the fields of workspaces

Cause: six tests of engine selection fail since the shared types of workspaces came: their stand-in has no priority and no workspace_name. They fail in the same way without fair admission. Change: the stand-in has both, and expected_tokens, which grant requests read now. The assertions are unchanged.

--- a/tests/test_engine_selection.py
+++ b/tests/test_engine_selection.py
@@ -80,9 +80,12 @@
                     parts=(),
                     prompt_tokens=1000,
                     output_tokens=100,
+                    expected_tokens=100,
                 )
             ),
             route=types.SimpleNamespace(priority=1, objective_s=1.0),
+            priority=1,
+            workspace_name="",
             begun=False,
             moved=False,
             received_s=self.now_s,
