Accept no key under a configuration without its last tenant

An empty list of tenants counted as a deployment without keys, so that a configuration that took the last keys away opened all routes to them.

--- a/src/coltsfootsail/platform/registry.py
+++ b/src/coltsfootsail/platform/registry.py
@@ -240,7 +240,7 @@
         if workspace.name in workspaces:
             raise exceptions.BadField(f"[{position}].name: duplicate")
         workspaces[workspace.name] = workspace
-    return workspaces or None
+    return workspaces
 
 
 def redact_keys(value):
--- a/tests/test_access.py
+++ b/tests/test_access.py
@@ -10,12 +10,14 @@
 import trio
 
 from coltsfootsail import _access
+from coltsfootsail import _fleet
 from coltsfootsail import _freshness
 from coltsfootsail import _gateway
 from coltsfootsail import _kv
 from coltsfootsail import _view
 from coltsfootsail import _wire
 from coltsfootsail.platform import messages
+from coltsfootsail.platform import registry
 from coltsfootsail.standins import users
 from tests.builds import fleet as fleets
 from tests import gateways
@@ -90,6 +92,17 @@
         assert (decision.workspace is not None) == (reason == "accepted")
 
 
+def test_configuration_without_its_last_tenant_accepts_no_key():
+    """Guards against open access after all keys were taken away."""
+    value = json.dumps({**users.configuration(2), "tenants": []}).encode()
+    keys = _fleet.KeyTable(registry.decode_deployment(value))
+    limits = _access.ProofLimits()
+    decision = _access.decide(False, "k-acme", keys, 0.0, limits)
+    assert decision.reason is _access.Reason.UNKNOWN_KEY
+    redacted = registry.decode_deployment(registry.redact_keys(value))
+    assert redacted.workspaces == {}
+
+
 def test_key_reaches_no_server_log_metric_or_peer(caplog):
     caplog.set_level(logging.DEBUG, "coltsfootsail")
 
