--- a/src/coltsfootsail/_arrivals.py
+++ b/src/coltsfootsail/_arrivals.py
@@ -230,7 +230,7 @@
     plain_servers=3,
 )
 # Engines whose adapter slots bind before their other capacity does.
-TENANTS = dataclasses.replace(
+WORKSPACES = dataclasses.replace(
     GROWN,
     kinds=(
         _kind("paid", 20.6, (350, 1110), 43, 0.3, 15.0, 2.6, 0.78),
@@ -253,7 +253,7 @@
     workspaces=16,
 )
 SIZES = {
-    "tenants": TENANTS,
+    "workspaces": WORKSPACES,
     "counter": COUNTER,
     "shop": SHOP,
     "shop-grown": GROWN,
--- a/tests/test_fair_admission.py
+++ b/tests/test_fair_admission.py
@@ -316,7 +316,7 @@
 def test_replay_of_a_hot_workspace_leaves_the_others_their_share():
     """Guards against a hot workspace that takes the others' adapter slots."""
     shares = [
-        _bench_admission.run("tenants", pattern, 1)["workspaces"][
+        _bench_admission.run("workspaces", pattern, 1)["workspaces"][
             "others during"
         ]["in_time_share"]
         for pattern in ("quiet", "hot")
