Choose holders of quotas among the nodes registered for longest

Cause: candidates came from a rendezvous hash over the nodes that each node found linked and with the store.

Change: the candidates are ordered by how long they have been registered.

--- a/src/coltsfootsail/_quotas.py
+++ b/src/coltsfootsail/_quotas.py
@@ -37,7 +37,6 @@
 HOLDER_SETTLE_S = 5.0
 STARTUP_S = 10.0
 STORE_SILENCE_S = 4.0  # a holder without the store for longer is left
-_CANDIDATES_KEY = "quota holders"
 
 
 class Quotas:
@@ -283,10 +282,13 @@
 
     def _choose_holders(self):
         """Choose the holder of each workspace's pool."""
-        names = self._candidates()
+        candidates = self._candidates()
         count = math.ceil(len(self._quotas) / WORKSPACES_PER_HOLDER)
         count = max(HOLDERS_MIN, count)
-        names = _placement.rendezvous_ranking(_CANDIDATES_KEY, names, count)
+        # All nodes see the same order, and one that was lost and returns
+        # displaces nobody: each move leaves a quota unlent for seconds.
+        by_age = [n for n in self._view.members_by_age() if n in candidates]
+        names = tuple(sorted(by_age[:count])) or candidates
         holders = {
             workspace: _placement.rendezvous_ranking(workspace, names, 1)[0]
             for workspace in self._quotas
--- a/src/coltsfootsail/_view.py
+++ b/src/coltsfootsail/_view.py
@@ -140,6 +140,18 @@
             for record, _ in self._records[_keys.MEMBERS].values()
         }
 
+    def members_by_age(self):
+        """List the names of the registered nodes.
+
+        Those come first that have been registered for longest, without a
+        time in which their registration had expired.
+        """
+        ages = {
+            name: self._entries[_keys.member(name)].create_revision
+            for name in self.members()
+        }
+        return sorted(ages, key=lambda name: (ages[name], name))
+
     def member_count(self):
         """Count the registered nodes."""
         return len(self._records[_keys.MEMBERS])
