--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -10,6 +10,7 @@
 import json
 import os
 import pathlib
+import resource
 import signal
 import socket
 import subprocess
@@ -110,7 +111,8 @@
 class Gateway:
     """One gateway process."""
 
-    def __init__(self, name, at, folder, record):
+    def __init__(self, name, at, folder, record, descriptors=None):
+        self._descriptors = descriptors
         self.name = name
         self.at = at
         self.exits = 0
@@ -146,9 +148,15 @@
                 stderr=log,
                 cwd=ROOT,
                 env=env,
+                preexec_fn=self._limit_descriptors,
             )
         self._record(f"{self.name} started, pid {self.process.pid}")
 
+    def _limit_descriptors(self):
+        if self._descriptors is not None:
+            limits = self._descriptors, self._descriptors
+            resource.setrlimit(resource.RLIMIT_NOFILE, limits)
+
     async def keep_running(self):
         """Start the process again whenever it ends, as the platform does."""
         while True:
@@ -421,7 +429,8 @@
     """
 
     def __init__(self, nursery, folder, record, nodes=3, engines=2, plain=2,
-                 configuration=None, engine_class=Engine, plain_class=Plain):
+                 configuration=None, engine_class=Engine, plain_class=Plain,
+                 descriptors=None):
         self.nursery = nursery
         self.record = record
         self.store = store.StoreStandIn()
@@ -437,6 +446,7 @@
                 {part: addresses[f"g{n}/{part}"] for part in parts},
                 folder,
                 record,
+                descriptors,
             )
             for n in range(nodes)
         ]
