--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -182,8 +182,8 @@
     def last_lines(self):
         """Get the error with which the process ended."""
         lines = self._log.read_text(errors="replace").splitlines()
-        errors = [line for line in lines if not line.startswith("{")]
-        return [line.strip(" |") for line in errors[-4:-1]]
+        errors = [line.strip(" |") for line in lines if line[:1] != "{"]
+        return [line for line in errors if "Error: " in line][-1:]
 
     def log_lines(self):
         for line in self._log.read_text(errors="replace").splitlines():
