Check no server for a controller that has ended

Cause: an ended grant with the outcome "unreachable" starts a check in the nursery of the engine's controller. A grant may outlive its controller: the claim is dropped when the engine's entry expires, while another node still tries to connect to the engine and returns its grant up to a second later. start_soon raises then. As the message is handled in the task of the peer's link, the error went through all nurseries and ended the process; at a grant of the owner's own it ended the caller's connection.

Change: TaskGroup runs tasks that each serve one thing. It drops what is started after its end, with a log line, and contains the errors of its tasks (log task_failed, counter task_errors). The controller starts its checks in one. A check that nobody is left to use need not be made, so dropping it loses nothing.

--- a/src/coltsfootsail/_engine_controller.py
+++ b/src/coltsfootsail/_engine_controller.py
@@ -21,6 +21,7 @@
 from coltsfootsail import _grants
 from coltsfootsail import _logs
 from coltsfootsail import _metrics
+from coltsfootsail import _tasks
 from coltsfootsail import exceptions
 from coltsfootsail.platform import engines
 
@@ -100,7 +101,7 @@
         self._speeds = dependencies.speeds
         self._note_start = dependencies.note_start
         self._born_ms = dependencies.born_ms(server.name)
-        self._nursery = None
+        self._tasks = _tasks.TaskGroup("server", self._count)
         self._labels = _metrics.Labels(service=server.service)
         self.queue = _admission.AdmissionQueue(
             engine.slots, engine.memory_tokens
@@ -300,7 +301,8 @@
         if use.outcome is _grants.GrantOutcome.ABSENT:
             self.note_adapter_absent(grant_request.adapter)
         elif use.outcome is _grants.GrantOutcome.UNREACHABLE:
-            self._nursery.start_soon(
+            # The grant may outlive this controller, and the check with it.
+            self._tasks.start_soon(
                 self._check_unreachable, "request", use.node
             )
         elif use.outcome is _grants.GrantOutcome.FULL:
@@ -399,8 +401,7 @@
 
     async def run(self):
         """Grant requests and send orders until cancelled."""
-        async with trio.open_nursery() as nursery:
-            self._nursery = nursery
+        async with self._tasks.opened(), trio.open_nursery() as nursery:
             nursery.start_soon(self._run_grants)
             nursery.start_soon(self._run_orders)
 
--- a/src/coltsfootsail/_logs.py
+++ b/src/coltsfootsail/_logs.py
@@ -122,10 +122,11 @@
     LOGGER.debug(event, extra=fields)
 
 
-def failure(event, exc):
+def failure(event, exc, **fields):
     """Log an unexpected error with its traceback.
 
     :param event: name of the event.
     :param exc: the exception.
+    :param fields: what it is about.
     """
-    LOGGER.error(event, exc_info=exc, extra={"reason": repr(exc)})
+    LOGGER.error(event, exc_info=exc, extra={"reason": repr(exc), **fields})
--- a/src/coltsfootsail/_metrics.py
+++ b/src/coltsfootsail/_metrics.py
@@ -49,6 +49,8 @@
     "store_eras": "Returns of the store from an older copy",
     "lease": "Changes of the node's lease",
     "claims": "Claims taken, lost and handed over",
+    "task_errors": "Tasks that ended by an error in the code, by what they "
+    "served",
     "peer_links": "Links to peers that came up or went down",
     "peer_messages": "Messages from peers that were refused",
     "config": "Configurations put in force or refused",
--- a/src/coltsfootsail/_tasks.py
+++ b/src/coltsfootsail/_tasks.py
@@ -1,7 +1,73 @@
 """Helpers for concurrent tasks."""
 
+import contextlib
+
 import trio
 
+from coltsfootsail import _logs
+
+
+async def run_contained(serves, count, work, *args):
+    """Run a task whose error ends nothing else; log and count its error.
+
+    :param serves: what the task serves, such as ``request`` or ``peer``.
+    :param count: ``(counter, reason)``.
+    :param work: ``async (*args)``.
+    """
+    try:
+        await work(*args)
+    except Exception as exc:
+        count("task_errors", serves)
+        _logs.failure("task_failed", exc, serves=serves)
+
+
+class TaskGroup:
+    """Tasks that each serve one request, one peer or one server.
+
+    An error of a task is logged and counted, and ends no other task.  Tasks
+    that are started before the group is open begin when it is opened; those
+    that are started after its end are dropped, since nothing needs them.
+
+    :param serves: what each task serves.
+    :param count: ``(counter, reason)``.
+    """
+
+    def __init__(self, serves, count):
+        self._serves = serves
+        self._count = count
+        self._nursery = None
+        self._early = []
+        self._has_ended = False
+
+    def start_soon(self, work, *args):
+        """Start a task.
+
+        :param work: ``async (*args)``.
+        """
+        if self._has_ended:
+            _logs.detail("task_dropped", serves=self._serves)
+        elif self._nursery is None:
+            self._early.append((work, *args))
+        else:
+            self._nursery.start_soon(
+                run_contained, self._serves, self._count, work, *args
+            )
+
+    @contextlib.asynccontextmanager
+    async def opened(self):
+        """Run tasks until the end of the block, which cancels them."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            early, self._early = self._early, []
+            for task in early:
+                self.start_soon(*task)
+            try:
+                yield
+            finally:
+                # The nursery takes tasks for as long as the block runs.
+                self._has_ended = True
+                nursery.cancel_scope.cancel()
+
 
 async def run_with_background(background, work, *args):
     """Run a background task until other work ends.
