Give each server's controller its own scope, and contain its errors

Cause: the task of a new controller looked up its scope and, for a plain server, the controller itself by the server's name once it began to run. A claim that is lost, or a server that leaves, in the same turn of the scheduler had removed them by then (KeyError), or they were those of the controller after it, whose scope was then entered twice (RuntimeError). Errors in the loop of a plain server's controller were not caught at all, and those of an engine's were caught inside of the scope: an error raised while the scope is cancelled leaves in a group with Cancelled, which that misses.

Change: controller and scope are passed to the task. Errors are caught outside of the scope; the controller is removed if it is still the one in use, its waiting requests are turned away, and the next request or sync starts another.

Measured: four tests, which failed before with KeyError 'i-e0', "Each CancelScope may only be used for a single 'with' block" (twice) and the error of the loop, pass.

--- a/src/coltsfootsail/_gateway.py
+++ b/src/coltsfootsail/_gateway.py
@@ -162,6 +162,7 @@
             self.refusals,
             lambda: self.readiness() == "ready",
             self.now,
+            self.metrics.count,
         )
 
         self.stream_writer = _stream_writer.StreamWriter(
@@ -563,7 +564,7 @@
             nursery.start_soon(self.stream_writer.run)
             nursery.start_soon(self.claims.run)
             nursery.start_soon(self.owned_engines.run)
-            await nursery.start(self.limited_servers.run)
+            nursery.start_soon(self.limited_servers.run)
             await nursery.start(self.crashes.run)
             await nursery.start(self.reach.run)
             nursery.start_soon(self.quotas.run)
--- a/src/coltsfootsail/_limited_servers.py
+++ b/src/coltsfootsail/_limited_servers.py
@@ -18,7 +18,9 @@
 from coltsfootsail import _admission
 from coltsfootsail import _engine_selection
 from coltsfootsail import _grants
+from coltsfootsail import _logs
 from coltsfootsail import _placement
+from coltsfootsail import _tasks
 from coltsfootsail import _wire
 
 IDLE_WAIT_S = 1.0  # longest pause of the loop
@@ -126,9 +128,12 @@
     :param refusals: the node's ``ServerLimits`` of refusals.
     :param is_ready: closure that tells whether this node serves callers.
     :param now: closure that reads the clock.
+    :param count: ``(counter, reason)``.
     """
 
-    def __init__(self, node, view, mesh, limits, refusals, is_ready, now):
+    def __init__(
+        self, node, view, mesh, limits, refusals, is_ready, now, count
+    ):
         self._node = node
         self._view = view
         self._mesh = mesh
@@ -136,7 +141,7 @@
         self._refusals = refusals
         self._is_ready = is_ready
         self._now = now
-        self._nursery = None
+        self._tasks = _tasks.TaskGroup("server", count)
         self._controllers = {}
         self._scopes = {}
         self._free_at_s = {}
@@ -171,19 +176,32 @@
         if server is None or self._view.engine_spec(server) is not None:
             return None
         if name not in self._controllers:
-            self._controllers[name] = LimitController(
-                lambda: self._limits.per_s(name),
-                lambda: self._refusals.per_s(name),
-                max(1, server.slots),
-                self._now,
-            )
-            self._scopes[name] = trio.CancelScope()
-            self._nursery.start_soon(self._run_controller, name)
+            self._start_controller(name, server)
         return self._controllers[name]
 
-    async def _run_controller(self, name):
-        with self._scopes[name]:
-            await self._controllers[name].run()
+    def _start_controller(self, name, server):
+        controller = LimitController(
+            lambda: self._limits.per_s(name),
+            lambda: self._refusals.per_s(name),
+            max(1, server.slots),
+            self._now,
+        )
+        scope = trio.CancelScope()
+        self._controllers[name] = controller
+        self._scopes[name] = scope
+        # By the time that the task begins, they may have been replaced.
+        self._tasks.start_soon(self._run_controller, name, controller, scope)
+
+    async def _run_controller(self, name, controller, scope):
+        try:
+            with scope:
+                await controller.run()
+        except Exception as exc:
+            # The next request starts a new controller.
+            _logs.failure("limiter_failed", exc, server=name)
+            if self._controllers.get(name) is controller:
+                del self._controllers[name]
+            controller.turn_away_waiting(_grants.SERVER_CLOSED)
 
     def needs_grant(self, name):
         """Tell whether a plain server's starts are granted by one node."""
@@ -208,9 +226,7 @@
             self._controllers.pop(name).turn_away_waiting("engine leaving")
             self._scopes.pop(name).cancel()
 
-    async def run(self, task_status=trio.TASK_STATUS_IGNORED):
+    async def run(self):
         """Run the controllers until cancelled."""
-        async with trio.open_nursery() as nursery:
-            self._nursery = nursery
-            task_status.started()
+        async with self._tasks.opened():
             await trio.sleep_forever()
--- a/src/coltsfootsail/_owned.py
+++ b/src/coltsfootsail/_owned.py
@@ -9,6 +9,7 @@
 from coltsfootsail import _engine_controller
 from coltsfootsail import _grants
 from coltsfootsail import _logs
+from coltsfootsail import _tasks
 
 SYNC_INTERVAL_S = 0.3  # between comparisons with the claims
 BACKLOG_STEP_S = 0.05  # resolution of the backlogs sent to peers
@@ -28,7 +29,7 @@
         self._view = view
         self._states = states
         self._dependencies = dependencies
-        self._nursery = None
+        self._tasks = _tasks.TaskGroup("server", dependencies.metrics.count)
         self._scopes = {}
         self._peer_backlogs = {}
         self.controllers = {}
@@ -100,8 +101,6 @@
 
     def sync_with_claims(self):
         """Start and stop controllers so that they match the claims."""
-        if self._nursery is None:
-            return
         held = self._claims.held
         for name in [name for name in self.controllers if name not in held]:
             self.controllers.pop(name).turn_away_waiting("not the owner")
@@ -118,25 +117,27 @@
         controller = _engine_controller.EngineController(
             server, engine, self._claims, self._dependencies
         )
+        scope = trio.CancelScope()
         self.controllers[name] = controller
-        self._scopes[name] = trio.CancelScope()
-        self._nursery.start_soon(self._run_controller, name, controller)
+        self._scopes[name] = scope
+        # By the time that the task begins, they may have been replaced.
+        self._tasks.start_soon(self._run_controller, name, controller, scope)
 
-    async def _run_controller(self, name, controller):
-        with self._scopes[name]:
-            try:
+    async def _run_controller(self, name, controller, scope):
+        try:
+            with scope:
                 await controller.run()
-            except Exception as exc:
-                # The next sync starts a new controller, which reads the
-                # engine's state from a report.
-                _logs.failure("orderer_failed", exc)
-                controller.turn_away_waiting("engine down")
-                self.controllers.pop(name, None)
+        except Exception as exc:
+            # The next sync starts a new controller, which reads the engine's
+            # state from a report.
+            _logs.failure("orderer_failed", exc, server=name)
+            if self.controllers.get(name) is controller:
+                del self.controllers[name]
+            controller.turn_away_waiting("engine down")
 
     async def run(self):
         """Follow the claims until cancelled."""
-        async with trio.open_nursery() as nursery:
-            self._nursery = nursery
+        async with self._tasks.opened():
             while True:
                 self.sync_with_claims()
                 await trio.sleep(SYNC_INTERVAL_S)
--- a/tests/test_task_errors.py
+++ b/tests/test_task_errors.py
@@ -55,3 +55,70 @@
             assert (await fleet.call("/orders/1", name)).status == 200
 
     gateways.run(scenario)
+
+
+def _close_at_once(owned, name):
+    """Start the controller of an engine and stop it before it has run."""
+    held = owned._claims.held
+    claim = held.pop(name)
+    owned.sync_with_claims()
+    held[name] = claim
+    owned.sync_with_claims()
+    del held[name]
+    owned.sync_with_claims()
+    held[name] = claim
+
+
+def test_claim_that_is_lost_at_once_ends_no_node():
+    # The task of a new controller looked its scope up when the scope had
+    # gone already: KeyError, or the scope of the controller after it.
+    async def scenario(fleet):
+        engine = fleet.engines[0]
+        owner = _owner(fleet, engine)
+        _close_at_once(fleet.gateways[owner].owned_engines, engine.name)
+        await trio.sleep(2.0)
+        reply = await fleet.call("/notes/1", owner, adapter="base/a1")
+        assert reply.status == 200
+
+    gateways.run(scenario, engines=1)
+
+
+@pytest.mark.parametrize("starts", [1, 2])
+def test_limited_server_that_leaves_at_once_ends_no_node(starts):
+    # As above, for the controllers of plain servers that name a limit.
+    async def scenario(fleet):
+        limited = fleet.gateways["g0"].limited_servers
+        names = fleet.gateways["g0"].view.servers
+        for _ in range(starts):
+            assert limited.controller("i-s0") is not None
+            limited.keep(names.keys() - {"i-s0"})
+        assert limited.controller("i-s0") is not None
+        await trio.sleep(1.0)
+        assert (await fleet.call("/orders/1")).status == 200
+
+    gateways.run(scenario)
+
+
+def test_error_in_the_control_of_a_limited_server_ends_no_node(monkeypatch):
+    # An error in the loop of one server's controller ended the process.
+    async def scenario(fleet):
+        fleet.shop_servers[0].limit = "50"
+        fleet.shop_servers[1].limit = "50"
+        for number in range(4):
+            await fleet.call("/orders/1", request_id=f"a{number}")
+        gateway = next(
+            gateway
+            for gateway in fleet.gateways.values()
+            if gateway.limited_servers._controllers
+        )
+        controllers = dict(gateway.limited_servers._controllers)
+        for controller in controllers.values():
+            monkeypatch.setattr(
+                controller.queue, "next_decision_s", lambda now_s: 1 / 0
+            )
+        await trio.sleep(3.0)
+        for number in range(4):
+            reply = await fleet.call("/orders/1", request_id=f"b{number}")
+            assert reply.status == 200
+
+    gateways.run(scenario)
