Contain the errors of checks, surveys and crash investigations

The same cause: tasks that serve one request, one peer or one server ran in nurseries that live as long as the process, so that an error in one of them ended it. These are the checks of silent and unreachable servers and the surveys (Reach), the investigations of crashes, ends of trials and blames (CrashTracker), and the checks that peers ask for (PeerHandler). The latter also had no nursery until the peers' tasks ran, which is after the listener for peers: a check that was asked for in between ended the starting process (AttributeError).

Change: they run in a TaskGroup. Early tasks begin once it is open, so that the tables no longer need to be started before others.

Measured: four tests, which failed before with the error of the task and with "'NoneType' object has no attribute 'start_soon'", pass.

--- a/src/coltsfootsail/_crashes.py
+++ b/src/coltsfootsail/_crashes.py
@@ -15,6 +15,7 @@
 from coltsfootsail import _placement
 from coltsfootsail import _poison_parts
 from coltsfootsail import _records
+from coltsfootsail import _tasks
 from coltsfootsail import _wire
 from coltsfootsail import exceptions
 
@@ -50,7 +51,7 @@
         self._kv = kv
         self._now = now
         self._count = count
-        self._nursery = None
+        self._tasks = _tasks.TaskGroup("request", count)
         self._evidence = _poison_parts.PartEvidence()
         self._trials = {}
         self._stored_revisions = {}
@@ -99,7 +100,7 @@
         """End the trials of a request once it is known how they ended."""
         parts = [p for p, each in self._trials.items() if each is context]
         if parts:
-            self._nursery.start_soon(self._end_trials, context, parts)
+            self._tasks.start_soon(self._end_trials, context, parts)
 
     async def _end_trials(self, context, parts):
         if context.crash_checked is not None:
@@ -114,7 +115,7 @@
         :param context: the request's ``RequestContext``.
         """
         context.crash_checked = trio.Event()
-        self._nursery.start_soon(self._investigate, server, context)
+        self._tasks.start_soon(self._investigate, server, context)
 
     async def wait_until_checked(self, context):
         """Wait until it is known whether a request crashed its last server."""
@@ -182,7 +183,7 @@
             server.name, context.fingerprint, parts, now_s
         )
         for part in self._note_run(run):
-            self._nursery.start_soon(self._store_blame, part)
+            self._tasks.start_soon(self._store_blame, part)
         self._mesh.broadcast(self._message(run))
 
     def _message(self, run):
@@ -279,7 +280,7 @@
         if is_accuser:
             self._mesh.broadcast(_wire.PartsCleared(cleared))
             for part in blamed:
-                self._nursery.start_soon(self._remove_blame, part)
+                self._tasks.start_soon(self._remove_blame, part)
 
     def _has_accused(self, parts):
         """Tell whether this node has told others of runs with some parts."""
@@ -329,9 +330,7 @@
         ]
         return strikes + [self._message(r) for r in self._evidence.runs()]
 
-    async def run(self, task_status=trio.TASK_STATUS_IGNORED):
+    async def run(self):
         """Run the checks until cancelled."""
-        async with trio.open_nursery() as nursery:
-            self._nursery = nursery
-            task_status.started()
+        async with self._tasks.opened():
             await trio.sleep_forever()
--- a/src/coltsfootsail/_peers.py
+++ b/src/coltsfootsail/_peers.py
@@ -10,6 +10,7 @@
 from coltsfootsail import _logs
 from coltsfootsail import _mesh
 from coltsfootsail import _seeds
+from coltsfootsail import _tasks
 from coltsfootsail import _wire
 from coltsfootsail import exceptions
 from coltsfootsail import platform
@@ -47,7 +48,7 @@
         self._skipping = set()
         self.mesh = _mesh.Mesh(hello, network, callbacks, MESH_PACE)
         self._catch_up_from_s = 0.0
-        self._nursery = None
+        self._tasks = _tasks.TaskGroup("peer", self._count)
 
     def _make_heartbeat(self, sent_backlogs):
         changed = tuple(
@@ -195,7 +196,7 @@
         self._gateway.reach.learn(msg, node)
 
     def _on_server_check(self, node, msg):
-        self._nursery.start_soon(self._answer_check, node, msg)
+        self._tasks.start_soon(self._answer_check, node, msg)
 
     async def _answer_check(self, node, msg):
         self.mesh.send(node, await self._gateway.crash_checks.answer(msg))
@@ -245,8 +246,7 @@
 
     async def run(self):
         """Keep links to all peers until cancelled."""
-        async with trio.open_nursery() as nursery:
-            self._nursery = nursery
+        async with self._tasks.opened():
             await self.mesh.run(self._peer_addresses, self._is_registered)
 
 
--- a/src/coltsfootsail/_reach.py
+++ b/src/coltsfootsail/_reach.py
@@ -17,6 +17,7 @@
 
 from coltsfootsail import _crash_checks
 from coltsfootsail import _logs
+from coltsfootsail import _tasks
 from coltsfootsail import _wire
 
 RETRY_S = 0.5  # between attempts to connect to servers that were cut off
@@ -99,7 +100,7 @@
         self._silences = {}
         self._own = NO_CUTS
         self._peers = {}
-        self._nursery = None
+        self._tasks = _tasks.TaskGroup("server", count)
         self._changed = trio.Event()
 
     def note_sent(self, server_name):
@@ -180,7 +181,7 @@
             done.set()
 
         done = trio.Event()
-        self._nursery.start_soon(check)
+        self._tasks.start_soon(check)
         with trio.move_on_after(FIND_WAIT_S):
             await done.wait()
         return found[0] if found else Finding.UNKNOWN
@@ -190,7 +191,7 @@
         is_new = not self.is_cut_off(server.name)
         if finding is Finding.CUT_OFF and is_new:
             self._set_own(self._own.servers | {server.name}, False)
-            self._nursery.start_soon(self._survey)
+            self._tasks.start_soon(self._survey)
         return finding
 
     async def _survey(self):
@@ -221,9 +222,7 @@
         for name, server in self._view.servers.items():
             if cuts.include(name) and not before.include(name):
                 # They may stay silent when the cut has ended.
-                self._nursery.start_soon(
-                    self._drop_connections, server.address
-                )
+                self._tasks.start_soon(self._drop_connections, server.address)
         self._changed.set()
         self._count("server_cuts", "cut" if servers else "ended")
         _logs.state(
@@ -265,18 +264,16 @@
         if left != self._own.servers:
             self._set_own(left, self._own.is_isolated and bool(left))
 
-    async def run(self, task_status=trio.TASK_STATUS_IGNORED):
+    async def run(self):
         """Try servers that were cut off until cancelled."""
-        async with trio.open_nursery() as nursery:
-            self._nursery = nursery
-            task_status.started()
+        async with self._tasks.opened(), trio.open_nursery() as nursery:
             nursery.start_soon(self._watch_silences)
             while True:
                 if not self._own.servers:
                     self._changed = trio.Event()
                     await self._changed.wait()
                 await trio.sleep(RETRY_S)
-                await self._retry()
+                await _tasks.run_contained("server", self._count, self._retry)
 
     async def _watch_silences(self):
         """Try servers that have been silent for too long."""
@@ -288,7 +285,7 @@
                 if server is not None and now_s >= silence.check_at_s:
                     silence.wait_s *= 2
                     silence.check_at_s = now_s + silence.wait_s
-                    self._nursery.start_soon(self.find, server)
+                    self._tasks.start_soon(self.find, server)
 
     async def _retry(self):
         """Try some of the servers that were cut off."""
--- a/tests/test_task_errors.py
+++ b/tests/test_task_errors.py
@@ -3,10 +3,13 @@
 None of them may end the process, nor what serves others.
 """
 
+import types
+
 import pytest
 import trio
 
 from coltsfootsail import _grants
+from coltsfootsail import _wire
 from tests import gateways
 
 
@@ -122,3 +125,59 @@
             assert reply.status == 200
 
     gateways.run(scenario)
+
+
+def _make_context():
+    meta = types.SimpleNamespace(request_id="r1")
+    return types.SimpleNamespace(meta=meta, crash_checked=None)
+
+
+def _raise(*args, **kwargs):
+    raise ZeroDivisionError
+
+
+@pytest.mark.parametrize(
+    "start",
+    [
+        lambda gateway, server: gateway.reach.note_sent(server.name),
+        lambda gateway, server: gateway.crashes.interrupted(
+            server, _make_context()
+        ),
+        lambda gateway, server: gateway.peers._on_server_check(
+            "g1", _wire.ServerCheck(1, server.name)
+        ),
+    ],
+    ids=["silence", "crash", "peer"],
+)
+def test_error_in_the_check_of_a_server_ends_no_node(start, monkeypatch):
+    # An error in a task that served one server or request ended the process.
+    async def scenario(fleet):
+        gateway = fleet.gateways["g0"]
+        monkeypatch.setattr(gateway.crash_checks, "_is_accepting", _raise)
+        start(gateway, gateway.view.servers["i-s0"])
+        await trio.sleep(2.0)
+        assert gateway.metrics.counter_totals()["task_errors"]
+        assert (await fleet.call("/orders/1")).status == 200
+
+    gateways.run(scenario)
+
+
+def test_check_for_a_peer_that_links_while_the_node_starts_is_made_later():
+    # The listeners run before the peers' tasks: a check that a peer asked
+    # for in between ended the starting process.
+    async def scenario(fleet):
+        gateway = fleet.make_gateway("g2")
+        gateway.peers._on_server_check("g0", _wire.ServerCheck(1, "i-s0"))
+        asked = []
+
+        async def answer(msg):
+            asked.append(msg.server)
+
+        gateway.crash_checks.answer = answer
+        with trio.move_on_after(0.5):
+            await gateway.peers.run()
+        assert asked == ["i-s0"]
+        gateway.peers._on_server_check("g0", _wire.ServerCheck(2, "i-s0"))
+        assert asked == ["i-s0"]
+
+    gateways.run(scenario)
