Contain the errors of connections of peers, operators and callers

Only the connections of callers were guarded; an error that a peer's connection, a status page, a metric or the directory raised ended the process. A relayed request and the answer to a ConfigRequest are served on such connections.

Change: every listener of a gateway, and of a node with endpoints of its own, serves its connections contained. So is the close of a restarted server's idle connections.

Measured: six tests, one for each listener of either kind of node, which failed before with the error raised through the node's nursery, pass.

--- a/src/coltsfootsail/_gateway.py
+++ b/src/coltsfootsail/_gateway.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import functools
 import math
 import random
 import secrets
@@ -48,6 +49,7 @@
 from coltsfootsail import _server_states
 from coltsfootsail import _stream_origins
 from coltsfootsail import _stream_writer
+from coltsfootsail import _tasks
 from coltsfootsail import _upstream
 from coltsfootsail import _view
 from coltsfootsail import _wire
@@ -454,7 +456,13 @@
         """Forget a server's start before, and its connections."""
         _restarted_servers.forget(self, name)
         address = self.view.servers[name].address
-        self._nursery.start_soon(self.server_client.forget, address)
+        self._start_contained("server", self.server_client.forget, address)
+
+    def _start_contained(self, serves, work, *args):
+        """Start a task whose error ends nothing else."""
+        self._nursery.start_soon(
+            _tasks.run_contained, serves, self.metrics.count, work, *args
+        )
 
     def _claimant(self, server_name):
         """Get the node that holds an engine's claim, None if none does."""
@@ -535,15 +543,18 @@
         """Run the gateway until it is cancelled or has drained."""
         node, gateway = self.settings.node, self.settings.gateway
         listeners = (
-            (node.peer_address, self.peers.serve),
-            (gateway.ready_address, self._pages.serve_operators),
-            (gateway.directory_address, self._pages.serve_callers),
-            (node.caller_address, self._serve_callers),
+            (node.peer_address, "peer", self.peers.serve),
+            (gateway.ready_address, "operator", self._pages.serve_operators),
+            (gateway.directory_address, "caller", self._pages.serve_callers),
+            (node.caller_address, "caller", self._serve_callers),
         )
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
-            for address, serve in listeners:
-                await nursery.start(self._network.serve, address, serve)
+            for address, serves, serve in listeners:
+                handle = functools.partial(
+                    _tasks.run_contained, serves, self.metrics.count, serve
+                )
+                await nursery.start(self._network.serve, address, handle)
             renew_s = self.settings.lease.renew_s
             nursery.start_soon(
                 self.lease.run,
--- a/src/coltsfootsail/_node.py
+++ b/src/coltsfootsail/_node.py
@@ -2,6 +2,7 @@
 
 import collections
 import contextlib
+import functools
 import random
 import secrets
 import time
@@ -36,6 +37,7 @@
 from coltsfootsail import _retries
 from coltsfootsail import _routing
 from coltsfootsail import _services
+from coltsfootsail import _tasks
 from coltsfootsail import _wire
 from coltsfootsail import exceptions
 
@@ -468,17 +470,18 @@
     async def run(self, task_status=trio.TASK_STATUS_IGNORED):
         """Run the node until it is cancelled or has drained."""
         node = self.settings.node
+        listeners = (
+            (node.peer_address, "peer", self._serve_peer),
+            (node.admin_address, "operator", self.admin.serve),
+            (node.caller_address, "caller", self.frontend.serve),
+        )
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
-            await nursery.start(
-                self._network.serve, node.peer_address, self._serve_peer
-            )
-            await nursery.start(
-                self._network.serve, node.admin_address, self.admin.serve
-            )
-            await nursery.start(
-                self._network.serve, node.caller_address, self.frontend.serve
-            )
+            for address, serves, serve in listeners:
+                handle = functools.partial(
+                    _tasks.run_contained, serves, self.metrics.count, serve
+                )
+                await nursery.start(self._network.serve, address, handle)
             self._start_tasks(nursery)
             _logs.state("node_started", node=node.name)
             task_status.started()
--- a/tests/test_task_errors.py
+++ b/tests/test_task_errors.py
@@ -8,7 +8,10 @@
 import pytest
 import trio
 
+from coltsfootsail import _demo
+from coltsfootsail import _follower
 from coltsfootsail import _grants
+from coltsfootsail import _http
 from coltsfootsail import _wire
 from tests import gateways
 
@@ -181,3 +184,55 @@
         assert asked == ["i-s0"]
 
     gateways.run(scenario)
+
+
+@pytest.mark.parametrize("port", [81, 82, 83])
+def test_error_in_a_connection_ends_only_that_connection(monkeypatch, port):
+    # An error in the service of one connection of a peer, an operator or a
+    # caller that asks for addresses ended the process.
+    async def scenario(fleet):
+        gateway = fleet.gateways["g0"]
+        monkeypatch.setattr(gateway.view, "entries", _raise)
+        monkeypatch.setattr(gateway.metrics, "render", _raise)
+        monkeypatch.setattr(gateway._pages, "addresses", _raise)
+        network = fleet.net.network("caller")
+        async with await network.open_stream(f"g0:{port}") as stream:
+            if port == 81:
+                peer = _wire.MessageStream(stream)
+                await peer.send(_wire.ConfigRequest(()))
+            else:
+                path = {82: "/metrics", 83: "/v1/resolve?name=x"}[port]
+                head = f"GET {path} HTTP/1.1\r\nhost: x\r\n\r\n"
+                await stream.send_all(head.encode())
+            assert await stream.receive_some(100) == b""
+        monkeypatch.undo()
+        assert gateway.metrics.counter_totals()["task_errors"]
+        assert (await fleet.call("/orders/1")).status == 200
+
+    gateways.run(scenario)
+
+
+@pytest.mark.parametrize("listener", ["peer", "admin", "caller"])
+def test_error_in_a_connection_of_an_owner_ends_only_that_connection(
+    virtual, system, monkeypatch, listener
+):
+    # As above, in the nodes of the product's own kind.
+    embedded = system()
+
+    async def main():
+        async with embedded.running():
+            host = next(iter(embedded.hosts))
+            node = embedded.nodes[host]
+            address = getattr(node.settings.node, f"{listener}_address")
+            network = embedded.net.network("caller")
+            with monkeypatch.context() as patch:
+                patch.setattr(_follower, "serve", _raise)
+                patch.setattr(_http, "serve_connection", _raise)
+                async with await network.open_stream(address) as stream:
+                    peer = _wire.MessageStream(stream)
+                    await peer.send(_wire.ConfigRequest(()))
+                    assert await stream.receive_some(100) == b""
+            assert node.metrics.counter_totals()["task_errors"]
+            assert not (await _demo.send_sample(embedded)).wrong
+
+    virtual(main)
