Let an error on a link end that link only

The link ends, what waits for the peer goes elsewhere at once, and the nodes link again. An error in the callback of a link's begin left the link among the live ones, so that it was never dialled again; it is removed now.

What a caller may state is still not bounded: each request with such a count ends one link for a moment.

--- a/src/coltsfootsail/_mesh.py
+++ b/src/coltsfootsail/_mesh.py
@@ -21,6 +21,7 @@
 
 from coltsfootsail import _early_forms
 from coltsfootsail import _kv
+from coltsfootsail import _tasks
 from coltsfootsail import _vocabulary
 from coltsfootsail import _wire
 from coltsfootsail import exceptions
@@ -77,6 +78,7 @@
         knows further messages.
     :param urgent_status: closure that gets a value whose change is sent to
         all peers at once.
+    :param count: ``(counter, reason)``.
     """
 
     on_message: object
@@ -87,6 +89,7 @@
     on_skipped: object = lambda node, what: None
     on_vocabulary: object = lambda node: None
     urgent_status: object = lambda: None
+    count: object = lambda counter, reason: None
 
 
 @dataclasses.dataclass(slots=True)
@@ -233,7 +236,14 @@
                     has_link = node in self._links or node in self._dialing
                     if is_dialer and not has_link:
                         self._dialing.add(node)
-                        nursery.start_soon(self._dial, node, address)
+                        nursery.start_soon(
+                            _tasks.run_contained,
+                            "peer",
+                            self._callbacks.count,
+                            self._dial,
+                            node,
+                            address,
+                        )
                 with trio.move_on_after(_kv.jittered(self._pace.redial_s)):
                     await self._dial_requested.wait()
 
@@ -294,8 +304,8 @@
                 self._callbacks.on_link_down(node)
             self._links[node] = link
             self._watched = None
-            self._callbacks.on_link_up(node)
             try:
+                self._callbacks.on_link_up(node)
                 async with trio.open_nursery() as nursery:
                     nursery.start_soon(self._send_all, link, receive_channel)
                     self._send_heartbeat(link, self._network.now())
--- a/src/coltsfootsail/_node.py
+++ b/src/coltsfootsail/_node.py
@@ -122,6 +122,7 @@
             on_link_down=self._on_link_down,
             make_heartbeat=self._make_heartbeat,
             on_heartbeat=self._on_heartbeat,
+            count=self.metrics.count,
         )
         self.mesh = _mesh.Mesh(hello, self._network, callbacks)
         self.follower = _follower.ConfigFollower(
--- a/src/coltsfootsail/_peers.py
+++ b/src/coltsfootsail/_peers.py
@@ -44,6 +44,7 @@
             on_skipped=self._on_skipped,
             on_vocabulary=self._tell_what_is_known,
             urgent_status=lambda: gateway.readiness() == "ready",
+            count=self._count,
         )
         self._skipping = set()
         self.mesh = _mesh.Mesh(hello, network, callbacks, MESH_PACE)
--- a/tests/test_task_errors.py
+++ b/tests/test_task_errors.py
@@ -13,6 +13,7 @@
 from coltsfootsail import _grants
 from coltsfootsail import _http
 from coltsfootsail import _wire
+from coltsfootsail.platform import messages
 from tests import gateways
 
 
@@ -186,6 +187,80 @@
     gateways.run(scenario)
 
 
+LARGE_PARTS = "aa:99999999999999999999999,bb:200"
+
+
+def _prompt(parts):
+    return (
+        (messages.MODEL, "base/a1"),
+        (messages.TOKENS, "400,80"),
+        (messages.PROMPT_PREFIX, parts),
+    )
+
+
+def test_request_that_no_message_can_hold_ends_no_node():
+    # A token count of 2^64 or more ended the process that asked another one
+    # for a grant: OverflowError as the message was encoded.
+    async def scenario(fleet):
+        owner = _owner(fleet, fleet.engines[0])
+        node = next(name for name in fleet.names if name != owner)
+        for number in range(3):
+            await fleet.call(
+                "/notes/1",
+                node,
+                request_id=f"large{number}",
+                headers=_prompt(LARGE_PARTS),
+            )
+        await trio.sleep(3.0)
+        for name in fleet.names:
+            reply = await fleet.call("/notes/1", name, adapter="base/a2")
+            assert reply.status == 200
+
+    gateways.run(scenario, engines=1)
+
+
+@pytest.mark.parametrize("dials", [True, False])
+def test_error_in_the_handling_of_a_message_ends_only_its_link(
+    monkeypatch, dials
+):
+    # An error in the handling of one peer's message ended the process.
+    async def scenario(fleet):
+        node, peer = ("g0", "g1") if dials else ("g1", "g0")
+        gateway = fleet.gateways[node]
+        with monkeypatch.context() as patch:
+            patch.setattr(gateway.states, "learn_leaving", _raise)
+            message = _wire.ServerLeaving("i-e0")
+            assert fleet.gateways[peer].mesh.send(node, message)
+            await trio.sleep(0.1)
+            assert peer not in gateway.mesh.linked_nodes()
+        await trio.sleep(3.0)
+        assert peer in gateway.mesh.linked_nodes()
+        assert gateway.metrics.counter_total("task_errors", "peer") == 1
+        assert (await fleet.call("/orders/1", node)).status == 200
+
+    gateways.run(scenario)
+
+
+@pytest.mark.parametrize("end", ["up", "down"])
+def test_error_as_a_link_begins_or_ends_ends_no_node(monkeypatch, end):
+    # As above, in the callbacks of a link's begin and end.
+    async def scenario(fleet):
+        gateway = fleet.gateways["g0"]
+        with monkeypatch.context() as patch:
+            if end == "up":
+                patch.setattr(gateway.quotas, "note_link", _raise)
+            else:
+                patch.setattr(gateway.quotas, "drop_node", _raise)
+            fleet.net.break_between("g0", "g1")
+            await trio.sleep(2.0)
+        fleet.net.break_between("g0", "g1")
+        await trio.sleep(3.0)
+        assert gateway.mesh.linked_nodes() == ["g1"]
+        assert (await fleet.call("/orders/1")).status == 200
+
+    gateways.run(scenario)
+
+
 @pytest.mark.parametrize("port", [81, 82, 83])
 def test_error_in_a_connection_ends_only_that_connection(monkeypatch, port):
     # An error in the service of one connection of a peer, an operator or a
