Go on listening after an error of one new connection

Any error but a lack of descriptors or memory ended the listener, and with it the process.

Change: these errors cost the new connection alone. Errors of the listener itself still end the process.

Measured: four tests, with errors that the listener is made to report, failed before with ConnectionAbortedError, EPROTO, ENETDOWN and PermissionError and pass. Linux was not seen to report one of them in a run of ours.

--- a/src/coltsfootsail/_net.py
+++ b/src/coltsfootsail/_net.py
@@ -12,6 +12,7 @@
 
 import trio
 
+from coltsfootsail import _logs
 from coltsfootsail import exceptions
 
 CONNECT_TIMEOUT_S = 2.0
@@ -25,6 +26,19 @@
     errno.ENOMEM,
     errno.ENOBUFS,
 }
+# Errors of the new connection, by accept(2), which leave the listener sound.
+ACCEPT_SKIP_ERRNOS = {
+    errno.ECONNABORTED,
+    errno.EHOSTDOWN,
+    errno.EHOSTUNREACH,
+    errno.ENETDOWN,
+    errno.ENETUNREACH,
+    errno.ENONET,
+    errno.ENOPROTOOPT,
+    errno.EOPNOTSUPP,
+    errno.EPERM,
+    errno.EPROTO,
+}
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -102,9 +116,11 @@
         try:
             stream = await listener.accept()
         except OSError as exc:
-            if exc.errno not in ACCEPT_PAUSE_ERRNOS:
+            if exc.errno in ACCEPT_PAUSE_ERRNOS:
+                await trio.sleep(ACCEPT_PAUSE_S)
+            elif exc.errno not in ACCEPT_SKIP_ERRNOS:
                 raise
-            await trio.sleep(ACCEPT_PAUSE_S)
+            _logs.detail("accept_failed", reason=repr(exc))
             continue
         _set_user_timeout(stream, unacked_timeout_ms)
         nursery.start_soon(_handle_and_close, handler, stream)
--- a/tests/test_task_errors.py
+++ b/tests/test_task_errors.py
@@ -3,6 +3,7 @@
 None of them may end the process, nor what serves others.
 """
 
+import errno
 import types
 
 import pytest
@@ -12,6 +13,7 @@
 from coltsfootsail import _follower
 from coltsfootsail import _grants
 from coltsfootsail import _http
+from coltsfootsail import _net
 from coltsfootsail import _wire
 from coltsfootsail.platform import messages
 from tests import gateways
@@ -287,6 +289,42 @@
     gateways.run(scenario)
 
 
+async def _greet_twice(handle):
+    """Open two connections to a listener, and read what each is sent."""
+    network = _net.tcp_network()
+    results = []
+    async with trio.open_nursery() as nursery:
+        address = await nursery.start(network.serve, "127.0.0.1:0", handle)
+        for _ in range(2):
+            async with await network.open_stream(address) as stream:
+                results.append(await stream.receive_some(10))
+        nursery.cancel_scope.cancel()
+    return results
+
+
+@pytest.mark.parametrize(
+    "number", [errno.ECONNABORTED, errno.EPROTO, errno.ENETDOWN, errno.EPERM]
+)
+def test_error_of_one_new_connection_ends_no_listener(monkeypatch, number):
+    # accept() reports errors of the new connection, such as a reset before
+    # it was accepted, which ended the listener and the process.
+    accept = trio.SocketListener.accept
+    failures = [OSError(number, "accept"), OSError(number, "accept")]
+
+    async def accept_later(listener):
+        if failures:
+            await trio.lowlevel.checkpoint()
+            raise failures.pop()
+        return await accept(listener)
+
+    async def handle(stream):
+        await stream.send_all(b"hello")
+
+    monkeypatch.setattr(trio.SocketListener, "accept", accept_later)
+    results = trio.run(_greet_twice, handle)
+    assert results == [b"hello", b"hello"]
+
+
 @pytest.mark.parametrize("listener", ["peer", "admin", "caller"])
 def test_error_in_a_connection_of_an_owner_ends_only_that_connection(
     virtual, system, monkeypatch, listener
