Report addresses that no connection can have as errors of the network

The same cause, by one server's entry: a host name with an empty or too long label passes the check of registrations, and resolving it raises UnicodeError, an address without a port BadField. Whoever opens connections expects OSError, so that these errors left the checks and surveys of servers, which ended every process that tried to reach that server.

Change: open_stream raises OSError for them, as its contract says. A server with such an address is one that can't be reached.

--- a/src/coltsfootsail/_net.py
+++ b/src/coltsfootsail/_net.py
@@ -88,14 +88,17 @@
 
 
 async def _open_tcp(address, connect_timeout_s, unacked_timeout_ms):
-    host, port = split_address(address)
     try:
+        host, port = split_address(address)
         with trio.fail_after(connect_timeout_s):
             stream = await trio.open_tcp_stream(host, port)
             _set_user_timeout(stream, unacked_timeout_ms)
             return stream
     except trio.TooSlowError as exc:
         raise OSError(errno.ETIMEDOUT, f"connect to {address}") from exc
+    except (ValueError, exceptions.BadField) as exc:
+        # Such as a host name with an empty or too long label.
+        raise OSError(errno.EINVAL, f"connect to {address!r}") from exc
     except OSError as exc:
         raise _first_failure(exc) from exc
 
--- a/tests/test_task_errors.py
+++ b/tests/test_task_errors.py
@@ -325,6 +325,21 @@
     assert results == [b"hello", b"hello"]
 
 
+@pytest.mark.parametrize(
+    "address", ["a..b:80", f"{'x' * 70}.example:80", "1.2.3.4", "\0:80"]
+)
+def test_address_that_no_connection_can_have_is_an_error_of_the_network(
+    address,
+):
+    # The address of one registered server raised UnicodeError, which ended
+    # every process that tried whether it reaches that server.
+    async def main():
+        with pytest.raises(OSError):
+            await _net.tcp_network().open_stream(address)
+
+    trio.run(main)
+
+
 @pytest.mark.parametrize("listener", ["peer", "admin", "caller"])
 def test_error_in_a_connection_of_an_owner_ends_only_that_connection(
     virtual, system, monkeypatch, listener
