Contain the errors of an endpoint owner's loops

The same cause in nodes with endpoints of their own: the loops that load one engine's adapters and poll its reports, and the deletions of strikes, ran in a nursery that lives as long as the process.

Change: they run in a TaskGroup. After an error an owner's loops begin again a second later; its queue and what it knows of the engine stay.

Measured: two tests, which failed before with the error of the loop, pass.

--- a/src/coltsfootsail/_owners.py
+++ b/src/coltsfootsail/_owners.py
@@ -17,11 +17,13 @@
 from coltsfootsail import _policy
 from coltsfootsail import _records
 from coltsfootsail import _scheduler
+from coltsfootsail import _tasks
 from coltsfootsail import _wire
 from coltsfootsail import exceptions
 
 RECONCILE_INTERVAL_S = 0.5
 ANNOUNCE_INTERVAL_S = 0.1
+RESTART_PAUSE_S = 1.0  # after an error in the work for an owner
 
 
 class EndpointOwners:
@@ -36,7 +38,7 @@
         self._announced_adapters = {}
         self._changed = set()
         self._changed_event = trio.Event()
-        self._nursery = None
+        self._tasks = _tasks.TaskGroup("server", node.metrics.count)
 
     def items(self):
         """List the pairs of endpoint name and owner."""
@@ -52,8 +54,7 @@
 
     async def run(self):
         """Keep the owners up to date until the task is cancelled."""
-        async with trio.open_nursery() as nursery:
-            self._nursery = nursery
+        async with self._tasks.opened(), trio.open_nursery() as nursery:
             nursery.start_soon(self._announce_changes)
             await self._reconcile()
 
@@ -141,7 +142,7 @@
         if self._node.strikes.clear(fingerprint):
             self._node.metrics.count("strikes", "cleared")
             self._node.mesh.broadcast(_wire.Strike(fingerprint, 0))
-            self._nursery.start_soon(self._delete_strike, fingerprint)
+            self._tasks.start_soon(self._delete_strike, fingerprint)
 
     async def _delete_strike(self, fingerprint):
         with contextlib.suppress(exceptions.KvError):
@@ -170,7 +171,7 @@
         if fence and owner is None:
             owner = self._make_owner(endpoint, entry)
             self._owners[endpoint] = owner
-            self._nursery.start_soon(self._run_owner, owner)
+            self._tasks.start_soon(self._run_owner, owner)
         if owner is None:
             return
         if fence and (fence != owner.fence or not owner.active):
@@ -200,10 +201,13 @@
             del self._owners[endpoint]
 
     async def _run_owner(self, owner):
+        """Work for an owner until it is stopped, also after an error."""
         with owner.scope:
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(owner.run_loader)
-                nursery.start_soon(owner.run_report_polling)
+            while True:
+                await _tasks.run_contained(
+                    "server", self._node.metrics.count, _run_loops, owner
+                )
+                await trio.sleep(RESTART_PAUSE_S)
 
     def residency_message(self, endpoint, known_adapters):
         """Build a message with an endpoint's changes of residency.
@@ -249,3 +253,9 @@
             known_adapters | set(msg.added)
         ) - set(msg.removed)
         self._node.mesh.send_with_heartbeats(msg)
+
+
+async def _run_loops(owner):
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(owner.run_loader)
+        nursery.start_soon(owner.run_report_polling)
--- a/tests/test_task_errors.py
+++ b/tests/test_task_errors.py
@@ -364,3 +364,25 @@
             assert not (await _demo.send_sample(embedded)).wrong
 
     virtual(main)
+
+
+@pytest.mark.parametrize("work", ["run_loader", "run_report_polling"])
+def test_error_in_the_work_for_one_engine_ends_no_owner(
+    virtual, system, monkeypatch, work
+):
+    # An error in a loop of one engine's owner ended the process.
+    embedded = system()
+
+    async def main():
+        async with embedded.running():
+            node = embedded.nodes[next(iter(embedded.hosts))]
+            (_, owner), *_ = node.owners.items()
+            failing = {"run_loader": "_load_next"}.get(work, "_poll_report")
+            with monkeypatch.context() as patch:
+                patch.setattr(owner, failing, _raise)
+                owner._loader_wakeup.set()
+                await trio.sleep(10.0)
+            assert node.metrics.counter_totals()["task_errors"]
+            assert not (await _demo.send_sample(embedded)).wrong
+
+    virtual(main)
