Test refusals that a server writes once more, on real sockets

Operators of similar systems reported clients that were told "not run" for requests which a server had run, after it had written an earlier refusal again on a kept connection. Here an answer is taken for a request's only if it echoes the request's id, and a connection never carries one id twice.

Measured: no such answer in nine tests, with plain servers and engines that write the refusal again at once, before, with or after a later answer.

--- /dev/null
+++ b/tests/test_faulty_servers.py
@@ -0,0 +1,324 @@
+"""Answers of faulty servers on real sockets, and what callers are told."""
+
+import dataclasses
+import itertools
+
+import h11
+import pytest
+import trio
+
+from coltsfootsail import _embedded
+from coltsfootsail import _gateway
+from coltsfootsail import _net
+from coltsfootsail.platform import messages
+from coltsfootsail.standins import servers
+from coltsfootsail.standins import store
+from coltsfootsail.standins import users
+from tests import gateways
+
+LIMIT_S = 60.0
+STAMP = "server-stamp-of-a-success"
+ERROR_TEXT = b"the model server is out of memory\n\nsee its log\n\n"
+EVENTS = [f"id: {n}\ndata: @1 {n}\n\n".encode() for n in range(5)]
+_numbers = itertools.count(1)
+
+
+class Site:
+    """A gateway, a store and servers on loopback.
+
+    :param nursery: runs them.
+    :param shops: plain servers.
+    :param make_engine: ``(name, store, address)``, makes a model server.
+    """
+
+    def __init__(self, nursery, shops, make_engine):
+        names = [f"s{n}" for n in range(len(shops))]
+        names += ["e0", "e1", "store", "caller", "peer", "ready", "directory"]
+        self.at = _embedded.loopback_addresses(names)
+        self.store = store.StoreStandIn()
+        self.shops = shops
+        self.engines = [
+            make_engine(f"i-e{n}", self.store, self.at[f"e{n}"])
+            for n in range(2)
+        ]
+        self._nursery = nursery
+        self.gateway = None
+
+    async def start(self):
+        """Start everything, and wait until streams are served."""
+        network = _net.tcp_network()
+
+        async def listen(address, serve):
+            await self._nursery.start(
+                network.serve, address, _without_stream_errors(serve)
+            )
+
+        self.store.put("op/config", users.configuration(1))
+        await listen(self.at["store"], self.store.connection_handler("store"))
+        for number, shop in enumerate(self.shops):
+            address = self.at[f"s{number}"]
+            await listen(address, shop.serve)
+            entry = users.plain_entry(address)
+            self.store.put(f"servers/{shop.name}", entry)
+        for engine in self.engines:
+            await listen(engine.address, engine.serve)
+            engine.register()
+        self.gateway = _gateway.Gateway(self._settings(), network)
+        await self._nursery.start(self.gateway.run)
+        with trio.fail_after(LIMIT_S):
+            while not self._is_ready():
+                await trio.sleep(0.05)
+
+    def _is_ready(self):
+        controllers = self.gateway.owned_engines.controllers
+        return len(controllers) == len(self.engines) and all(
+            controller.can_order() for controller in controllers.values()
+        )
+
+    def _settings(self):
+        settings = gateways.settings("g0")
+        node = dataclasses.replace(
+            settings.node,
+            caller_address=self.at["caller"],
+            peer_address=self.at["peer"],
+            admin_address=self.at["ready"],
+            seed_addresses=(),
+        )
+        return dataclasses.replace(
+            settings,
+            node=node,
+            platform=dataclasses.replace(
+                settings.platform, kv_addresses=(self.at["store"],)
+            ),
+            gateway=dataclasses.replace(
+                settings.gateway,
+                ready_address=self.at["ready"],
+                directory_address=self.at["directory"],
+            ),
+        )
+
+    async def call(self, path, version="1.1"):
+        """Send one request as a caller on a connection of its own.
+
+        :param version: of HTTP, that the caller speaks.
+        :returns: the request's id and an ``Answer``.
+        """
+        request_id = f"r{next(_numbers)}"
+        head = (
+            f"POST {path} HTTP/{version}\r\nhost: {users.HOST}\r\n"
+            f"{messages.REQUEST_ID}: {request_id}\r\n"
+            f"{messages.DEADLINE}: 3000\r\n{messages.MODEL}: base\r\n"
+            f"{messages.TOKENS}: 40,8\r\ncontent-length: 1\r\n\r\nx"
+        )
+        stream = await _net.tcp_network().open_stream(self.at["caller"])
+        async with stream:
+            await stream.send_all(head.encode())
+            with trio.fail_after(LIMIT_S):
+                return request_id, await _read_answer(stream)
+
+
+@dataclasses.dataclass(frozen=True)
+class Answer:
+    """What a caller got; ``whole`` is False if it was cut off."""
+
+    status: int
+    body: bytes
+    whole: bool
+
+
+async def _read_answer(stream):
+    conn = h11.Connection(h11.CLIENT)
+    request = h11.Request(method="POST", target="/", headers=[("host", "x")])
+    conn.send(request)
+    conn.send(h11.EndOfMessage())
+    status, parts = 0, []
+    try:
+        while True:
+            event = conn.next_event()
+            if event is h11.NEED_DATA:
+                conn.receive_data(await stream.receive_some(65536))
+            elif isinstance(event, h11.Response):
+                status = event.status_code
+            elif isinstance(event, h11.Data):
+                parts.append(bytes(event.data))
+            else:
+                whole = isinstance(event, h11.EndOfMessage)
+                return Answer(status, b"".join(parts), whole)
+    except (trio.BrokenResourceError, h11.RemoteProtocolError):
+        return Answer(status, b"".join(parts), False)
+
+
+def _without_stream_errors(serve):
+    async def serve_quietly(stream):
+        try:
+            await serve(stream)
+        except (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
+            return
+
+    return serve_quietly
+
+
+@pytest.fixture
+def with_site():
+    """Run ``async (site)`` against a gateway on real sockets."""
+
+    def run(scenario, shops=(), make_engine=servers.ModelServer):
+        async def main():
+            async with trio.open_nursery() as nursery:
+                site = Site(nursery, shops, make_engine)
+                await site.start()
+                await scenario(site)
+                nursery.cancel_scope.cancel()
+
+        trio.run(main)
+
+    return run
+
+
+def _head(status, request_id, fields=()):
+    pairs = [(messages.REQUEST_ID, request_id), *fields]
+    lines = "".join(f"{name}: {value}\r\n" for name, value in pairs)
+    return f"HTTP/1.1 {status} x\r\n{lines}\r\n".encode()
+
+
+def _refusal(request_id):
+    fields = [(messages.NOT_RUN, "1"), ("content-length", "0")]
+    return _head(503, request_id, fields)
+
+
+class EchoingShop:
+    """Refuses each second request; later writes that refusal once more.
+
+    ``when`` tells when it does: ``at once`` after the refusal, ``before`` or
+    ``with`` the next answer on the connection, ``within`` its head and body,
+    or ``after`` it.
+    """
+
+    def __init__(self, name, when):
+        self.name = name
+        self.when = when
+        self.runs = []
+        self.refused = []
+        self.repeated = 0
+
+    async def serve(self, stream):
+        """Serve one connection."""
+        last = b""
+        while request_id := await _receive_request(stream):
+            if not last and len(self.refused) <= len(self.runs):
+                last = _refusal(request_id)
+                self.refused.append(request_id)
+                again = last if self.when == "at once" else b""
+                await stream.send_all(last + again)
+                continue
+            self.runs.append(request_id)
+            await self._answer(stream, request_id, last)
+            last = b""
+
+    async def _answer(self, stream, request_id, last):
+        fields = [(messages.STAMP, STAMP), ("content-length", "4")]
+        head = _head(200, request_id, fields)
+        self.repeated += bool(last)
+        writes = {
+            "before": (last, head + b"done"),
+            "with": (last + head + b"done",),
+            "after": (head + b"done" + last,),
+            "late": (head + b"done", last),
+        }.get(self.when, (head + b"done",))
+        for data in writes:
+            await stream.send_all(data)
+            await trio.sleep(0.05)
+
+
+async def _receive_request(stream):
+    """Receive one request with a body of one byte.
+
+    :returns: its id, empty at the end of the connection.
+    """
+    data = b""
+    while b"\r\n\r\n" not in data or data.endswith(b"\r\n\r\n"):
+        received = await stream.receive_some(65536)
+        if not received:
+            return ""
+        data += received
+    text = data.decode().lower()
+    text = text.partition(f"{messages.REQUEST_ID}: ")[2]
+    return text.partition("\r\n")[0]
+
+
+@pytest.mark.parametrize(
+    "when", ["at once", "before", "with", "after", "late"]
+)
+def test_refusal_that_is_written_again_answers_no_later_request(
+    with_site, when
+):
+    # A refusal of an earlier request on a kept connection was taken for the
+    # answer to one that the server ran: REFUSED, or TWICE after a retry.
+    shops = [EchoingShop(f"i-s{n}", when) for n in range(2)]
+
+    async def scenario(site):
+        answers = [await site.call("/orders/9") for _ in range(40)]
+        runs = [run for shop in shops for run in shop.runs]
+        assert len(runs) == len(set(runs))
+        for request_id, answer in answers:
+            if request_id in runs:
+                assert answer.status not in messages.PROMISE_STATUSES
+            if answer.status == 200:
+                assert (answer.body, answer.whole) == (b"done", True)
+                assert request_id in runs
+        assert sum(answer.status == 200 for _, answer in answers) > 10
+        if when != "at once":
+            assert sum(shop.repeated for shop in shops) > 3
+
+    with_site(scenario, shops)
+
+
+class EchoingEngine(servers.ModelServer):
+    """As an ``EchoingShop`` that repeats refusals before or after streams."""
+
+    when = "before"
+
+    def __init__(self, *args):
+        super().__init__(*args)
+        self.repeated = 0
+        self._last = {}
+        self._count = 0
+
+    async def _run(self, req, resp):
+        request_id = req.header(messages.REQUEST_ID)
+        last = self._last.pop(id(resp.stream), b"")
+        self._count += 1
+        if not last and self._count % 2:
+            self._last[id(resp.stream)] = _refusal(request_id)
+            headers = [(messages.REQUEST_ID, request_id)]
+            await resp.reply(503, b"", [*headers, (messages.NOT_RUN, "1")])
+            return
+        self.repeated += bool(last)
+        if self.when == "before":
+            await resp.stream.send_all(last)
+        await super()._run(req, resp)
+        if self.when == "after":
+            await resp.stream.send_all(last)
+
+
+@pytest.mark.parametrize("when", ["before", "after"])
+@pytest.mark.parametrize("path", ["/notes/9", "/prints/9"])
+def test_refusal_that_is_written_again_answers_no_later_stream(
+    with_site, monkeypatch, when, path
+):
+    # As above, for streams: a stream that an engine ran was told as not run.
+    monkeypatch.setattr(EchoingEngine, "when", when)
+
+    async def scenario(site):
+        answers = [await site.call(path) for _ in range(20)]
+        runs = [run.request_id for e in site.engines for run in e.runs]
+        assert len(runs) == len(set(runs))
+        for request_id, answer in answers:
+            if request_id in runs:
+                assert answer.status not in messages.PROMISE_STATUSES
+            if answer.status == 200:
+                assert (answer.body, answer.whole) == (b"".join(EVENTS), True)
+        assert sum(answer.status == 200 for _, answer in answers) > 5
+        assert sum(engine.repeated for engine in site.engines) > 2
+
+    with_site(scenario, make_engine=EchoingEngine)
