Reset connections of HTTP/1.0 callers whose answer broke off

Operators of similar systems reported streams that broke off and ended as if they were complete, or with the text of the next server's error in them.

Cause: an answer to such a caller has neither a length nor chunks. The end of its connection is its end, and a broken answer ended as a complete one does, by a close.

Change: from the head of such an answer until its end the connection is set to end by a reset (SO_LINGER of 0 s), which callers tell from an end. That holds also when the process is killed meanwhile.

Measured: tests with ten ways to send an error, on real sockets. With HTTP/1.1 they passed before; the three with HTTP/1.0 failed with whole=True and pass.

--- a/src/coltsfootsail/_http_server.py
+++ b/src/coltsfootsail/_http_server.py
@@ -7,6 +7,7 @@
 import trio
 
 from coltsfootsail import _http_messages
+from coltsfootsail import _net
 from coltsfootsail import exceptions
 
 VERSIONS = (b"1.0", b"1.1")
@@ -32,8 +33,14 @@
             await self.stream.send_all(data)
 
     async def start(self, status, headers=()):
-        """Send the head of an answer whose length is not known yet."""
+        """Send the head of an answer whose length is not known yet.
+
+        To a caller of HTTP/1.0 the end of the connection ends the answer.
+        The connection is therefore reset unless ``end`` is reached.
+        """
         self.status = status
+        if self._conn.their_http_version == b"1.0":
+            _net.set_reset_on_close(self.stream, True)
         await self._send(
             h11.Response(status_code=status, headers=list(headers))
         )
@@ -50,6 +57,8 @@
         """Mark the end of a complete answer."""
         self.ended = True
         await self._send(h11.EndOfMessage())
+        if self._conn.their_http_version == b"1.0":
+            _net.set_reset_on_close(self.stream, False)
 
     async def reply(self, status, body, headers=()):
         """Send a complete answer in one write.
--- a/src/coltsfootsail/_net.py
+++ b/src/coltsfootsail/_net.py
@@ -8,6 +8,7 @@
 import dataclasses
 import errno
 import socket
+import struct
 import time
 
 import trio
@@ -87,6 +88,18 @@
     )
 
 
+def set_reset_on_close(stream, resets):
+    """Choose how a TCP connection ends when it is closed, or its process.
+
+    :param stream: a stream; one that is no TCP connection is left as it is.
+    :param resets: whether it ends by a reset, which shows that what was sent
+        is not complete, or in order.
+    """
+    if isinstance(stream, trio.SocketStream):
+        linger = struct.pack("ii", int(resets), 0)
+        stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+
 async def _open_tcp(address, connect_timeout_s, unacked_timeout_ms):
     try:
         host, port = split_address(address)
--- a/tests/test_faulty_servers.py
+++ b/tests/test_faulty_servers.py
@@ -322,3 +322,124 @@
         assert sum(engine.repeated for engine in site.engines) > 2
 
     with_site(scenario, make_engine=EchoingEngine)
+
+
+class FailingEngine(servers.ModelServer):
+    """Breaks its first streams off; then answers with an error.
+
+    ``error`` is ``async (req, resp)``, which sends one; it is shared by all
+    engines, as is the list of the ids whose streams have begun.
+    """
+
+    error = None
+    begun = []
+
+    async def _run(self, req, resp):
+        request_id = req.header(messages.REQUEST_ID)
+        if request_id in self.begun:
+            await type(self).error(req, resp)
+            return
+        self.begun.append(request_id)
+        self.cut_after = 2
+        await super()._run(req, resp)
+
+
+def _errors():
+    """List ways in which an engine may send an error."""
+
+    def headers(req, *more):
+        request_id = req.header(messages.REQUEST_ID)
+        return [(messages.REQUEST_ID, request_id), *more]
+
+    async def with_length(req, resp, status=500):
+        await resp.reply(status, ERROR_TEXT, headers(req))
+
+    async def not_found(req, resp):
+        await with_length(req, resp, 404)
+
+    async def in_chunks(req, resp):
+        await resp.start(500, headers(req))
+        await resp.write(ERROR_TEXT)
+        await resp.end()
+
+    async def until_the_end(req, resp):
+        request_id = req.header(messages.REQUEST_ID)
+        await resp.stream.send_all(_head(502, request_id) + ERROR_TEXT)
+        raise trio.BrokenResourceError
+
+    async def with_a_signature(req, resp):
+        stamp = (messages.STAMP, STAMP)
+        await resp.reply(500, ERROR_TEXT, headers(req, stamp))
+
+    async def unsigned_success(req, resp):
+        await with_length(req, resp, 200)
+
+    async def refused(req, resp):
+        await resp.reply(
+            503, ERROR_TEXT, headers(req, (messages.NOT_RUN, "1"))
+        )
+
+    async def busy(req, resp):
+        await with_length(req, resp, 503)
+
+    async def text_alone(req, resp):
+        await resp.stream.send_all(ERROR_TEXT)
+        raise trio.BrokenResourceError
+
+    async def two_heads(req, resp):
+        request_id = req.header(messages.REQUEST_ID)
+        fields = [(messages.STAMP, STAMP), ("transfer-encoding", "chunked")]
+        head = _head(200, request_id, fields)
+        error = _head(500, request_id) + ERROR_TEXT
+        await resp.stream.send_all(head + error)
+        raise trio.BrokenResourceError
+
+    return {
+        each.__name__: each
+        for each in (
+            with_length,
+            not_found,
+            in_chunks,
+            until_the_end,
+            with_a_signature,
+            unsigned_success,
+            refused,
+            busy,
+            text_alone,
+            two_heads,
+        )
+    }
+
+
+@pytest.mark.parametrize("version", ["1.1", "1.0"])
+@pytest.mark.parametrize("path", ["/notes/9", "/prints/9"])
+def test_error_after_a_stream_that_broke_off_is_no_part_of_the_stream(
+    with_site, monkeypatch, path, version
+):
+    # The text or the head of the next server's error stood in the stream, or
+    # the stream ended as if it were complete: ORDER, MIXED.
+    monkeypatch.setattr(FailingEngine, "begun", [])
+
+    async def scenario(site):
+        for name, error in _errors().items():
+            monkeypatch.setattr(FailingEngine, "error", error)
+            request_id, answer = await site.call(path, version)
+            assert request_id in FailingEngine.begun, name
+            assert answer.status == 200, name
+            assert answer.body == b"".join(EVENTS[:3]), name
+            assert not answer.whole, name
+
+    with_site(scenario, make_engine=FailingEngine)
+
+
+@pytest.mark.parametrize("version", ["1.1", "1.0"])
+def test_stream_of_a_gateway_that_ends_is_not_whole(with_site, version):
+    # As above, where no other server can be tried.
+    async def scenario(site):
+        for engine in site.engines:
+            engine.cut_after = 2
+        _, answer = await site.call("/notes/9", version)
+        assert answer.body == b"".join(EVENTS[:3])
+        assert not answer.whole
+
+    with_site(scenario)
