Test answers that end within their head, on real sockets

Operators of similar systems reported successes with an empty or short body, made of a head that the server had not finished. Here such an answer is none: callers get 502 or 504, and a request that must run once is sent once.

--- a/tests/test_faulty_servers.py
+++ b/tests/test_faulty_servers.py
@@ -443,3 +443,67 @@
         assert not answer.whole
 
     with_site(scenario)
+
+
+HEAD_PARTS = [
+    "HTTP/1.1 200",
+    " OK\r\n",
+    f"{messages.REQUEST_ID}: ID\r\n",
+    f"{messages.STAMP}: {STAMP}",
+    "\r\n",
+    "content-type: text/plain\r\n",
+    "content-length: 4",
+    "\r\n",
+]
+
+
+class HeadlessShop:
+    """Ends the connection after a part of the head of its answer."""
+
+    def __init__(self, name, cut):
+        self.name = name
+        self.cut = cut
+        self.runs = []
+
+    async def serve(self, stream):
+        """Serve one connection."""
+        request_id = await _receive_request(stream)
+        if request_id:
+            self.runs.append(request_id)
+            await stream.send_all(_cut_head(request_id, self.cut))
+
+
+def _cut_head(request_id, cut):
+    head = "".join(HEAD_PARTS[:cut]).replace("ID\r", f"{request_id}\r")
+    return head.encode()
+
+
+class HeadlessEngine(servers.ModelServer):
+    """As a ``HeadlessShop``, for streams."""
+
+    cut = 0
+
+    async def _run(self, req, resp):
+        request_id = req.header(messages.REQUEST_ID)
+        await resp.stream.send_all(_cut_head(request_id, self.cut))
+        raise trio.BrokenResourceError
+
+
+@pytest.mark.parametrize("version", ["1.1", "1.0"])
+def test_answer_that_ends_within_its_head_is_no_success(with_site, version):
+    # The head as far as it came was passed on as a whole answer: callers got
+    # a 200 with an empty or a short body: MIXED, ORDER.
+    shops = [HeadlessShop(f"i-s{n}", 0) for n in range(2)]
+
+    async def scenario(site):
+        for cut in range(1, len(HEAD_PARTS) + 1):
+            for server in (*site.shops, *site.engines):
+                server.cut = cut
+            for path in ("/orders/9", "/stock/9", "/notes/9", "/prints/9"):
+                request_id, answer = await site.call(path, version)
+                assert answer.status in (502, 504), (path, cut)
+                if path == "/orders/9":
+                    runs = [run for shop in shops for run in shop.runs]
+                    assert runs.count(request_id) == 1
+
+    with_site(scenario, shops, make_engine=HeadlessEngine)
