Contain the errors of the bootstrap from a seed

Change: the bootstrap runs contained. After an error the node waits for the store alone.

Measured: the test failed before with the error and passes.

--- a/src/coltsfootsail/_gateway.py
+++ b/src/coltsfootsail/_gateway.py
@@ -563,7 +563,8 @@
                 self._on_lease_event,
             )
             nursery.start_soon(self.view.run)
-            nursery.start_soon(
+            self._start_contained(
+                "peer",
                 _seeds.bootstrap,
                 self._network,
                 self._seed_addresses(),
--- a/tests/test_task_errors.py
+++ b/tests/test_task_errors.py
@@ -14,8 +14,10 @@
 from coltsfootsail import _grants
 from coltsfootsail import _http
 from coltsfootsail import _net
+from coltsfootsail import _seeds
 from coltsfootsail import _wire
 from coltsfootsail.platform import messages
+from coltsfootsail.standins import store
 from tests import gateways
 
 
@@ -168,6 +170,23 @@
     gateways.run(scenario)
 
 
+def test_error_in_the_answer_of_a_seed_ends_no_node(monkeypatch):
+    # An error in what a peer sent to a starting node ended that node.
+    async def scenario(fleet):
+        with monkeypatch.context() as patch:
+            patch.setattr(_seeds, "fetch_entries", _raise)
+            fleet.store.faults["store-g1:1"] = store.StoreFault.DOWN
+            await fleet.start_gateway("g1")
+            await trio.sleep(1.0)
+        fleet.store.faults.clear()
+        await trio.sleep(5.0)
+        gateway = fleet.gateways["g1"]
+        assert gateway.metrics.counter_total("task_errors", "peer") == 1
+        assert (await fleet.call("/orders/1", "g1")).status == 200
+
+    gateways.run(scenario)
+
+
 def test_check_for_a_peer_that_links_while_the_node_starts_is_made_later():
     # The listeners run before the peers' tasks: a check that a peer asked
     # for in between ended the starting process.
