Fail tests in which the code logs an error that they don't provoke

Cause: an error that is contained shows in a log and a counter only. Tests that failed because a process or a scenario ended with it would pass.

Change: every test checks that nothing was logged as an error in the code, unless it is marked provokes_errors: those of tests/test_task_errors.py and two that provoke such an error already.

Measured: one run of all tests before those two were marked: these two were the only ones that logged such an error.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import logging
 import pathlib
 import random
 import secrets
@@ -15,6 +16,7 @@
 
 from coltsfootsail import _deployment
 from coltsfootsail import _embedded
+from coltsfootsail import _logs
 from coltsfootsail import _settings
 from coltsfootsail.standins import network as memory
 
@@ -130,6 +132,26 @@
     _set_seed(monkeypatch, 0)
 
 
+@pytest.fixture(autouse=True)
+def _no_contained_errors(request):
+    """Fail a test that logs an error in the code, unless it provokes one.
+
+    Errors that are contained would not show otherwise.
+    """
+    errors = []
+
+    def note(record):
+        if record.levelno >= logging.ERROR:
+            errors.append((record.getMessage(), record.reason))
+        return True
+
+    _logs.LOGGER.addFilter(note)
+    yield
+    _logs.LOGGER.removeFilter(note)
+    if "provokes_errors" not in request.keywords:
+        assert not errors
+
+
 @pytest.fixture
 def virtual():
     """Return a function that runs an async function in virtual time."""
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -604,6 +604,7 @@
     gateways.run(scenario)
 
 
+@pytest.mark.provokes_errors
 def test_bug_in_request_handling_ends_one_connection_only():
     async def scenario(fleet):
         gateway = fleet.gateways["g0"]
@@ -616,6 +617,7 @@
     gateways.run(scenario)
 
 
+@pytest.mark.provokes_errors
 def test_failed_engine_controller_is_restarted():
     async def scenario(fleet):
         engine = _preferred_engine(fleet, "base/a7")
--- a/tests/test_task_errors.py
+++ b/tests/test_task_errors.py
@@ -21,6 +21,9 @@
 from tests import gateways
 
 
+pytestmark = pytest.mark.provokes_errors
+
+
 def _owner(fleet, engine):
     """Name the gateway that controls an engine."""
     return next(
