Find errors in the code of the soak's nodes

Change: rule ERRORS, for each line of a node's log that tells of an error in the code, and for each traceback.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -132,7 +132,9 @@
             await system.stop()
             nursery.cancel_scope.cancel()
     found = records.read(directory)
-    return checker.check(found), checker.summary(found)
+    logs = [directory / f"{node}.log" for node in systems.NODES]
+    violations = checker.check(found) + checker.check_logs(logs)
+    return violations, checker.summary(found)
 
 
 def _package_paths(directory, commit):
--- a/tests/soak/checker.py
+++ b/tests/soak/checker.py
@@ -33,6 +33,8 @@
 LIMIT_WINDOW_S = 4.0
 LIMIT_SHARE = 1.5  # of what a limit allows in a window
 LIMIT_EXTRA = 5  # requests beside
+ERROR_LEVEL = '"level": "ERROR"'
+TRACEBACK = "Traceback (most recent call last):"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -108,6 +110,23 @@
     ]
 
 
+def check_logs(paths):
+    """Find errors in the code of nodes, which they log or end by.
+
+    ``ERRORS``: a node met such an error.
+
+    :param paths: ``pathlib.Path`` of the nodes' logs.
+    :returns: list of ``Violation``.
+    """
+    lines = tuple(
+        f"{path.name}: {line}"
+        for path in paths
+        for line in path.read_text(errors="replace").splitlines()
+        if ERROR_LEVEL in line or TRACEBACK in line
+    )
+    return [Violation("ERRORS", lines)] if lines else []
+
+
 def _revoked(by_type):
     """Find runs with revoked keys, and refusals of others."""
     revoked = {each.key for each in by_type[records.Revocation]}
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -140,6 +140,21 @@
     assert rules == (["LIMIT"] if broken else [])
 
 
+@pytest.mark.parametrize(
+    ("text", "rules"),
+    [
+        ('{"level": "INFO", "message": "node_started"}', []),
+        ('{"level": "ERROR", "message": "task_failed"}', ["ERRORS"]),
+        (f"  + Exception Group {checker.TRACEBACK}", ["ERRORS"]),
+    ],
+)
+def test_checker_finds_errors_in_the_code_of_nodes(text, rules, tmp_path):
+    paths = [tmp_path / "g0.log", tmp_path / "g1.log"]
+    paths[0].write_text("")
+    paths[1].write_text(f"{text}\n")
+    assert [v.rule for v in checker.check_logs(paths)] == rules
+
+
 def _play(directory, seconds, *arguments):
     arguments = ["--seconds", seconds, *arguments]
     options = soak.make_parser().parse_args(arguments)
