Count the errors that end a controller, and drop its scope with it

Cause: the errors that the tasks of controllers catch themselves were logged and not counted, and the scope of a controller that had ended stayed in its table until the next one.

Change: task_errors counts them as those of other tasks, and the scope goes with the controller.

Measured: the test of a plain server's controller checks the count.

--- a/src/coltsfootsail/_limited_servers.py
+++ b/src/coltsfootsail/_limited_servers.py
@@ -141,6 +141,7 @@
         self._refusals = refusals
         self._is_ready = is_ready
         self._now = now
+        self._count = count
         self._tasks = _tasks.TaskGroup("server", count)
         self._controllers = {}
         self._scopes = {}
@@ -198,9 +199,10 @@
                 await controller.run()
         except Exception as exc:
             # The next request starts a new controller.
+            self._count("task_errors", "server")
             _logs.failure("limiter_failed", exc, server=name)
             if self._controllers.get(name) is controller:
-                del self._controllers[name]
+                del self._controllers[name], self._scopes[name]
             controller.turn_away_waiting(_grants.SERVER_CLOSED)
 
     def needs_grant(self, name):
--- a/src/coltsfootsail/_owned.py
+++ b/src/coltsfootsail/_owned.py
@@ -29,7 +29,8 @@
         self._view = view
         self._states = states
         self._dependencies = dependencies
-        self._tasks = _tasks.TaskGroup("server", dependencies.metrics.count)
+        self._count = dependencies.metrics.count
+        self._tasks = _tasks.TaskGroup("server", self._count)
         self._scopes = {}
         self._peer_backlogs = {}
         self.controllers = {}
@@ -130,9 +131,10 @@
         except Exception as exc:
             # The next sync starts a new controller, which reads the engine's
             # state from a report.
+            self._count("task_errors", "server")
             _logs.failure("orderer_failed", exc, server=name)
             if self.controllers.get(name) is controller:
-                del self.controllers[name]
+                del self.controllers[name], self._scopes[name]
             controller.turn_away_waiting("engine down")
 
     async def run(self):
--- a/tests/test_task_errors.py
+++ b/tests/test_task_errors.py
@@ -10,6 +10,7 @@
 import trio
 
 from coltsfootsail import _demo
+from coltsfootsail import _engine_controller
 from coltsfootsail import _follower
 from coltsfootsail import _grants
 from coltsfootsail import _http
@@ -97,6 +98,35 @@
     gateways.run(scenario, engines=1)
 
 
+def test_error_as_an_engine_is_given_up_ends_no_node(monkeypatch):
+    # An error that a controller raised while it was cancelled came in a group
+    # with the cancellation, was not caught and ended the process.
+    async def fail_in_the_end():
+        try:
+            await trio.sleep_forever()
+        finally:
+            raise ZeroDivisionError
+
+    async def scenario(fleet):
+        monkeypatch.setattr(
+            _engine_controller.EngineController,
+            "_run_orders",
+            lambda controller: fail_in_the_end(),
+        )
+        engine = fleet.engines[0]
+        await fleet.start_gateway(_owner(fleet, engine))
+        await trio.sleep(8.0)
+        gateway = fleet.gateways[_owner(fleet, engine)]
+        fleet.store.drop(f"servers/{engine.name}")
+        await trio.sleep(3.0)
+        assert not gateway.owned_engines.controllers
+        assert gateway.metrics.counter_total("task_errors", "server") == 1
+        for name in fleet.names:
+            assert (await fleet.call("/orders/1", name)).status == 200
+
+    gateways.run(scenario, engines=1)
+
+
 @pytest.mark.parametrize("starts", [1, 2])
 def test_limited_server_that_leaves_at_once_ends_no_node(starts):
     # As above, for the controllers of plain servers that name a limit.
@@ -131,6 +161,8 @@
                 controller.queue, "next_decision_s", lambda now_s: 1 / 0
             )
         await trio.sleep(3.0)
+        counted = gateway.metrics.counter_total("task_errors", "server")
+        assert counted == len(controllers)
         for number in range(4):
             reply = await fleet.call("/orders/1", request_id=f"b{number}")
             assert reply.status == 200
