--- a/tests/test_faulty_servers.py
+++ b/tests/test_faulty_servers.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 import itertools
+import subprocess
+import sys
 
 import h11
 import pytest
@@ -445,6 +447,65 @@
     with_site(scenario)
 
 
+SERVER = """
+import trio
+from coltsfootsail import _http
+from coltsfootsail import _net
+
+async def handle(req, resp):
+    await resp.start(200)
+    await resp.write(b"begun")
+    await trio.sleep_forever()
+
+async def serve(stream):
+    await _http.serve_connection(stream, _http.HttpLimits(), handle)
+
+async def main():
+    async with trio.open_nursery() as nursery:
+        network = _net.tcp_network()
+        address = await nursery.start(network.serve, "127.0.0.1:0", serve)
+        print(address, flush=True)
+
+trio.run(main)
+"""
+
+
+@pytest.mark.parametrize("version", ["1.1", "1.0"])
+def test_answer_of_a_process_that_is_killed_is_not_whole(version):
+    # As above: the kernel ends the connections of a killed process.
+    async def main():
+        process = await trio.lowlevel.open_process(
+            [sys.executable, "-c", SERVER], stdout=subprocess.PIPE
+        )
+        try:
+            with trio.fail_after(LIMIT_S):
+                address = (await process.stdout.receive_some(100)).decode()
+                network = _net.tcp_network()
+                stream = await network.open_stream(address.strip())
+                async with stream:
+                    head = f"GET / HTTP/{version}\r\nhost: x\r\n\r\n"
+                    await stream.send_all(head.encode())
+                    data = b""
+                    while b"begun" not in data:
+                        data += await stream.receive_some(1000)
+                    process.kill()
+                    await _check_broken_off(stream, version)
+        finally:
+            process.kill()
+            await process.wait()
+
+    trio.run(main)
+
+
+async def _check_broken_off(stream, version):
+    """Check the end of an answer without the last of its chunks."""
+    if version == "1.0":
+        with pytest.raises(trio.BrokenResourceError):
+            await stream.receive_some(1000)
+        return
+    assert b"0\r\n\r\n" not in await stream.receive_some(1000)
+
+
 HEAD_PARTS = [
     "HTTP/1.1 200",
     " OK\r\n",
