--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -137,6 +137,25 @@
     assert events[-1] == "node_stopped"
 
 
+@pytest.mark.parametrize("path", ["/notes/9", "/stock/9", "/orders/9"])
+def test_request_whose_time_is_up_gets_an_answer(with_gateway, path):
+    # A stream's request that arrived without time left, or was read late by a
+    # busy process, ended its connection without an answer (ValueError).
+    async def scenario(process, at, client, _):
+        headers = [
+            ("host", gateways.HOST),
+            ("coltsfootsail-request-id", "r1"),
+            ("coltsfootsail-deadline-ms", "0"),
+            ("coltsfootsail-model", "base"),
+        ]
+        async with client.exchange(at["caller"], fresh=True) as exchange:
+            await exchange.send("POST", path, headers, b"x")
+            assert await exchange.read_head() == 503
+
+    lines = with_gateway(scenario)
+    assert not [line for line in lines if line["level"] == "ERROR"]
+
+
 def test_error_for_invalid_settings_names_the_field(tmp_path):
     path = tmp_path / "g0.toml"
     at = dict.fromkeys(NAMES, "127.0.0.1:80")
