Refuse a stream without a model by the name of the header

Callers that sent a stream's request without Coltsfootsail-Model saw their connection closed without an answer: an AttributeError ended it. Such a request gets 400 now, which names the header.

Measured: the test against a process failed before and passes.

--- a/src/coltsfootsail/_streams.py
+++ b/src/coltsfootsail/_streams.py
@@ -160,6 +160,8 @@
             await self._forward(context, resp)
 
     async def _forward(self, context, resp):
+        if context.meta.prompt is None:
+            raise exceptions.BadField(f"{messages.MODEL}: missing")
         sink = _StreamSink(
             resp, self._gateway.closing_headers, self._now, context.account
         )
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -156,6 +156,21 @@
     assert not [line for line in lines if line["level"] == "ERROR"]
 
 
+def test_stream_without_a_model_is_refused_with_the_name_of_the_header(
+    with_gateway,
+):
+    # It ended its connection without an answer (AttributeError).
+    async def scenario(process, at, client, _):
+        headers = [("host", gateways.HOST), ("coltsfootsail-request-id", "r1")]
+        async with client.exchange(at["caller"], fresh=True) as exchange:
+            await exchange.send("POST", "/notes/9", headers, b"x")
+            assert await exchange.read_head() == 400
+            assert b"coltsfootsail-model" in await exchange.read_body(1 << 20)
+
+    lines = with_gateway(scenario)
+    assert not [line for line in lines if line["level"] == "ERROR"]
+
+
 def test_error_for_invalid_settings_names_the_field(tmp_path):
     path = tmp_path / "g0.toml"
     at = dict.fromkeys(NAMES, "127.0.0.1:80")
