--- a/tests/test_faulty_servers.py
+++ b/tests/test_faulty_servers.py
@@ -189,11 +189,11 @@
 
 
 class EchoingShop:
-    """Refuses each second request; later writes that refusal once more.
+    """Refuses a request for each one that it runs, and repeats the refusal.
 
-    ``when`` tells when it does: ``at once`` after the refusal, ``before`` or
-    ``with`` the next answer on the connection, ``within`` its head and body,
-    or ``after`` it.
+    ``when`` tells when it does: ``at once``, ``before`` the next answer on
+    the connection or in one write ``with`` it, ``after`` it in the same write
+    or some time ``late``.
     """
 
     def __init__(self, name, when):
