Run the controllers of engines and of limited servers by one table

Cause: the two tables started, stopped and replaced their controllers by the same lines, as gateways and nodes opened their listeners, and an answer to HTTP/1.0 checked the version in two places.

Change: ControllerTable, _tasks.listen_contained and Responder._set_complete hold these lines once. Logs, counters, reasons and the order of tasks stay.

Measured: tests of task errors, limits, brittle servers, gateways, takeovers, documents, the HTTP edge and faulty servers pass; no other test was run yet.

--- a/src/coltsfootsail/_gateway.py
+++ b/src/coltsfootsail/_gateway.py
@@ -6,7 +6,6 @@
 """
 
 import dataclasses
-import functools
 import math
 import random
 import secrets
@@ -550,11 +549,9 @@
         )
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
-            for address, serves, serve in listeners:
-                handle = functools.partial(
-                    _tasks.run_contained, serves, self.metrics.count, serve
-                )
-                await nursery.start(self._network.serve, address, handle)
+            await _tasks.listen_contained(
+                nursery, self._network, listeners, self.metrics.count
+            )
             renew_s = self.settings.lease.renew_s
             nursery.start_soon(
                 self.lease.run,
--- a/src/coltsfootsail/_http_server.py
+++ b/src/coltsfootsail/_http_server.py
@@ -33,18 +33,22 @@
             await self.stream.send_all(data)
 
     async def start(self, status, headers=()):
-        """Send the head of an answer whose length is not known yet.
-
-        To a caller of HTTP/1.0 the end of the connection ends the answer.
-        The connection is therefore reset unless ``end`` is reached.
-        """
+        """Send the head of an answer whose length is not known yet."""
         self.status = status
-        if self._conn.their_http_version == b"1.0":
-            _net.set_reset_on_close(self.stream, True)
+        self._set_complete(False)
         await self._send(
             h11.Response(status_code=status, headers=list(headers))
         )
 
+    def _set_complete(self, is_complete):
+        """Let the connection end as the answer does.
+
+        To a caller of HTTP/1.0 the end of the connection ends the answer, so
+        that a connection with an incomplete one is reset.
+        """
+        if self._conn.their_http_version == b"1.0":
+            _net.set_reset_on_close(self.stream, not is_complete)
+
     async def write(self, data):
         """Send a part of the body."""
         await self._send(h11.Data(data=data))
@@ -57,8 +61,7 @@
         """Mark the end of a complete answer."""
         self.ended = True
         await self._send(h11.EndOfMessage())
-        if self._conn.their_http_version == b"1.0":
-            _net.set_reset_on_close(self.stream, False)
+        self._set_complete(True)
 
     async def reply(self, status, body, headers=()):
         """Send a complete answer in one write.
--- a/src/coltsfootsail/_limited_servers.py
+++ b/src/coltsfootsail/_limited_servers.py
@@ -16,11 +16,11 @@
 import trio
 
 from coltsfootsail import _admission
+from coltsfootsail import _controllers
 from coltsfootsail import _engine_selection
 from coltsfootsail import _grants
 from coltsfootsail import _logs
 from coltsfootsail import _placement
-from coltsfootsail import _tasks
 from coltsfootsail import _wire
 
 IDLE_WAIT_S = 1.0  # longest pause of the loop
@@ -141,10 +141,14 @@
         self._refusals = refusals
         self._is_ready = is_ready
         self._now = now
-        self._count = count
-        self._tasks = _tasks.TaskGroup("server", count)
-        self._controllers = {}
-        self._scopes = {}
+        # The next request replaces one that failed.
+        self._table = _controllers.ControllerTable(
+            count,
+            lambda name, exc: _logs.failure(
+                "limiter_failed", exc, server=name
+            ),
+            _grants.SERVER_CLOSED,
+        )
         self._free_at_s = {}
 
     def _ready_nodes(self):
@@ -176,34 +180,15 @@
         server = self._view.servers.get(name)
         if server is None or self._view.engine_spec(server) is not None:
             return None
-        if name not in self._controllers:
-            self._start_controller(name, server)
-        return self._controllers[name]
-
-    def _start_controller(self, name, server):
-        controller = LimitController(
-            lambda: self._limits.per_s(name),
-            lambda: self._refusals.per_s(name),
-            max(1, server.slots),
-            self._now,
-        )
-        scope = trio.CancelScope()
-        self._controllers[name] = controller
-        self._scopes[name] = scope
-        # By the time that the task begins, they may have been replaced.
-        self._tasks.start_soon(self._run_controller, name, controller, scope)
-
-    async def _run_controller(self, name, controller, scope):
-        try:
-            with scope:
-                await controller.run()
-        except Exception as exc:
-            # The next request starts a new controller.
-            self._count("task_errors", "server")
-            _logs.failure("limiter_failed", exc, server=name)
-            if self._controllers.get(name) is controller:
-                del self._controllers[name], self._scopes[name]
-            controller.turn_away_waiting(_grants.SERVER_CLOSED)
+        if name not in self._table.by_name:
+            controller = LimitController(
+                lambda: self._limits.per_s(name),
+                lambda: self._refusals.per_s(name),
+                max(1, server.slots),
+                self._now,
+            )
+            self._table.start(name, controller)
+        return self._table.by_name[name]
 
     def needs_grant(self, name):
         """Tell whether a plain server's starts are granted by one node."""
@@ -224,11 +209,9 @@
         """Forget the servers that are not in ``names``."""
         for name in [name for name in self._free_at_s if name not in names]:
             del self._free_at_s[name]
-        for name in [name for name in self._controllers if name not in names]:
-            self._controllers.pop(name).turn_away_waiting("engine leaving")
-            self._scopes.pop(name).cancel()
+        self._table.keep(names, "engine leaving")
 
     async def run(self):
         """Run the controllers until cancelled."""
-        async with self._tasks.opened():
+        async with self._table.opened():
             await trio.sleep_forever()
--- a/src/coltsfootsail/_node.py
+++ b/src/coltsfootsail/_node.py
@@ -2,7 +2,6 @@
 
 import collections
 import contextlib
-import functools
 import random
 import secrets
 import time
@@ -478,11 +477,9 @@
         )
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
-            for address, serves, serve in listeners:
-                handle = functools.partial(
-                    _tasks.run_contained, serves, self.metrics.count, serve
-                )
-                await nursery.start(self._network.serve, address, handle)
+            await _tasks.listen_contained(
+                nursery, self._network, listeners, self.metrics.count
+            )
             self._start_tasks(nursery)
             _logs.state("node_started", node=node.name)
             task_status.started()
--- a/src/coltsfootsail/_owned.py
+++ b/src/coltsfootsail/_owned.py
@@ -6,10 +6,10 @@
 
 import trio
 
+from coltsfootsail import _controllers
 from coltsfootsail import _engine_controller
 from coltsfootsail import _grants
 from coltsfootsail import _logs
-from coltsfootsail import _tasks
 
 SYNC_INTERVAL_S = 0.3  # between comparisons with the claims
 BACKLOG_STEP_S = 0.05  # resolution of the backlogs sent to peers
@@ -29,11 +29,17 @@
         self._view = view
         self._states = states
         self._dependencies = dependencies
-        self._count = dependencies.metrics.count
-        self._tasks = _tasks.TaskGroup("server", self._count)
-        self._scopes = {}
+        # The next sync replaces one that failed by another, which reads the
+        # engine's state from a report.
+        self._table = _controllers.ControllerTable(
+            dependencies.metrics.count,
+            lambda name, exc: _logs.failure(
+                "orderer_failed", exc, server=name
+            ),
+            "engine down",
+        )
         self._peer_backlogs = {}
-        self.controllers = {}
+        self.controllers = self._table.by_name
 
     def backlog_s(self, name):
         """Estimate the wait for a grant on an engine, own or not.
@@ -103,9 +109,7 @@
     def sync_with_claims(self):
         """Start and stop controllers so that they match the claims."""
         held = self._claims.held
-        for name in [name for name in self.controllers if name not in held]:
-            self.controllers.pop(name).turn_away_waiting("not the owner")
-            self._scopes.pop(name).cancel()
+        self._table.keep(held, "not the owner")
         for name in held:
             if name not in self.controllers:
                 self._start_controller(name)
@@ -118,28 +122,11 @@
         controller = _engine_controller.EngineController(
             server, engine, self._claims, self._dependencies
         )
-        scope = trio.CancelScope()
-        self.controllers[name] = controller
-        self._scopes[name] = scope
-        # By the time that the task begins, they may have been replaced.
-        self._tasks.start_soon(self._run_controller, name, controller, scope)
-
-    async def _run_controller(self, name, controller, scope):
-        try:
-            with scope:
-                await controller.run()
-        except Exception as exc:
-            # The next sync starts a new controller, which reads the engine's
-            # state from a report.
-            self._count("task_errors", "server")
-            _logs.failure("orderer_failed", exc, server=name)
-            if self.controllers.get(name) is controller:
-                del self.controllers[name], self._scopes[name]
-            controller.turn_away_waiting("engine down")
+        self._table.start(name, controller)
 
     async def run(self):
         """Follow the claims until cancelled."""
-        async with self._tasks.opened():
+        async with self._table.opened():
             while True:
                 self.sync_with_claims()
                 await trio.sleep(SYNC_INTERVAL_S)
--- a/src/coltsfootsail/_tasks.py
+++ b/src/coltsfootsail/_tasks.py
@@ -1,6 +1,7 @@
 """Helpers for concurrent tasks."""
 
 import contextlib
+import functools
 
 import trio
 
@@ -21,6 +22,20 @@
         _logs.failure("task_failed", exc, serves=serves)
 
 
+async def listen_contained(nursery, network, listeners, count):
+    """Listen on addresses; an error ends its own connection alone.
+
+    :param nursery: runs the listeners.
+    :param network: a ``Network``.
+    :param listeners: tuples of address, what its connections serve, and
+        ``async (stream)``, which serves one.
+    :param count: ``(counter, reason)``.
+    """
+    for address, serves, serve in listeners:
+        handle = functools.partial(run_contained, serves, count, serve)
+        await nursery.start(network.serve, address, handle)
+
+
 class TaskGroup:
     """Tasks that each serve one request, one peer or one server.
 
--- a/tests/test_task_errors.py
+++ b/tests/test_task_errors.py
@@ -153,9 +153,9 @@
         gateway = next(
             gateway
             for gateway in fleet.gateways.values()
-            if gateway.limited_servers._controllers
+            if gateway.limited_servers._table.by_name
         )
-        controllers = dict(gateway.limited_servers._controllers)
+        controllers = dict(gateway.limited_servers._table.by_name)
         for controller in controllers.values():
             monkeypatch.setattr(
                 controller.queue, "next_decision_s", lambda now_s: 1 / 0
