Share the owner's name and the reading of replies between tests

Two test files found the owner of an engine by the same lines, and two read a caller's response. Fleet.owner and gateways.read_reply serve all of them; the assertions are the same.

Measured: the three files pass. Trials without the checks of refusals, with an error written into the stream, with parts of heads accepted and without the reset fail 7, 2, 2 and 3 tests, the last in the gateway's own process.

--- a/tests/gateways.py
+++ b/tests/gateways.py
@@ -131,6 +131,14 @@
         self.net.break_host(host)
         self.nursery.start_soon(self._start_again, server)
 
+    def owner(self, engine):
+        """Get the name of the node that owns an engine."""
+        return next(
+            name
+            for name, gateway in self.gateways.items()
+            if engine.name in gateway.claims.held
+        )
+
     def host_of(self, server):
         """Get the host of an engine or a shop server."""
         if server in self.engines:
@@ -208,7 +216,7 @@
             req = h11.Request(method=method, target=path, headers=fields)
             parts = [req, h11.Data(data=body), h11.EndOfMessage()]
             await stream.send_all(b"".join(map(conn.send, parts)))
-            return await _read_reply(stream, conn)
+            return await read_reply(stream, conn)
 
     async def resolve(self, node="g0", data_centre="a"):
         """Ask a gateway which addresses a caller should use.
@@ -222,7 +230,12 @@
         return answer["addrs"] if status == 200 else None
 
 
-async def _read_reply(stream, conn):
+async def read_reply(stream, conn):
+    """Read the response to a request that was sent.
+
+    :param conn: the caller's ``h11.Connection``.
+    :returns: a ``Reply``.
+    """
     status, headers, parts, whole = 0, {}, [], False
     while not whole:
         try:
--- a/tests/test_faulty_servers.py
+++ b/tests/test_faulty_servers.py
@@ -104,7 +104,7 @@
         """Send one request as a caller on a connection of its own.
 
         :param version: of HTTP, that the caller speaks.
-        :returns: the request's id and an ``Answer``.
+        :returns: the request's id and a ``Reply``.
         """
         request_id = f"r{next(_numbers)}"
         head = (
@@ -113,42 +113,18 @@
             f"{messages.DEADLINE}: 3000\r\n{messages.MODEL}: base\r\n"
             f"{messages.TOKENS}: 40,8\r\ncontent-length: 1\r\n\r\nx"
         )
+        conn = h11.Connection(h11.CLIENT)
+        # The protocol state of a request; the bytes sent are those above.
+        request = h11.Request(
+            method="POST", target="/", headers=[("host", "x")]
+        )
+        conn.send(request)
+        conn.send(h11.EndOfMessage())
         stream = await _net.tcp_network().open_stream(self.at["caller"])
         async with stream:
             await stream.send_all(head.encode())
             with trio.fail_after(LIMIT_S):
-                return request_id, await _read_answer(stream)
-
-
-@dataclasses.dataclass(frozen=True)
-class Answer:
-    """What a caller got; ``whole`` is False if it was cut off."""
-
-    status: int
-    body: bytes
-    whole: bool
-
-
-async def _read_answer(stream):
-    conn = h11.Connection(h11.CLIENT)
-    request = h11.Request(method="POST", target="/", headers=[("host", "x")])
-    conn.send(request)
-    conn.send(h11.EndOfMessage())
-    status, parts = 0, []
-    try:
-        while True:
-            event = conn.next_event()
-            if event is h11.NEED_DATA:
-                conn.receive_data(await stream.receive_some(65536))
-            elif isinstance(event, h11.Response):
-                status = event.status_code
-            elif isinstance(event, h11.Data):
-                parts.append(bytes(event.data))
-            else:
-                whole = isinstance(event, h11.EndOfMessage)
-                return Answer(status, b"".join(parts), whole)
-    except (trio.BrokenResourceError, h11.RemoteProtocolError):
-        return Answer(status, b"".join(parts), False)
+                return request_id, await gateways.read_reply(stream, conn)
 
 
 def _without_stream_errors(serve):
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -27,15 +27,6 @@
     return next(e for e in fleet.engines if e.address == best)
 
 
-def _owner(fleet, engine):
-    """Get the name of the node that owns an engine."""
-    return next(
-        name
-        for name, gateway in fleet.gateways.items()
-        if engine.name in gateway.claims.held
-    )
-
-
 def test_stream_request_loads_its_adapter_and_is_relayed_completely():
     async def scenario(fleet):
         reply = await fleet.call("/notes/1", adapter="base/a7")
@@ -360,7 +351,7 @@
 def test_restarted_node_takes_over_its_own_claims_without_a_wait():
     async def scenario(fleet):
         engine = fleet.engines[0]
-        owner = _owner(fleet, engine)
+        owner = fleet.owner(engine)
         fence = fleet.gateways[owner].claims.held[engine.name].fence
         await fleet.start_gateway(owner)
         await trio.sleep(2.0)
@@ -375,7 +366,7 @@
     async def scenario(fleet):
         engine = _preferred_engine(fleet, "base/a7")
         await fleet.call("/notes/1", adapter="base/a7")
-        owner = _owner(fleet, engine)
+        owner = fleet.owner(engine)
         last_s = max(at for at, _ in engine.orders)
         await fleet.gateways[owner].claims.release()
         fleet.gateways[owner].draining = True
@@ -390,7 +381,7 @@
             for number in range(20, 44):
                 nursery.start_soon(send_request, number)
                 await trio.sleep(0.25)
-        assert _owner(fleet, engine) != owner
+        assert fleet.owner(engine) != owner
         later = [at for at, order in engine.orders if at > last_s]
         assert later and min(later) - last_s >= 3.0
 
@@ -400,7 +391,7 @@
 def test_node_cut_from_the_store_stops_ordering_before_its_lease_expires():
     async def scenario(fleet):
         engine = fleet.engines[0]
-        owner = _owner(fleet, engine)
+        owner = fleet.owner(engine)
         fleet.store.faults[f"store-{owner}:1"] = stores.StoreFault.SILENT
         await trio.sleep(6.5)
         assert not fleet.gateways[owner].claims.may_order(engine.name)
@@ -414,7 +405,7 @@
         preferred = _preferred_engine(fleet, "base/a7")
         preferred.register()
         await trio.sleep(1.0)
-        owner = _owner(fleet, preferred)
+        owner = fleet.owner(preferred)
         other = next(name for name in fleet.names if name != owner)
         fleet.net.pause(owner)
         await trio.sleep(2.0)
@@ -621,7 +612,7 @@
 def test_failed_engine_controller_is_restarted():
     async def scenario(fleet):
         engine = _preferred_engine(fleet, "base/a7")
-        gateway = fleet.gateways[_owner(fleet, engine)]
+        gateway = fleet.gateways[fleet.owner(engine)]
         gateway.owned_engines.controllers[
             engine.name
         ].adapter_slots.plan = None
@@ -694,7 +685,7 @@
 def test_new_owner_asks_again_when_the_former_owner_is_back():
     async def scenario(fleet):
         engine = fleet.engines[0]
-        owner = _owner(fleet, engine)
+        owner = fleet.owner(engine)
         fleet.scopes[owner].cancel()
         fleet.gateways[owner].claims.held.clear()
         for _ in fleet.engines:
@@ -705,7 +696,7 @@
         await trio.sleep(3.0)
         await fleet.start_gateway(owner)
         await trio.sleep(4.5)
-        other = _owner(fleet, engine)
+        other = fleet.owner(engine)
         assert other != owner
         assert fleet.gateways[other].claims.may_order(engine.name)
 
@@ -928,7 +919,7 @@
 
     async def scenario(fleet):
         engine = _preferred_engine(fleet, "base/a7")
-        owner = _owner(fleet, engine)
+        owner = fleet.owner(engine)
         other = next(name for name in fleet.names if name != owner)
         metrics = fleet.gateways[other].metrics
         await fleet.call("/notes/1", other, adapter="base/a7")
@@ -1036,7 +1027,7 @@
 def test_node_cut_from_the_store_learns_the_owner_from_the_former_one():
     async def scenario(fleet):
         engine = _preferred_engine(fleet, "base/a7")
-        former = _owner(fleet, engine)
+        former = fleet.owner(engine)
         entry = next(name for name in fleet.names if name != former)
         successor = next(
             name for name in fleet.names if name not in (former, entry)
@@ -1048,7 +1039,7 @@
         await fleet.gateways[former]._publish()
         await fleet.gateways[former].claims.release()
         await trio.sleep(6.0)
-        assert _owner(fleet, engine) == successor
+        assert fleet.owner(engine) == successor
         begun_s = trio.current_time()
         reply = await fleet.call("/notes/1", entry, adapter="base/a7")
         assert reply.status == 200
@@ -1311,7 +1302,7 @@
     async def scenario(fleet):
         engine = _preferred_engine(fleet, "base/a7")
         host = engine.address.partition(":")[0]
-        holder = _owner(fleet, engine)
+        holder = fleet.owner(engine)
         caller = next(name for name in fleet.names if name != holder)
 
         adapters = [
--- a/tests/test_task_errors.py
+++ b/tests/test_task_errors.py
@@ -25,15 +25,6 @@
 pytestmark = pytest.mark.provokes_errors
 
 
-def _owner(fleet, engine):
-    """Name the gateway that controls an engine."""
-    return next(
-        name
-        for name, gateway in fleet.gateways.items()
-        if engine.name in gateway.owned_engines.controllers
-    )
-
-
 def _grant_request():
     now_s = trio.current_time()
     return _grants.GrantRequest(
@@ -54,7 +45,7 @@
     # arrivals") when a grant was returned after the engine's entry expired.
     async def scenario(fleet):
         engine = fleet.engines[0]
-        owner = _owner(fleet, engine)
+        owner = fleet.owner(engine)
         others = [name for name in fleet.names if name != owner]
         node = others[0] if is_remote else owner
         client = fleet.gateways[node].grant_client
@@ -89,7 +80,7 @@
     # gone already: KeyError, or the scope of the controller after it.
     async def scenario(fleet):
         engine = fleet.engines[0]
-        owner = _owner(fleet, engine)
+        owner = fleet.owner(engine)
         _close_at_once(fleet.gateways[owner].owned_engines, engine.name)
         await trio.sleep(2.0)
         reply = await fleet.call("/notes/1", owner, adapter="base/a1")
@@ -114,9 +105,9 @@
             lambda controller: fail_in_the_end(),
         )
         engine = fleet.engines[0]
-        await fleet.start_gateway(_owner(fleet, engine))
+        await fleet.start_gateway(fleet.owner(engine))
         await trio.sleep(8.0)
-        gateway = fleet.gateways[_owner(fleet, engine)]
+        gateway = fleet.gateways[fleet.owner(engine)]
         fleet.store.drop(f"servers/{engine.name}")
         await trio.sleep(3.0)
         assert not gateway.owned_engines.controllers
@@ -258,7 +249,7 @@
     # A token count of 2^64 or more ended the process that asked another one
     # for a grant: OverflowError as the message was encoded.
     async def scenario(fleet):
-        owner = _owner(fleet, fleet.engines[0])
+        owner = fleet.owner(fleet.engines[0])
         node = next(name for name in fleet.names if name != owner)
         for number in range(3):
             await fleet.call(
@@ -420,7 +411,7 @@
     virtual(main)
 
 
-@pytest.mark.parametrize("work", ["run_loader", "run_report_polling"])
+@pytest.mark.parametrize("work", ["_load_next", "_poll_report"])
 def test_error_in_the_work_for_one_engine_ends_no_owner(
     virtual, system, monkeypatch, work
 ):
@@ -431,9 +422,8 @@
         async with embedded.running():
             node = embedded.nodes[next(iter(embedded.hosts))]
             (_, owner), *_ = node.owners.items()
-            failing = {"run_loader": "_load_next"}.get(work, "_poll_report")
             with monkeypatch.context() as patch:
-                patch.setattr(owner, failing, _raise)
+                patch.setattr(owner, work, _raise)
                 owner._loader_wakeup.set()
                 await trio.sleep(10.0)
             assert node.metrics.counter_totals()["task_errors"]
