Log the inputs of each decision on a retry

The logs could not tell whether a retry was paid from a node's part of the extra or by its requests, nor by how many nodes the extra was divided. The line retry_budget has the request, its service, the retries and requests in the window, the part of the extra and the outcome.

--- a/src/coltsfootsail/_request_context.py
+++ b/src/coltsfootsail/_request_context.py
@@ -7,6 +7,7 @@
 from coltsfootsail import _fleet
 from coltsfootsail import _grants
 from coltsfootsail import _http
+from coltsfootsail import _logs
 from coltsfootsail import _metrics
 from coltsfootsail import _server_states
 from coltsfootsail import _upstream
@@ -226,14 +227,30 @@
             raise exceptions.RetryBudgetSpent("attempts of the route")
         if context.sends >= SENDS_MAX:
             raise exceptions.RetryBudgetSpent("sends of one request")
-        if context.sends and not self._gateway.retry_budget.spend(
-            context.service
-        ):
-            self._count("retries_denied", "budget")
-            raise exceptions.RetryBudgetSpent()
+        if context.sends:
+            self._spend_retry(context)
         context.sends += 1
         context.tried.add(server.name)
 
+    def _spend_retry(self, context):
+        """Take a retry from the budget of the request's service.
+
+        :raises RetryBudgetSpent: if there is none left.
+        """
+        budget = self._gateway.retry_budget
+        inputs = budget.describe(context.service)
+        is_allowed = budget.spend(context.service)
+        _logs.detail(
+            "retry_budget",
+            id=context.meta.request_id,
+            service=context.service,
+            allowed=is_allowed,
+            **inputs,
+        )
+        if not is_allowed:
+            self._count("retries_denied", "budget")
+            raise exceptions.RetryBudgetSpent()
+
     def check_for_crash(self, context, server, exc):
         """Check whether a server that interrupted a request has crashed."""
         if isinstance(exc, _INTERRUPTION_ERRORS):
--- a/src/coltsfootsail/_retries.py
+++ b/src/coltsfootsail/_retries.py
@@ -78,6 +78,14 @@
         times.append(self._now())
         self._count_recent(times)
 
+    def describe(self, service):
+        """Get the inputs of the next decision, for the log."""
+        return {
+            "retries": self._count_recent(self._retry_times[service]),
+            "requests": self._count_recent(self._request_times[service]),
+            "extra": round(self._extra / max(1, self._nodes()), 2),
+        }
+
     def spend(self, service):
         """Take a retry for a service.
 
