Reproduce more retries than the budget over restarts of nodes

Servers got more repeated sends than all nodes may make together when nodes were killed and started again.

--- a/src/coltsfootsail/standins/servers.py
+++ b/src/coltsfootsail/standins/servers.py
@@ -46,18 +46,19 @@
     ``busy`` set, requests are refused and told that text as a retry time;
     ``refused_s`` has the time of each refusal.  ``keep_alive_s``, if set, is
     stated as the time for which it keeps idle connections.
-    ``arrived_s`` has the time of each request.  ``body``, if set, replaces
-    the body of the answers.  A request with a prompt part of ``crash_parts``,
-    other than the last one, makes the server call ``crash`` as it begins to
-    answer.  It runs ``slots`` requests at once and refuses further ones.  With
-    ``brittle`` set, all answers state that number, and it calls ``crash``
-    after more such refusals in a second.
+    ``arrived_s`` has the time of each request, ``arrived_ids`` its id.
+    ``body``, if set, replaces the body of the answers.  A request with a
+    prompt part of ``crash_parts``, other than the last one, makes the server
+    call ``crash`` as it begins to answer.  It runs ``slots`` requests at once
+    and refuses further ones.  With ``brittle`` set, all answers state that
+    number, and it calls ``crash`` after more such refusals in a second.
     """
 
     def __init__(self, name, now=trio.current_time):
         self.name = name
         self.runs = []
         self.arrived_s = []
+        self.arrived_ids = []
         self.limit = None
         self.leaving = None
         self.busy = None
@@ -95,6 +96,10 @@
         """The number of requests that arrived."""
         return len(self.arrived_s)
 
+    def _note_arrival(self, req):
+        self.arrived_s.append(self._now())
+        self.arrived_ids.append(req.header(messages.REQUEST_ID))
+
     def _base_headers(self, req):
         """Make the headers that every answer has."""
         headers = [(messages.REQUEST_ID, req.header(messages.REQUEST_ID))]
@@ -162,7 +167,7 @@
         return bool(expected) and expected != self.name
 
     async def _handle(self, req, resp):
-        self.arrived_s.append(self._now())
+        self._note_arrival(req)
         if self._misdirected(req):
             await resp.reply(421, b"", self._base_headers(req))
             return
@@ -364,7 +369,7 @@
             yield number
 
     async def _run(self, req, resp):
-        self.arrived_s.append(self._now())
+        self._note_arrival(req)
         if await self._refuse_if_busy(req, resp):
             return
         model, _, adapter = req.header(messages.MODEL).partition("/")
