Answer the requests that still run when a stopping node's time is over

In a planned stop of one node, in calm, the connection of a request that was taken late in the grace and passed on ended without an answer, also of one that may not be repeated (report of another operator).

Cause: at the end of its grace the node cancelled all tasks, and with them the requests. They now end with an error that states what is known: 503 and not run if the request was sent nowhere, else 504 and unknown; the node waits up to 0.3 s of the 1.2 s that are left for these answers.

A gateway in a process of its own, SIGTERM with an order 0.7 s later that runs for 30 s: before, the connection closed without an answer; now 504, and the order reached the server once.

--- a/src/coltsfootsail/_gateway.py
+++ b/src/coltsfootsail/_gateway.py
@@ -67,6 +67,7 @@
 # enough for them to end before the process does.
 DRAIN_ACCEPT_SHARE = 0.25
 EXIT_MARGIN_S = 1.2  # a draining node stops this long before it is killed
+FINAL_ANSWERS_S = 0.3  # within it, for requests that still run then
 STRIKES_MAX = 3  # crashes after which every node refuses a content
 
 
@@ -615,6 +616,19 @@
         self.retry_budget.set_bounds(_retry_bounds(gateway_settings))
         _logs.state("settings_reloaded", node=self._name)
 
+    async def _end_requests(self):
+        """Answer the requests that run on, for which there is no more time."""
+        handler = self.request_handler
+        if not handler.active_requests:
+            return
+        _logs.state(
+            "requests_ended", node=self._name, count=handler.active_requests
+        )
+        handler.end_all()
+        with trio.move_on_after(FINAL_ANSWERS_S):
+            while handler.active_requests:
+                await trio.sleep(0.01)
+
     async def drain(self):
         """Stop the gateway without interrupting a request.
 
@@ -635,6 +649,7 @@
             if idle and self.now() >= self._refuse_from_s:
                 break
             await trio.sleep(0.05)
+        await self._end_requests()
         with trio.move_on_after(0.2):
             try:
                 await self.lease.revoke()
--- a/src/coltsfootsail/_request_handler.py
+++ b/src/coltsfootsail/_request_handler.py
@@ -42,6 +42,7 @@
         self._plain = _plain.PlainServiceForwarder(gateway, self._send_policy)
         self._streams = _streams.StreamForwarder(gateway, self._send_policy)
         self.active_requests = 0
+        self._scopes = set()
 
     async def handle(self, req, resp):
         """Answer one request; cancel it if its caller disconnects."""
@@ -75,7 +76,7 @@
             try:
                 async with gateway.quotas.charged(context):
                     gateway.crashes.check_allowed(context)
-                    await self._forward(context, resp)
+                    await self._forward_until_ended(context, resp)
             finally:
                 gateway.crashes.end_trials(context)
         except exceptions.ColtsfootsailError as exc:
@@ -83,6 +84,29 @@
             if resp.status is None:
                 await self._send_error(exc, resp)
 
+    def end_all(self):
+        """Give the requests that still run their final answers."""
+        for scope in self._scopes:
+            scope.cancel()
+
+    async def _forward_until_ended(self, context, resp):
+        """Forward a request, unless the node stops meanwhile.
+
+        :raises Draining: if it stops and has sent the request nowhere.
+        :raises EndpointSilent: if it stops while a server may run it.
+        """
+        with trio.CancelScope() as scope:
+            self._scopes.add(scope)
+            try:
+                await self._forward(context, resp)
+            finally:
+                self._scopes.discard(scope)
+        if scope.cancelled_caught:
+            raise _request_context.correct_outcome(
+                exceptions.Draining("the node stops", retry_after_s=0.0),
+                context,
+            )
+
     async def _forward(self, context, resp):
         self._gateway.retry_budget.request(context.service)
         self._record_request(context)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -1332,3 +1332,32 @@
         assert next_s - last_s >= 3.0
 
     gateways.run(scenario)
+
+
+@pytest.mark.parametrize(("load_s", "status"), [(60.0, 503), (0.25, 200)])
+def test_stream_taken_late_in_the_grace_of_a_stop_gets_an_answer(
+    load_s, status
+):
+    # Guards against a connection that ends without an answer.
+    async def scenario(fleet):
+        for engine in fleet.engines:
+            engine.load_s = load_s
+        replies = []
+
+        async def call():
+            await trio.sleep(1.8)
+            replies.append(
+                await fleet.call(
+                    "/notes/1", adapter="base/a7", deadline_ms=15_000
+                )
+            )
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(call)
+            await fleet.gateways["g0"].drain()
+        (reply,) = replies
+        assert reply.status == status and reply.whole
+        runs = sum(len(engine.runs) for engine in fleet.engines)
+        assert runs == (status == 200)
+
+    gateways.run(scenario)
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -48,7 +48,8 @@
 def with_gateway(tmp_path):
     """Run ``async (process, at, client, path)`` against a gateway process.
 
-    ``at`` is a dict of addresses by name, ``path`` that of the settings.
+    ``at`` is a dict of addresses by name, and of the server as ``stand_in``;
+    ``path`` is that of the settings.
     Returns the lines of the gateway's log.
     """
 
@@ -61,7 +62,7 @@
         stand_in.put("op/config", gateways.configuration(1))
         entry = {"service": "shop", "addr": at["shop"], "state": "ready"}
         stand_in.put("servers/i-s0", entry)
-        shop = servers.PlainServer("i-s0")
+        shop = at["stand_in"] = servers.PlainServer("i-s0")
         async with trio.open_nursery() as nursery:
             serve_store = stand_in.connection_handler("store")
             await nursery.start(network.serve, at["store"], serve_store)
@@ -137,6 +138,28 @@
     assert events[-1] == "node_stopped"
 
 
+@pytest.mark.parametrize("path", ["/stock/9", "/orders/9"])
+def test_request_that_runs_at_the_end_of_the_grace_gets_an_answer(
+    with_gateway, path
+):
+    # Its connection was closed without one.
+    async def scenario(process, at, client, _):
+        at["stand_in"].work_s = 30.0
+        process.send_signal(signal.SIGTERM)
+        await trio.sleep(0.7)
+        headers = [("host", gateways.HOST), ("coltsfootsail-request-id", "r1")]
+        async with client.exchange(at["caller"], fresh=True) as exchange:
+            await exchange.send("POST", path, headers, b"x")
+            assert await exchange.read_head() == 504
+            error = json.loads(await exchange.read_body(1 << 20))["error"]
+            assert error["outcome"] == "unknown"
+        assert await process.wait() == 0
+        assert len(at["stand_in"].runs) == 1
+
+    events = [line["message"] for line in with_gateway(scenario)]
+    assert events[-1] == "node_stopped"
+
+
 @pytest.mark.parametrize("path", ["/notes/9", "/stock/9", "/orders/9"])
 def test_request_whose_time_is_up_gets_an_answer(with_gateway, path):
     # A stream's request that arrived without time left, or was read late by a
