Refuse numbers and texts of servers' entries that no message can carry

One odd entry among those of the servers made the nodes that read the list end again and again, or stop following it (report of another operator). Here neither happens: a gateway in a process of its own beside 17 odd entries (very deep nesting, ports out of range, numbers too large, bytes that are no text) serves, follows the next configuration and logs each entry, before this change too.

But seven of the 17 were taken for servers: numbers above 2^63 for slots, start, coldLeftMs and an adapter's version, lone surrogates, and a line break in the software's version. Messages between nodes and logs can't carry all of these: packing them raises. They are refused where they are decoded.

--- a/src/coltsfootsail/platform/registry.py
+++ b/src/coltsfootsail/platform/registry.py
@@ -7,7 +7,6 @@
 import contextlib
 import ipaddress
 import json
-import math
 import re
 
 from coltsfootsail import _fleet
@@ -38,6 +37,7 @@
 _ADDRESS = re.compile(r"(\[[0-9A-Fa-f:.]+\]|[A-Za-z0-9._-]+):([0-9]{1,5})")
 _NUMERIC_HOST = re.compile(r"\[.*\]|[0-9.]+")
 _PORT_MAX = 65535
+_NUMBER_MAX = 2**63 - 1  # what messages between nodes can carry
 
 
 def _load_object(value):
@@ -97,13 +97,17 @@
     return convert_all
 
 
+def _bounded(number):
+    if not 0 <= number <= _NUMBER_MAX:
+        raise ValueError("out of range")
+    return number
+
+
 def _number(value):
-    """Convert a number that is finite and not negative."""
+    """Convert a number that is not negative, nor too large for messages."""
     if isinstance(value, bool) or not isinstance(value, int | float):
         raise TypeError("not a number")
-    if not 0 <= value < math.inf:
-        raise ValueError("out of range")
-    return float(value)
+    return float(_bounded(value))
 
 
 def _whole_number(value):
@@ -116,6 +120,7 @@
 def _text(value):
     if not isinstance(value, str):
         raise TypeError("not text")
+    value.encode()  # fails on lone surrogates, as messages with them would
     return value
 
 
@@ -289,7 +294,7 @@
     """Decode the adapters of a model, each a name and perhaps a version."""
     for text in _items(_text)(texts):
         name, _, version = text.partition("@")
-        yield name, int(version or 1)
+        yield name, _bounded(int(version or 1))
 
 
 def _held_model(raw):
@@ -329,6 +334,13 @@
     return value
 
 
+def _software(value):
+    """Convert a version of software: text that may be empty, or a number."""
+    if not isinstance(value, str | int | float):
+        raise TypeError("not text")
+    return _header_text(str(value)) if value != "" else ""
+
+
 def decode_server(entry):
     """Decode a server's registration.
 
@@ -344,13 +356,13 @@
             name=name,
             service=_field(raw, "service", _text),
             address=_field(raw, "addr", _address),
-            data_centre=_field(raw, "zone", str, ""),
+            data_centre=_field(raw, "zone", _text, ""),
             draining=_field(raw, "state", lambda s: _DRAINING_BY_STATE[s]),
             slots=_field(raw, "slots", _whole_number, 0) or 1,
             models=names,
             adapters=adapters,
             created=entry.create_revision,
-            software=_field(raw, "version", str, ""),
+            software=_field(raw, "version", _software, ""),
             cold_left_s=_field(raw, "coldLeftMs", _number, 0.0) / 1000,
             born_ms=_field(raw, "born", _whole_number, 0),
         )
@@ -367,4 +379,4 @@
         key = _fleet.adapter_key(
             _field(raw, "model", str), _field(raw, "adapter", str, "")
         )
-        return key, _field(raw, "version", int)
+        return key, _field(raw, "version", lambda v: _bounded(int(v)))
--- a/tests/test_contract_users.py
+++ b/tests/test_contract_users.py
@@ -1,9 +1,11 @@
 """The formats of the users' platform, and its store by a stand-in."""
 
+import dataclasses
 import json
 
 import hypothesis
 from hypothesis import strategies
+import msgpack
 import pytest
 import trio
 import trio.testing
@@ -103,6 +105,32 @@
         registry.decode_server(entry("servers/i-1", data))
 
 
+ODD_VALUES = (
+    *(2**64, 10**400, -1, 1e300, 1e999, float("nan"), 0.5),
+    *("\ud800", "a\nb", "", "v1", "10.0.0.1:0", "10.0.0.1:99999"),
+    *(True, None, [], [[[]]], {}, ["a@" + "9" * 30], [{"name": "\ud800"}]),
+    [{"name": "m", "adapters": ["a\ud800@1"]}],
+)
+
+
+@hypothesis.given(
+    strategies.dictionaries(
+        strategies.sampled_from([*SERVER, "version", "born", "coldLeftMs"]),
+        strategies.sampled_from(ODD_VALUES),
+        max_size=3,
+    )
+)
+def test_odd_server_is_refused_or_fits_into_messages_and_headers(change):
+    try:
+        server = registry.decode_server(
+            entry("servers/i-1", {**SERVER, **change})
+        )
+    except exceptions.BadField:
+        return
+    msgpack.packb(dataclasses.astuple(server))
+    assert server.software.isprintable()
+
+
 def test_adapter_version_is_decoded():
     value = json.dumps({"model": "m", "adapter": "a3", "version": 5}).encode()
     assert registry.decode_adapter_version(value) == ("m/a3", 5)
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -48,7 +48,8 @@
 def with_gateway(tmp_path):
     """Run ``async (process, at, client, path)`` against a gateway process.
 
-    ``at`` is a dict of addresses by name, and of the server as ``stand_in``;
+    ``at`` is a dict of addresses by name, and of the server as ``stand_in``,
+    the store as ``store_stand_in``;
     ``path`` is that of the settings.
     Returns the lines of the gateway's log.
     """
@@ -58,7 +59,7 @@
         path = tmp_path / "g0.toml"
         path.write_text(_settings(at))
         network = _net.tcp_network()
-        stand_in = store.StoreStandIn()
+        stand_in = at["store_stand_in"] = store.StoreStandIn()
         stand_in.put("op/config", gateways.configuration(1))
         entry = {"service": "shop", "addr": at["shop"], "state": "ready"}
         stand_in.put("servers/i-s0", entry)
@@ -102,10 +103,10 @@
     return status
 
 
-async def _send_order(client, at):
+async def _send_order(client, at, path="/orders/9"):
     headers = [("host", gateways.HOST), ("coltsfootsail-request-id", "r1")]
     async with client.exchange(at["caller"], fresh=True) as exchange:
-        await exchange.send("POST", "/orders/9", headers, b"x")
+        await exchange.send("POST", path, headers, b"x")
         status = await exchange.read_head()
         return status, await exchange.read_body(1 << 20)
 
@@ -138,6 +139,58 @@
     assert events[-1] == "node_stopped"
 
 
+ODD_ENTRIES = (
+    b"",
+    b"\xff\x00",
+    b"null",
+    b"[" * 100_000,
+    b'{"a":' * 50_000 + b"1" + b"}" * 50_000,
+    b'{"service":"shop","addr":"127.0.0.1:99999","state":"ready"}',
+    b'{"service":"shop","addr":"127.0.0.1:-1","state":"ready"}',
+    b'{"service":"shop","addr":7,"state":"ready"}',
+    *(
+        b'{"service":"shop","addr":"127.0.0.1:9","state":"draining",%s}' % part
+        for part in (
+            b'"slots":1' + b"0" * 400,
+            b'"slots":1e999',
+            b'"slots":18446744073709551616',
+            b'"born":18446744073709551616',
+            b'"coldLeftMs":18446744073709551616',
+            b'"version":"v1\\r\\nv2"',
+            b'"version":"\\ud800"',
+            b'"models":[{"name":"\\ud800"}]',
+            b'"models":[{"name":"m","adapters":["a1@18446744073709551616"]}]',
+        )
+    ),
+)
+
+
+def test_odd_entries_among_servers_end_nothing_and_stop_no_change(
+    with_gateway,
+):
+    # Guards against processes that end, or no longer follow the store.
+    async def scenario(process, at, client, _):
+        stand_in = at["store_stand_in"]
+        for number, value in enumerate(ODD_ENTRIES):
+            stand_in.put(f"servers/i-odd{number}", value)
+        late = gateways.route("/late/", "mutating", "shop")
+        stand_in.put("op/config", gateways.configuration(2, [late]))
+        await trio.sleep(2.5)
+        assert await _status(client, at["ready"], "/v1/readyz") == 200
+        assert await _send_order(client, at, "/late/9") == (200, b"done:x")
+        process.send_signal(signal.SIGTERM)
+        assert await process.wait() == 0
+
+    lines = with_gateway(scenario)
+    assert not [line for line in lines if line["level"] == "ERROR"]
+    reasons = {
+        line["reason"]
+        for line in lines
+        if line["message"] == "server_unreadable"
+    }
+    assert len(reasons) == len(ODD_ENTRIES)
+
+
 @pytest.mark.parametrize("path", ["/stock/9", "/orders/9"])
 def test_request_that_runs_at_the_end_of_the_grace_gets_an_answer(
     with_gateway, path
