Confirm a stream's only version by other nodes or the store

A node was cut off from the others and the store for seconds while servers of a second software version joined.

Cause: a node that knows nothing of a stream took the only version that it had seen itself, if the store had answered it within 4 s, whether or not the nodes that it asked replied. That version is now to be confirmed: by more than half of the nodes asked, as a few may be cut off together, or by a read of the servers' entries, which is one call for a stream that no node knows. A stream whose version is not confirmed is refused as not run.

Four gateways on the in-memory network: the two cases of a cut (still cut off, and joined again) failed before, with all streams of the second version taken up at the first; a node that had been suspended asked the others in time and passes before and after. The stand-in of the store in one test now tells the versions that are registered.

--- a/src/coltsfootsail/_gateway.py
+++ b/src/coltsfootsail/_gateway.py
@@ -192,6 +192,7 @@
                 self.view.stream_slots,
                 self.stream_writer.record,
                 self._wait_until_populated,
+                self.view.read_versions,
             ),
             network.wall,
             self.metrics.count,
--- a/src/coltsfootsail/_stream_origins.py
+++ b/src/coltsfootsail/_stream_origins.py
@@ -51,6 +51,10 @@
     is_recorded: bool = False
 
 
+async def _read_nothing(service):
+    return frozenset()
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class StreamStore:
     """What the store keeps of streams.
@@ -59,11 +63,15 @@
     :param record: ``(request id, service, software)`` records a stream.
     :param wait_until_read: async, waits at a node's start until the records
         were read, for as long as requests are held.
+    :param read_versions: ``async (service)``, reads which software versions
+        the registered servers of a service have, none if the store does not
+        answer.
     """
 
     list_slots: collections.abc.Callable = tuple
     record: collections.abc.Callable = lambda *stream: None
     wait_until_read: collections.abc.Callable = trio.lowlevel.checkpoint
+    read_versions: collections.abc.Callable = _read_nothing
 
 
 def _position(text):
@@ -100,25 +108,37 @@
 class _Question:
     """A question to other nodes, and the replies that are still due.
 
-    ``known`` is the origin that a node knows, ``only`` the only one that is
-    possible as far as a node has seen.
+    ``known`` is the origin that a node knows.
+
+    :param asked: number of nodes that were asked.
     """
 
-    def __init__(self, replies):
-        self._missing = replies
+    def __init__(self, asked):
+        self._asked = asked
+        self._missing = asked
+        self._only = collections.Counter()
         self.known = None
-        self.only = None
         self.event = trio.Event()
 
-        if not replies:
+        if not asked:
             self.event.set()
 
+    def agreed(self):
+        """Get the only origin that most nodes take for possible, or None.
+
+        A few may have been cut off from the others together.
+        """
+        for origin, count in self._only.most_common(1):
+            if 2 * count > self._asked:
+                return origin
+        return None
+
     def resolve(self, msg):
         if msg.known:
             self.known = Origin(msg.service, msg.software)
             self.event.set()
         elif msg.service:
-            self.only = Origin(msg.service, msg.software)
+            self._only[Origin(msg.service, msg.software)] += 1
         self.note_reply()
 
     def note_reply(self):
@@ -342,12 +362,12 @@
         origin = self._get(request_id)
         if origin is not None:
             return origin, "memory"
-        only = None
+        agreed = None
         if request_id:
             question = await self._ask(request_id, service)
             if question.known is not None:
                 return question.known, "peer"
-            only = question.only
+            agreed = question.agreed()
         await self._store.wait_until_read()
         stored = _stream_records.find_versions(
             self._store.list_slots(), request_id
@@ -356,10 +376,25 @@
             return None, "conflict"
         if stored:
             return Origin(*stored.pop()), "store"
-        if not request_id or self._is_view_recent():
-            only = self._only_origin(service)
+        only = await self._confirm_only(service, agreed)
         return only, "unknown" if only is None else "only_version"
 
+    async def _confirm_only(self, service, agreed):
+        """Get the only possible origin of a stream, None if it is not sure.
+
+        Servers of another version may have joined in the time since this
+        node heard from the store.
+
+        :param agreed: the only one as far as most other nodes have seen.
+        """
+        if not self._is_view_recent():
+            return agreed
+        only = self._only_origin(service)
+        if only is None or only == agreed:
+            return only
+        versions = await self._store.read_versions(service)
+        return only if versions == {only.software} else None
+
     async def _ask(self, request_id, service):
         """Ask other nodes where a stream began.
 
--- a/src/coltsfootsail/_view.py
+++ b/src/coltsfootsail/_view.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+import contextlib
 import dataclasses
 
 import trio
@@ -585,6 +586,27 @@
                 _logs.state("store_read_failed", reason=exc.detail)
                 await trio.sleep(0.1 + backoff.next_s())
 
+    async def read_versions(self, service):
+        """Read which software versions a service's servers have.
+
+        Nothing of it is applied.
+
+        :returns: set of text, empty if the store does not answer in time.
+        """
+        versions = set()
+        with trio.move_on_after(ANSWER_S):
+            try:
+                snapshot = await self._kv.range(registry.SERVER_PREFIX)
+            except exceptions.KvError as exc:
+                _logs.state("store_read_failed", reason=exc.detail)
+                return versions
+            for entry in snapshot.entries:
+                with contextlib.suppress(exceptions.BadField):
+                    server = registry.decode_server(entry)
+                    if server.service == service:
+                        versions.add(server.software)
+        return versions
+
     def _note_proof(self, sent_s):
         """Note a call to the store, after its answer has been applied.
 
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -1,7 +1,9 @@
 """Streams that are taken up go on at the software version that began them."""
 
 import dataclasses
+import functools
 import logging
+import math
 import types
 
 import pytest
@@ -15,12 +17,14 @@
 
 
 STREAMS = 40
+FEW_STREAMS = 12
+ADAPTERS = ("a3", "a4", "a5")  # as many as an engine holds
 PAUSE_S = 0.15
 GOES_ON_SHARE = 0.5  # of streams that are taken up, at least
 
 
-def _adapter(number):
-    return f"base/a{number % 8}"
+def _adapter(number, adapters=tuple(f"a{each}" for each in range(8))):
+    return f"base/{adapters[number % len(adapters)]}"
 
 
 def _register_versions(fleet):
@@ -133,7 +137,7 @@
     assert reply.status == 200 and not reply.whole
 
 
-async def _take_up(fleet, number, node, resumes=None):
+async def _take_up(fleet, number, node, resumes=None, **extra):
     """Send the attempt by which a client takes its stream up.
 
     :param resumes: the attempt that it names, by default the first.
@@ -142,7 +146,7 @@
     return await fleet.call(
         "/prints/1",
         node,
-        adapter=_adapter(number),
+        adapter=extra.get("adapter", _adapter(number)),
         request_id=f"second{number}",
         headers=[(messages.RESUMES, resumes), (messages.LAST_EVENT, "1")],
     )
@@ -391,6 +395,84 @@
     gateways.run(scenario, nodes=7, engines=4)
 
 
+async def _try_to_begin(fleet, number, node, adapter):
+    """Send a client's first attempt, which may find no engine."""
+    await fleet.call(
+        "/prints/1", node, adapter=adapter, request_id=f"first{number}"
+    )
+
+
+async def _cut_off(fleet, node):
+    """Cut a node off from the store and all others, but not from servers.
+
+    :returns: closure that ends the cut.
+    """
+    for other in (f"store-{node}", *fleet.names):
+        if other != node:
+            fleet.net.cut(node, other)
+    return fleet.net.heal
+
+
+async def _suspend(fleet, node):
+    """Suspend a node's host.
+
+    :returns: closure that lets it go on.
+    """
+    fleet.net.pause(node)
+    return lambda: fleet.net.resume(node)
+
+
+@pytest.mark.parametrize(
+    ("put_out_of_step", "is_back"),
+    [(_cut_off, False), (_cut_off, True), (_suspend, True)],
+)
+def test_node_that_is_out_of_step_joins_no_two_versions(
+    put_out_of_step, is_back
+):
+    """Servers of another version joined in the seconds before."""
+
+    async def scenario(fleet):
+        for engine in fleet.engines:
+            engine.adapters.update(dict.fromkeys(ADAPTERS, 1))
+            engine.cut_after = 1
+        for engine in fleet.engines[:2]:
+            engine.register()
+        for engine in fleet.engines[2:]:
+            fleet.store.drop(f"servers/{engine.name}")
+        await trio.sleep(1.5 * _stream_origins.KEEP_S)
+        bring_back = await put_out_of_step(fleet, "g3")
+        for engine in fleet.engines[2:]:
+            engine.name += "b"
+            engine.software = "v2"
+            engine.register()
+        await trio.sleep(1.2)
+
+        async def send_all(send, node):
+            async with trio.open_nursery() as nursery:
+                for number in range(FEW_STREAMS):
+                    call = functools.partial(
+                        send, adapter=_adapter(number, ADAPTERS)
+                    )
+                    nursery.start_soon(call, fleet, number, node)
+
+        for engine in fleet.engines[:2]:
+            engine.slots = 0
+        await send_all(_try_to_begin, "g0")
+        for engine in fleet.engines[:2]:
+            engine.slots = math.inf
+        if is_back:
+            bring_back()
+        await send_all(_take_up, "g3")
+        runs = _runs_by_request(fleet)
+        begun = [n for n in range(FEW_STREAMS) if f"first{n}" in runs]
+        assert len(begun) >= 3
+        for number in begun:
+            engines = runs[f"first{number}"] + runs.get(f"second{number}", [])
+            assert {engine.software for engine in engines} == {"v2"}
+
+    gateways.run(scenario, nodes=4, engines=4)
+
+
 def test_node_that_has_not_yet_seen_a_new_version_asks_for_origins(virtual):
     """Its watch of the store brings changes up to two seconds late."""
     server = types.SimpleNamespace(service="engines", software="v1")
--- a/tests/test_stream_records.py
+++ b/tests/test_stream_records.py
@@ -226,7 +226,13 @@
     """Make a ``StreamOrigins``, and a function that registers versions."""
     view = types.SimpleNamespace(previously_claimed=list, last_contact_s=0.0)
     mesh = types.SimpleNamespace(linked_nodes=list)
-    store = _stream_origins.StreamStore(lambda: slots, record)
+
+    async def read_versions(service):
+        return {server.software for server in view.servers.values()}
+
+    store = _stream_origins.StreamStore(
+        lambda: slots, record, read_versions=read_versions
+    )
     origins = _stream_origins.StreamOrigins(
         view, mesh, lambda: 1.0, store, lambda: 1e9
     )
