Check the retry budget in the soak

The soak kills, stops and starts nodes beside servers that refuse, but did not count retries. Its checker now joins arrivals with the callers' requests by the rule that the tests of the budget use. A unit test shows that 61 retries for ten requests are found where 60 are allowed. That a run of the soak finds a node that begins with a whole budget is not shown: its load is too small for the extra of 58.

--- a/tests/soak/checker.py
+++ b/tests/soak/checker.py
@@ -4,6 +4,7 @@
 import dataclasses
 import math
 
+from tests import retry_windows
 from tests.soak import records
 
 # Statuses that say "not run", apart from the list that the gateway checks.
@@ -30,6 +31,8 @@
 BASE_MB = 36.0  # of a node without requests
 MEMORY_GROWTH_MAX_MB = 64.0
 LATE_CRASHES_MAX = 3  # later than ``CONTACT_S`` after that
+RETRY_BOUNDS = retry_windows.Bounds()  # the nodes' settings
+STREAMS = frozenset({"stream", "resumable"})  # of engines, not plain servers
 LIMIT_WINDOW_S = 4.0
 LIMIT_SHARE = 1.5  # of what a limit allows in a window
 LIMIT_EXTRA = 5  # requests beside
@@ -66,6 +69,7 @@
     ``NO_RUN``: a caller got a success for something that never ran.
     ``ORDER``: a stream has events of two software versions.
     ``LIMIT``: a server got more requests than the limit that it named.
+    ``BUDGET``: a service got more retries than all nodes together may send.
     ``DRAIN``: a node passed on that a server leaves, and sent it a later
     request.
     ``BUSY``: a node sent requests to a server that had asked for a pause.
@@ -102,6 +106,7 @@
         *_wrong_successes(begins, results),
         *_two_versions(results),
         *_over_limits(by_type),
+        *_over_budget(by_type),
         *_after_statements(by_type),
         *_after_crashes(by_type),
         *_fallen_over(by_type),
@@ -274,6 +279,32 @@
             yield Violation("ORDER", (each,))
 
 
+def _over_budget(by_type):
+    services = {}
+    requests_s = collections.defaultdict(list)
+    for each in by_type[records.Result]:
+        service = services[each.attempt] = each.kind in STREAMS
+        requests_s[service].append(each.sent_s or each.at_s)
+    arrivals = _group(
+        (
+            each
+            for each in by_type[records.Arrival]
+            if each.attempt in services
+        ),
+        lambda each: services[each.attempt],
+    )
+    for service, arrived in arrivals.items():
+        worst = retry_windows.worst_window(
+            requests_s[service],
+            retry_windows.repeats(
+                (each.at_s, each.attempt) for each in arrived
+            ),
+            lambda start_s: RETRY_BOUNDS,
+        )
+        if worst is not None and worst.retries > worst.allowed:
+            yield Violation("BUDGET", (worst,))
+
+
 def _over_limits(by_type):
     faults = by_type[records.Fault]
     nodes = {each.attempt: each.node for each in by_type[records.Result]}
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -57,6 +57,19 @@
     assert not _rules(*runs, *ends, fault)
 
 
+@pytest.mark.parametrize(("retries", "broken"), [(60, False), (61, True)])
+def test_checker_finds_more_retries_than_the_budget(retries, broken):
+    arrivals = [
+        records.Arrival(2.0 + number / 10, "a", f"x{number % 10}")
+        for number in range(10 + retries)
+    ]
+    results = [
+        dataclasses.replace(_result(2, 502), attempt=f"x{number}")
+        for number in range(10)
+    ]
+    assert _rules(*results, *arrivals) == (["BUDGET"] if broken else [])
+
+
 @pytest.mark.parametrize(
     ("what", "at_s", "fault", "broken"),
     [
