Keep contents that crashed three servers in the store

A request whose content had crashed three servers was sent to servers again after all nodes had been killed and had started again, and crashed two more (rule BUDGET: no retries after the third crash, but for three).

A content's third strike now writes a record with a lease of 600 s, which a completed run removes; nodes read it with the view. Fewer strikes than three are still forgotten.

--- a/src/coltsfootsail/_crashes.py
+++ b/src/coltsfootsail/_crashes.py
@@ -22,6 +22,7 @@
 # A request is sent again only after its server's check, or after this time.
 CHECK_WAIT_S = 0.3
 STORE_TIMEOUT_S = 10.0
+STRIKES_KEEP_S = 600.0  # the longest lease that the store grants
 # A server that starts again under its name within this time after it broke
 # off a request has crashed, although it accepts connections.
 RESTART_NOTICE_S = 10.0
@@ -173,6 +174,31 @@
         )
         self._count("strikes", "crash")
         self._mesh.broadcast(_wire.Strike(context.fingerprint, count))
+        if self.strikes.refused(context.fingerprint):
+            self._tasks.start_soon(
+                self._store_strikes, context.fingerprint, count
+            )
+
+    async def _store_strikes(self, content, count):
+        """Keep a refused content in the store, for nodes that start."""
+        key, record = _keys.strike(content), _records.StrikeRecord(count)
+        try:
+            await self._put(key, record, STRIKES_KEEP_S)
+        except (exceptions.KvError, trio.TooSlowError) as exc:
+            _logs.state(
+                "strikes_not_stored", content=content, reason=repr(exc)
+            )
+
+    async def _put(self, key, record, keep_s):
+        """Write a record under a lease of its own.
+
+        :raises KvError: if the store fails.
+        :raises trio.TooSlowError: if it does not answer in time.
+        """
+        with trio.fail_after(STORE_TIMEOUT_S):
+            lease = await self._kv.lease_grant(keep_s)
+            put = _kv.Put(key, _records.dumps(record), lease)
+            await self._kv.txn([], [put])
 
     def _add_evidence(self, server, context):
         now_s = self._now()
@@ -224,22 +250,33 @@
         left_s = verdict.refused_until_s - self._now() + _poison_parts.TRIAL_S
         record = _records.BlamedPart(part, verdict.crashes)
         try:
-            with trio.fail_after(STORE_TIMEOUT_S):
-                lease = await self._kv.lease_grant(left_s)
-                key = _keys.blamed_part(part)
-                put = _kv.Put(key, _records.dumps(record), lease)
-                await self._kv.txn([], [put])
+            await self._put(_keys.blamed_part(part), record, left_s)
         except (exceptions.KvError, trio.TooSlowError) as exc:
             _logs.state("part_not_stored", part=part, reason=repr(exc))
             return
         if self._evidence.verdict(part) is None:
             await self._remove_blame(part)
 
+    async def _remove_strikes(self, content):
+        try:
+            await self._delete(_keys.strike(content))
+        except (exceptions.KvError, trio.TooSlowError) as exc:
+            _logs.state(
+                "strikes_not_removed", content=content, reason=repr(exc)
+            )
+
+    async def _delete(self, key):
+        """Delete a record.
+
+        :raises KvError: if the store fails.
+        :raises trio.TooSlowError: if it does not answer in time.
+        """
+        with trio.fail_after(STORE_TIMEOUT_S):
+            await self._kv.txn([], [_kv.Delete(key)])
+
     async def _remove_blame(self, part):
         try:
-            with trio.fail_after(STORE_TIMEOUT_S):
-                operation = _kv.Delete(_keys.blamed_part(part))
-                await self._kv.txn([], [operation])
+            await self._delete(_keys.blamed_part(part))
         except (exceptions.KvError, trio.TooSlowError) as exc:
             _logs.state("part_not_removed", part=part, reason=repr(exc))
 
@@ -263,6 +300,10 @@
         """Clear a request's content and parts after a successful run."""
         if self.strikes.clear(context.fingerprint):
             self._mesh.broadcast(_wire.Strike(context.fingerprint, 0))
+            if self._view.strike_count(context.fingerprint):
+                self._tasks.start_soon(
+                    self._remove_strikes, context.fingerprint
+                )
         self._clear(context.meta.shared_parts, "")
 
     def _clear(self, parts, node):
--- a/src/coltsfootsail/_gateway.py
+++ b/src/coltsfootsail/_gateway.py
@@ -337,7 +337,7 @@
         self.answer_memory = _answer_memory.AnswerMemory()
         self.crashes = _crashes.CrashTracker(
             self._name,
-            _poison.Strikes(lambda fingerprint: 0, STRIKES_MAX),
+            _poison.Strikes(self.view.strike_count, STRIKES_MAX),
             self.crash_checks,
             self.view,
             self.mesh,
--- a/src/coltsfootsail/_view.py
+++ b/src/coltsfootsail/_view.py
@@ -47,9 +47,11 @@
     (_keys.INTENTS, _records.Holder),
     (_keys.WAITS, _records.Wait),
     (_keys.ERA, _records.SettledEra),
+    (_keys.STRIKES, _records.StrikeRecord),
     (_keys.BLAMED_PARTS, _records.BlamedPart),
     (_keys.STREAMS, _records.StreamSlot),
 )
+_NO_STRIKES = (_records.StrikeRecord(0), 0)
 _NO_SETTLED_ERA = (_records.SettledEra(_eras.FIRST_ERA), 0)
 
 
@@ -188,6 +190,13 @@
         """
         return self._records[_keys.WAITS].get(_keys.wait(server), (None, 0))
 
+    def strike_count(self, content):
+        """Get the number of crashes stored against a request's content."""
+        record, _ = self._records[_keys.STRIKES].get(
+            _keys.strike(content), _NO_STRIKES
+        )
+        return record.count
+
     def blamed_parts(self):
         """List the parts of prompts that are blamed for crashes.
 
