Count a stream that is taken up for the service that it is sent to

On a route that is split over services, a stream that a caller takes up was counted for the service that the new attempt's id chooses, and sent to the one at which it began: retries of one service were paid by requests of another. The test failed before (one request counted where two are due).

--- a/src/coltsfootsail/_plain.py
+++ b/src/coltsfootsail/_plain.py
@@ -47,6 +47,7 @@
 
         :returns: an ``UpstreamResponse``.
         """
+        self._gateway.retry_budget.request(context.service)
         error = context.no_endpoint()
         response = None
         while True:
--- a/src/coltsfootsail/_request_handler.py
+++ b/src/coltsfootsail/_request_handler.py
@@ -108,7 +108,6 @@
             )
 
     async def _forward(self, context, resp):
-        self._gateway.retry_budget.request(context.service)
         self._record_request(context)
         if context.route.kind is _fleet.RouteKind.STREAMING:
             await self._streams.forward(context, resp)
--- a/src/coltsfootsail/_streams.py
+++ b/src/coltsfootsail/_streams.py
@@ -167,6 +167,7 @@
         )
         if context.meta.resumes or context.meta.last_event:
             await self._bind_taken_up(context)
+        self._gateway.retry_budget.request(context.service)
         with trio.move_on_after(max(0.0, context.until_s - self._now())):
             await self._run_attempts(context, sink, resp)
             self._observe_times(context, sink)
--- a/tests/test_retry_budget.py
+++ b/tests/test_retry_budget.py
@@ -10,6 +10,7 @@
 import trio
 
 from coltsfootsail import _gateway
+from coltsfootsail.platform import messages
 from tests import gateways
 from tests import retry_windows
 from tests import retry_world
@@ -82,6 +83,39 @@
     ]
 
 
+def test_stream_taken_up_counts_for_the_service_that_it_is_sent_to():
+    """Guards against retries of one service paid by requests of another."""
+    targets = [{"service": n, "weight": 1.0} for n in ("engines", "others")]
+    split = gateways.route(
+        "/both/", "streaming", "engines", resumable=True, split=targets
+    )
+    config = gateways.configuration(2, [split])
+    config["services"].append({"name": "others", "engine": gateways.ENGINE})
+
+    async def scenario(fleet):
+        fleet.store.put("op/config", config)
+        await trio.sleep(2.0)
+        gateway = fleet.gateways["g0"]
+        route = gateway.view.routes.find(gateways.HOST, "/both/1")
+        ids = {route.choose_service(f"r{n}"): f"r{n}" for n in range(20)}
+        for engine in fleet.engines:
+            engine.cut_after = 1
+        first = ids["engines"]
+        await fleet.call("/both/1", adapter="base/a1", request_id=first)
+        taken_up = [(messages.RESUMES, first), (messages.LAST_EVENT, "1")]
+        await fleet.call(
+            "/both/1",
+            adapter="base/a1",
+            request_id=ids["others"],
+            headers=taken_up,
+        )
+        budget = gateway.retry_budget
+        assert budget.describe("engines")["requests"] == 2
+        assert budget.describe("others")["requests"] == 0
+
+    gateways.run(scenario, make_fleet=WindowFleet)
+
+
 async def _kill_in_turn(fleet, case, until_s):
     names = itertools.cycle(fleet.names)
     while trio.current_time() < until_s:
