Test on real sockets that a cut node takes no stream up at an old version

A gateway in a process of its own whose link to the store is silent. With the code before the confirmation of the only version the stream went on at the server of the old version (200 instead of 503).

--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -13,10 +13,14 @@
 from coltsfootsail.standins import servers
 from coltsfootsail.standins import store
 from tests import gateways
+from tests.soak import proxy
 from tests import test_cli
 
 LIMIT_S = 60.0
-NAMES = ("caller", "peer", "ready", "directory", "store", "shop")
+NAMES = (
+    *("caller", "peer", "ready", "directory", "store", "shop"),
+    *("store_itself", "engine"),
+)
 
 
 def _settings(at, grace_s=4.0):
@@ -49,7 +53,7 @@
     """Run ``async (process, at, client, path)`` against a gateway process.
 
     ``at`` is a dict of addresses by name, and of the server as ``stand_in``,
-    the store as ``store_stand_in``;
+    the store as ``store_stand_in`` and the link to it as ``store_link``;
     ``path`` is that of the settings.
     Returns the lines of the gateway's log.
     """
@@ -66,7 +70,10 @@
         shop = at["stand_in"] = servers.PlainServer("i-s0")
         async with trio.open_nursery() as nursery:
             serve_store = stand_in.connection_handler("store")
-            await nursery.start(network.serve, at["store"], serve_store)
+            link = proxy.Proxy(at["store_itself"])
+            at["store_link"] = link.link
+            await nursery.start(network.serve, at["store_itself"], serve_store)
+            await nursery.start(network.serve, at["store"], link.serve)
             await nursery.start(network.serve, at["shop"], shop.serve)
             command = [*test_cli.PROGRAM, "node", "--settings", str(path)]
             log = (tmp_path / "log").open("wb")
@@ -139,6 +146,55 @@
     assert events[-1] == "node_stopped"
 
 
+def test_node_cut_off_for_seconds_takes_no_stream_up_at_an_old_version(
+    with_gateway,
+):
+    # Servers of another version joined meanwhile; the stream began there.
+    async def scenario(process, at, client, _):
+        stand_in = at["store_stand_in"]
+        engine = servers.ModelServer("i-e0", stand_in, at["engine"])
+        engine.adapters["a1"] = 1
+        engine.register()
+        async with trio.open_nursery() as nursery:
+            await nursery.start(
+                _net.tcp_network().serve, at["engine"], engine.serve
+            )
+            await trio.sleep(4.0)
+            assert await _take_up(client, at, "r1") == 200
+            at["store_link"].silent = frozenset(
+                {proxy.TO_SERVER, proxy.TO_CLIENT}
+            )
+            entry = {"service": "engines", "addr": at["shop"]}
+            stand_in.put(
+                "servers/i-e1", {**entry, "version": "v2", "state": "ready"}
+            )
+            await trio.sleep(1.0)
+            assert await _take_up(client, at, "r2") == 503
+            nursery.cancel_scope.cancel()
+        assert len(engine.runs) == 1
+
+    lines = with_gateway(scenario)
+    sources = [x["source"] for x in lines if x["message"] == "stream_taken_up"]
+    assert sources == ["only_version", "unknown"]
+
+
+async def _take_up(client, at, first):
+    headers = [
+        ("host", gateways.HOST),
+        ("coltsfootsail-request-id", f"{first}-again"),
+        ("coltsfootsail-model", "base/a1"),
+        ("coltsfootsail-tokens", "400,80"),
+        ("coltsfootsail-prompt-prefix", "aa:200,bb:200"),
+        ("resumes", first),
+        ("last-event-id", "1"),
+    ]
+    async with client.exchange(at["caller"], fresh=True) as exchange:
+        await exchange.send("POST", "/prints/9", headers, b"x")
+        status = await exchange.read_head()
+        await exchange.read_body(1 << 20)
+        return status
+
+
 ODD_ENTRIES = (
     b"",
     b"\xff\x00",
