--- a/src/coltsfootsail/_crashes.py
+++ b/src/coltsfootsail/_crashes.py
@@ -188,6 +188,9 @@
             _logs.state(
                 "strikes_not_stored", content=content, reason=repr(exc)
             )
+            return
+        if not self.strikes.refused(content):
+            await self._remove_strikes(content)
 
     async def _put(self, key, record, keep_s):
         """Write a record under a lease of its own.
--- a/src/coltsfootsail/_retries.py
+++ b/src/coltsfootsail/_retries.py
@@ -127,12 +127,12 @@
         :returns: the most over all spans of the window that end now, and
             over the whole window.
         """
-        total = longest = 1.0
+        total = most = 1.0
         for slot in reversed(self._slots[service]):
             total += slot.retries
-            longest = max(longest, total)
+            most = max(most, total)
             total -= self._bounds.ratio * slot.requests
-        return longest, total
+        return most, total
 
     def spend(self, service):
         """Take a retry for a service.
