Reproduce streams that are cut because their server was silent

Callers of resumable streams got an answer that broke off, although the server had only been silent for 1.5 s and would have gone on.

The test pauses the host of the engine that runs a stream for 1.6, 2.2 and 3.0 s, at gateways without a retry to spend.

--- a/src/coltsfootsail/_streams.py
+++ b/src/coltsfootsail/_streams.py
@@ -417,6 +417,7 @@
                     ),
                 )
             if timeout.expired:
+                self._log_silence(context, server, timeout.silent_s)
                 await gateway.upstream.wait_until_dropped(
                     server,
                     context.meta.request_id,
@@ -435,6 +436,23 @@
             context.avoided = set(context.interrupted_by)
             raise
 
+    def _log_silence(self, context, server, silent_s):
+        """Log what the next attempt has when a silent one is given up."""
+        budget = self._gateway.retry_budget
+        _logs.detail(
+            "silent_attempt_ended",
+            id=context.meta.request_id,
+            server=server.name,
+            silent_s=round(silent_s, 3),
+            paid=False,
+            granted=False,
+            next_server="",
+            sends=context.sends,
+            attempts=context.route.attempts,
+            registered=server.name in self._gateway.view.servers,
+            **budget.describe(context.service),
+        )
+
     async def _relay(self, exchange, sink, resp, timeout):
         await timeout.stop()
         if not 200 <= exchange.status < 300:
@@ -494,15 +512,22 @@
         self._factor = factor
         self._scope = trio.CancelScope()
         self._due_s = math.inf
+        self._since_s = math.inf
         self.expired = False
 
+    @property
+    def silent_s(self):
+        """Get the time since the last event, or since the start."""
+        return trio.current_time() - self._since_s
+
     def __enter__(self):
         self._scope.__enter__()
         self._set_timeout(FIRST_BYTE_TIMEOUT_S)
         return self
 
     def _set_timeout(self, timeout_s):
-        self._due_s = trio.current_time() + self._factor * timeout_s
+        self._since_s = trio.current_time()
+        self._due_s = self._since_s + self._factor * timeout_s
         self.resume()
 
     def restart(self):
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -3,6 +3,7 @@
 It must not lose or truncate anything that the caller gets.
 """
 
+import dataclasses
 import types
 
 import pytest
@@ -10,6 +11,7 @@
 import trio.testing
 
 from coltsfootsail import _answer_memory
+from coltsfootsail import _gateway
 from coltsfootsail import _http
 from coltsfootsail import _streams
 from tests import gateways
@@ -198,3 +200,85 @@
             assert "strikes" not in gateway.metrics.counter_totals()
 
     gateways.run(scenario, nodes=2)
+
+
+# Longer than a gateway waits for an event before it looks for another engine.
+LONG_SILENCES_S = (1.6, 2.2, 3.0)
+EVENTS = b"".join(f"id: {n}\ndata: @1 {n}\n\n".encode() for n in range(20))
+
+
+class NoRetriesFleet(gateways.Fleet):
+    """A fleet whose gateways have no retry to spend."""
+
+    def make_gateway(self, name):
+        """Make a gateway that is not started yet."""
+        settings = gateways.settings(name)
+        gateway = dataclasses.replace(
+            settings.gateway, retry_extra=0.0, retry_window_s=10.0
+        )
+        settings = dataclasses.replace(settings, gateway=gateway)
+        return _gateway.Gateway(settings, self.net.network(name))
+
+
+async def _add_resumable_route(fleet, **fields):
+    """Add the route ``/deeds/`` of streams that may last 15 s."""
+    route = gateways.route(
+        "/deeds/",
+        "streaming",
+        "engines",
+        resumable=True,
+        **{"timeoutMs": 15000, **fields},
+    )
+    fleet.store.put("op/config", gateways.configuration(2, [route]))
+    for engine in fleet.engines:
+        engine.events = 20
+    await trio.sleep(2.5)
+
+
+async def _call_stream(fleet, change, **fields):
+    """Send a resumable stream, and change something once it has begun.
+
+    :param change: ``async (engine)``, called with the engine that runs it.
+    :returns: a ``Reply``.
+    """
+    replies = []
+
+    async def call():
+        fields.setdefault("deadline_ms", 14000)
+        reply = await fleet.call("/deeds/1", adapter="base", **fields)
+        replies.append(reply)
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(call)
+        await trio.sleep(0.3)
+        await change(next(each for each in fleet.engines if each.running))
+    return replies[0]
+
+
+def _pause_host(fleet, pause_s):
+    """Make a change that pauses an engine's host for a time."""
+
+    async def change(engine):
+        host = fleet.host_of(engine)
+        fleet.net.pause(host)
+        await trio.sleep(pause_s)
+        fleet.net.resume(host)
+
+    return change
+
+
+def _runs(fleet):
+    return [run for engine in fleet.engines for run in engine.runs]
+
+
+@pytest.mark.parametrize("pause_s", LONG_SILENCES_S)
+def test_silent_server_ends_no_stream_without_a_retry_to_spend(pause_s):
+    """Guards against giving up a run before the next one may be sent."""
+
+    async def scenario(fleet):
+        await _add_resumable_route(fleet)
+        reply = await _call_stream(fleet, _pause_host(fleet, pause_s))
+        assert reply.whole and reply.body == EVENTS
+        assert len(_runs(fleet)) == 1
+
+    gateways.run(scenario, make_fleet=NoRetriesFleet)
