Give a silent run up only when the next one is secured

Callers of resumable streams got an answer that broke off although its server was sound and only silent for 1.5 s or more.

A node cancelled the run when it had heard nothing for 1.5 s (1.8 s before the first event), waited until the engine had dropped it, and learned only then that there was no retry to spend, no grant, no engine, or that the report was late. The class: a step that can't be taken back comes before the check of what it is taken for.

The run now goes on while a task beside it looks for a move. It is given up when another engine is chosen, the send is allowed, the silent engine accepts no connection or gives its report, the other engine's owner has granted the stream, and the retry is paid; payment and cancellation are one step. An event before that ends the search, and nothing is paid. What is missing is logged (silent_attempt_kept) and looked for again after 0.25 to 1 s. Without an attempt left nothing is moved, so that the longer timeout of the last attempt goes. A server that is neither registered nor reachable ends the attempt as before.

After that step the answer lasts for as long as the request has time: the report is waited for, and an engine or a grant that is lost meanwhile is looked for again with the payment kept. A retry that is paid and not sent yet counts as if it were sent now, so that no window holds more than the budget.

--- a/src/coltsfootsail/_request_context.py
+++ b/src/coltsfootsail/_request_context.py
@@ -56,6 +56,9 @@
         interrupted it last has crashed, None if none did.
     :param waited_for_limit: whether it has waited for such a server.
     :param workspace: the ``Workspace`` that it is made for, None for none.
+    :param is_retry_reserved: whether its next send is paid already.
+    :param target: the ``_stream_moves.Target`` of its next send, None if that
+        has to be chosen.
     """
 
     req: _http.HttpRequest
@@ -80,6 +83,8 @@
     waited_for_limit: bool = False
     crash_checked: object = None
     workspace: _fleet.Workspace | None = None
+    is_retry_reserved: bool = False
+    target: object = None
 
     @property
     def priority(self):
@@ -140,6 +145,11 @@
             )
         return exceptions.NoEndpoint(reason, retry_after_s=RETRY_AFTER_S)
 
+    def may_run_elsewhere(self):
+        """Tell whether another server may be sent it."""
+        has_attempts = len(self.may_have_run) < self.route.attempts
+        return has_attempts and self.sends < SENDS_MAX
+
     def may_retry(self, exc):
         """Tell whether another attempt is safe after a failure."""
         return exc.outcome is NOT_RUN or self.route.repeatable
@@ -213,6 +223,42 @@
             was chosen.
         :raises EndpointBusy: if it has asked for a pause since then.
         """
+        self._check_send(context, server)
+        if context.is_retry_reserved:
+            self._end_reservation(context, True)
+        elif context.sends:
+            self._take_retry(context, self._gateway.retry_budget.spend)
+        context.sends += 1
+        context.tried.add(server.name)
+
+    def check_retry(self, context, server):
+        """Check that a request may be sent to another server now.
+
+        :raises ColtsfootsailError: as ``authorize_send``.
+        """
+        self._check_send(context, server)
+        if not self._gateway.retry_budget.allows(context.service):
+            raise exceptions.RetryBudgetSpent()
+
+    def reserve_retry(self, context, server):
+        """Pay for the next send of a request, which is made later.
+
+        :raises ColtsfootsailError: as ``authorize_send``.
+        """
+        self._check_send(context, server)
+        self._take_retry(context, self._gateway.retry_budget.reserve)
+        context.is_retry_reserved = True
+
+    def release_retry(self, context):
+        """Give back what was paid for a send that was not made."""
+        if context.is_retry_reserved:
+            self._end_reservation(context, False)
+
+    def _end_reservation(self, context, is_sent):
+        context.is_retry_reserved = False
+        self._gateway.retry_budget.release(context.service, is_sent)
+
+    def _check_send(self, context, server):
         states = self._gateway.states
         self._gateway.crashes.check_allowed(context)
         if states.is_unavailable(server.name):
@@ -227,19 +273,15 @@
             raise exceptions.RetryBudgetSpent("attempts of the route")
         if context.sends >= SENDS_MAX:
             raise exceptions.RetryBudgetSpent("sends of one request")
-        if context.sends:
-            self._spend_retry(context)
-        context.sends += 1
-        context.tried.add(server.name)
 
-    def _spend_retry(self, context):
+    def _take_retry(self, context, take):
         """Take a retry from the budget of the request's service.
 
+        :param take: ``(service) -> bool``.
         :raises RetryBudgetSpent: if there is none left.
         """
-        budget = self._gateway.retry_budget
-        inputs = budget.describe(context.service)
-        is_allowed = budget.spend(context.service)
+        inputs = self._gateway.retry_budget.describe(context.service)
+        is_allowed = take(context.service)
         _logs.detail(
             "retry_budget",
             id=context.meta.request_id,
--- a/src/coltsfootsail/_retries.py
+++ b/src/coltsfootsail/_retries.py
@@ -87,6 +87,7 @@
         self._share = share
         self._now = now
         self._slots = collections.defaultdict(collections.deque)
+        self._reserved = collections.Counter()
 
     def set_bounds(self, bounds):
         """Change the bounds."""
@@ -118,31 +119,56 @@
         return {
             "retries": sum(slot.retries for slot in slots),
             "requests": sum(slot.requests for slot in slots),
+            "reserved": self._reserved[service],
             "extra": round(self._extra(), 2),
         }
 
     def _needed(self, service):
         """Get what one more retry needs beside what requests have added.
 
+        Those that are reserved count as if they were sent now.
+
         :returns: the most over all spans of the window that end now, and
             over the whole window.
         """
-        total = most = 1.0
+        total = most = 1.0 + self._reserved[service]
         for slot in reversed(self._slots[service]):
             total += slot.retries
             most = max(most, total)
             total -= self._bounds.ratio * slot.requests
         return most, total
 
+    def allows(self, service):
+        """Tell whether a retry for a service may be taken now."""
+        self._slot(service)
+        extra = self._extra()
+        most, whole = self._needed(service)
+        return most <= max(1.0, extra) + ROUNDING and whole <= extra + ROUNDING
+
     def spend(self, service):
         """Take a retry for a service.
 
         :returns: whether the budget allowed it.
         """
-        slot = self._slot(service)
-        extra = self._extra()
-        most, whole = self._needed(service)
-        if most > max(1.0, extra) + ROUNDING or whole > extra + ROUNDING:
+        if not self.allows(service):
+            return False
+        self._slot(service).retries += 1
+        return True
+
+    def reserve(self, service):
+        """Take a retry that is sent later, and counted when it is.
+
+        :returns: whether the budget allowed it.
+        """
+        if not self.allows(service):
             return False
-        slot.retries += 1
+        self._reserved[service] += 1
         return True
+
+    def release(self, service, is_sent):
+        """End a reservation.
+
+        :param is_sent: whether the retry is sent now.
+        """
+        self._reserved[service] -= 1
+        self._slot(service).retries += is_sent
--- /dev/null
+++ b/src/coltsfootsail/_stream_sink.py
@@ -0,0 +1,104 @@
+"""Writing of streams to callers, event by event."""
+
+import contextlib
+import re
+
+import trio
+
+from coltsfootsail import _engine_speed
+from coltsfootsail import _http
+from coltsfootsail import _upstream
+from coltsfootsail import exceptions
+from coltsfootsail.platform import messages
+
+# The data field of an event, which a comment or a keep-alive lacks.
+_DATA_FIELD = re.compile(rb"^data", re.MULTILINE)
+
+
+@contextlib.contextmanager
+def caller_errors():
+    """Raise ``CallerGone`` for errors of the caller's connection."""
+    try:
+        yield
+    except (*_http.STREAM_ERRORS, trio.TooSlowError) as exc:
+        raise exceptions.CallerGone(str(exc)) from exc
+
+
+class StreamSink:
+    """Writes a stream to the caller, from one or more servers in turn.
+
+    :param resp: the response to the caller.
+    :param extra_headers: closure that lists headers to add.
+    :param now: closure that reads the clock.
+    :param account: an ``_answer_memory.Account`` for incomplete events.
+
+    ``before_events`` is called before events are written.
+    """
+
+    def __init__(self, resp, extra_headers, now, account):
+        self._resp = resp
+        self._extra_headers = extra_headers
+        self._now = now
+        self._last_write_s = None
+        self.splitter = _upstream.EventSplitter(account)
+        self.before_events = lambda: None
+        self.started = False
+        self.first_event_s = None
+        self.longest_pause_s = 0.0
+        self._gaps = _engine_speed.EventGaps()
+
+    def begin_run(self):
+        """Note that another server is about to send the events."""
+        self._gaps = _engine_speed.EventGaps()
+
+    def shown_steps(self):
+        """Get the events of the last server, and the time that they took."""
+        return self._gaps.events, self._gaps.undisturbed_s()
+
+    async def start(self, exchange):
+        """Send the response head, unless that of an earlier server was."""
+        if self.started:
+            return
+        self.started = True
+        headers = messages.answer_headers(exchange.headers)
+        with caller_errors():
+            await self._resp.start(
+                exchange.status, [*headers, *self._extra_headers()]
+            )
+
+    async def write(self, data):
+        """Write the complete events; keep the rest until it is complete.
+
+        :returns: whether any of them has data; comments alone are no sign
+            that the stream goes on.
+        """
+        events = self.splitter.feed(data)
+        if not events:
+            return False
+        self.before_events()
+        data_fields = len(_DATA_FIELD.findall(events))
+        self._note_time(data_fields)
+        with caller_errors():
+            await self._resp.write(events)
+        return data_fields > 0
+
+    def _note_time(self, data_fields):
+        now_s = self._now()
+        self._gaps.add(data_fields, now_s)
+        if self.first_event_s is None:
+            self.first_event_s = now_s
+        else:
+            self.longest_pause_s = max(
+                self.longest_pause_s, now_s - self._last_write_s
+            )
+        self._last_write_s = now_s
+
+    async def end(self):
+        """End the response.
+
+        :raises AnswerTruncated: if the stream ended within an event.
+        """
+        if self.splitter.pending():
+            raise exceptions.AnswerTruncated("a part of an event at the end")
+        with caller_errors():
+            await self._resp.end()
--- a/src/coltsfootsail/_streams.py
+++ b/src/coltsfootsail/_streams.py
@@ -6,19 +6,19 @@
 """
 
 import contextlib
-import math
-import re
 
 import trio
 
 from coltsfootsail import _admission
-from coltsfootsail import _engine_speed
 from coltsfootsail import _grants
 from coltsfootsail import _http
 from coltsfootsail import _logs
 from coltsfootsail import _reach
 from coltsfootsail import _request_context
+from coltsfootsail import _stream_moves
 from coltsfootsail import _stream_origins
+from coltsfootsail import _stream_sink
+from coltsfootsail import _tasks
 from coltsfootsail import _upstream
 from coltsfootsail import exceptions
 from coltsfootsail.platform import messages
@@ -26,10 +26,6 @@
 ADAPTER_ABSENT_PAUSE_S = 0.03  # before a retry of what an engine did not run
 OWNER_WAIT_S = 0.6  # for an engine's owner that is starting or changing
 OWNER_RETRY_PAUSE_S = 0.06  # between attempts while waiting for an owner
-# Timeouts for a server that sends nothing, if the stream can be resumed.
-FIRST_BYTE_TIMEOUT_S = 1.8
-EVENT_TIMEOUT_S = 1.5
-LAST_ATTEMPT_FACTOR = 3.0  # on these timeouts if no attempt may follow
 # Reasons of an owner's rejection after which another engine may be tried.
 # Any other reason means overload.
 _TRY_ELSEWHERE_REASONS = frozenset(
@@ -47,99 +43,6 @@
 )
 
 
-# The data field of an event, which a comment or a keep-alive lacks.
-_DATA_FIELD = re.compile(rb"^data", re.MULTILINE)
-
-
-@contextlib.contextmanager
-def _caller_errors():
-    """Raise ``CallerGone`` for errors of the caller's connection."""
-    try:
-        yield
-    except (*_http.STREAM_ERRORS, trio.TooSlowError) as exc:
-        raise exceptions.CallerGone(str(exc)) from exc
-
-
-class _StreamSink:
-    """Writes a stream to the caller, from one or more servers in turn.
-
-    :param resp: the response to the caller.
-    :param extra_headers: closure that lists headers to add.
-    :param now: closure that reads the clock.
-    :param account: an ``_answer_memory.Account`` for incomplete events.
-
-    ``before_events`` is called before events are written.
-    """
-
-    def __init__(self, resp, extra_headers, now, account):
-        self._resp = resp
-        self._extra_headers = extra_headers
-        self._now = now
-        self._last_write_s = None
-        self.splitter = _upstream.EventSplitter(account)
-        self.before_events = lambda: None
-        self.started = False
-        self.first_event_s = None
-        self.longest_pause_s = 0.0
-        self._gaps = _engine_speed.EventGaps()
-
-    def begin_run(self):
-        """Note that another server is about to send the events."""
-        self._gaps = _engine_speed.EventGaps()
-
-    def shown_steps(self):
-        """Get the events of the last server, and the time that they took."""
-        return self._gaps.events, self._gaps.undisturbed_s()
-
-    async def start(self, exchange):
-        """Send the response head, unless that of an earlier server was."""
-        if self.started:
-            return
-        self.started = True
-        headers = messages.answer_headers(exchange.headers)
-        with _caller_errors():
-            await self._resp.start(
-                exchange.status, [*headers, *self._extra_headers()]
-            )
-
-    async def write(self, data):
-        """Write the complete events; keep the rest until it is complete.
-
-        :returns: whether any of them has data; comments alone are no sign
-            that the stream goes on.
-        """
-        events = self.splitter.feed(data)
-        if not events:
-            return False
-        self.before_events()
-        data_fields = len(_DATA_FIELD.findall(events))
-        self._note_time(data_fields)
-        with _caller_errors():
-            await self._resp.write(events)
-        return data_fields > 0
-
-    def _note_time(self, data_fields):
-        now_s = self._now()
-        self._gaps.add(data_fields, now_s)
-        if self.first_event_s is None:
-            self.first_event_s = now_s
-        else:
-            self.longest_pause_s = max(
-                self.longest_pause_s, now_s - self._last_write_s
-            )
-        self._last_write_s = now_s
-
-    async def end(self):
-        """End the response.
-
-        :raises AnswerTruncated: if the stream ended within an event.
-        """
-        if self.splitter.pending():
-            raise exceptions.AnswerTruncated("a part of an event at the end")
-        with _caller_errors():
-            await self._resp.end()
-
-
 class StreamForwarder:
     """Sends requests to engines and relays their streams.
 
@@ -162,7 +65,7 @@
     async def _forward(self, context, resp):
         if context.meta.prompt is None:
             raise exceptions.BadField(f"{messages.MODEL}: missing")
-        sink = _StreamSink(
+        sink = _stream_sink.StreamSink(
             resp, self._gateway.closing_headers, self._now, context.account
         )
         if context.meta.resumes or context.meta.last_event:
@@ -222,22 +125,43 @@
         )
 
     async def _run_attempts(self, context, sink, resp):
-        while True:
-            try:
-                await self._attempt(context, sink, resp)
-                return
-            except exceptions.ColtsfootsailError as exc:
-                self._count("retries", exc.code, labels=context.labels)
-                _logs.detail(
-                    "attempt_failed",
-                    id=context.meta.request_id,
-                    code=exc.code,
-                    why=exc.detail,
-                    sends=context.sends,
-                )
-                self._raise_if_final(context, sink, exc)
-                await self._gateway.crashes.wait_until_checked(context)
+        pauses_s = _stream_moves.pauses_s()
+        try:
+            while not await self._try_once(context, sink, resp, pauses_s):
                 sink.splitter.discard_partial_event()
+        finally:
+            self._send_policy.release_retry(context)
+            if context.target is not None:
+                await context.target.aclose()
+
+    async def _try_once(self, context, sink, resp, pauses_s):
+        """Make an attempt.
+
+        :param pauses_s: yields the pauses until engines that could not take a
+            moved stream are asked again.
+        :returns: whether the answer is complete; if not, another attempt may
+            follow.
+        """
+        try:
+            await self._attempt(context, sink, resp)
+        except exceptions.ColtsfootsailError as exc:
+            self._count("retries", exc.code, labels=context.labels)
+            _logs.detail(
+                "attempt_failed",
+                id=context.meta.request_id,
+                code=exc.code,
+                why=exc.detail,
+                sends=context.sends,
+                paid=context.is_retry_reserved,
+            )
+            if context.is_retry_reserved and _stream_moves.is_pause(exc):
+                await trio.sleep(next(pauses_s))
+                _stream_moves.clear_rejections(context)
+                return False
+            self._raise_if_final(context, sink, exc)
+            await self._gateway.crashes.wait_until_checked(context)
+            return False
+        return True
 
     def _raise_if_final(self, context, sink, exc):
         """Raise the failure again unless another attempt may follow.
@@ -251,7 +175,6 @@
             | exceptions.DeadlineExceeded
             | exceptions.NoEndpoint
             | exceptions.CallerGone
-            | exceptions.EndpointStillRuns
             | exceptions.Poisoned
             | exceptions.PoisonedPart,
         )
@@ -267,50 +190,23 @@
             context.owner_wait_until_s = self._now() + OWNER_WAIT_S
 
     async def _attempt(self, context, sink, resp):
-        gateway = self._gateway
         context.begun = sink.started
-        server, owner, grant_request = await self._choose_engine(context)
-        if owner is None:
-            await self._send_to_engine(
-                context, sink, resp, server, grant_request, owner
-            )
-            return
-        requested_s = self._now()
+        target = await self._take_target(context)
+        server, owner = target.server, target.owner
         try:
-            grant = gateway.grant_client.acquire(
-                owner, server.name, grant_request
-            )
-            async with grant as use:
-                granted_s = self._now()
-                waited_s = granted_s - requested_s
-                self._metrics.observe(
-                    "grant_seconds", waited_s, context.labels
-                )
-                try:
-                    await self._send_to_engine(
-                        context, sink, resp, server, grant_request, owner
-                    )
-                except exceptions.EndpointNotRun as exc:
-                    use.outcome = self._refusal_outcome(server, exc)
-                    raise
-                except exceptions.EndpointUnreachable:
-                    if not gateway.reach.is_cut_off(server.name):
-                        use.outcome = _grants.GrantOutcome.UNREACHABLE
-                    raise
-                finally:
-                    if sink.first_event_s is not None and not context.begun:
-                        use.first_event_s = sink.first_event_s - granted_s
-                    use.events, use.stream_s = sink.shown_steps()
-                    gateway.speeds.note_stream(
-                        server, use.events, use.stream_s
-                    )
+            async with contextlib.aclosing(target):
+                await self._acquire(context, target)
+                await self._send_granted(context, sink, resp, target)
         except (exceptions.TurnedAway, exceptions.OwnerSilent) as exc:
             self._count(
                 "turned_away", _turn_away_reason(exc), labels=context.labels
             )
             context.note_turned_away(server, exc)
             if self._may_wait_for_owner(context, exc):
-                if gateway.engine_selector.owner(server) in (None, owner):
+                if self._gateway.engine_selector.owner(server) in (
+                    None,
+                    owner,
+                ):
                     await trio.sleep(OWNER_RETRY_PAUSE_S)
             else:
                 context.avoided.add(server.name)
@@ -318,9 +214,53 @@
                 context.moved = True
             raise
         except exceptions.EndpointNotRun:
-            await trio.sleep(ADAPTER_ABSENT_PAUSE_S)
+            if owner is not None:
+                await trio.sleep(ADAPTER_ABSENT_PAUSE_S)
             raise
 
+    async def _take_target(self, context):
+        """Take the engine that a moved stream goes to, or choose one.
+
+        :returns: a ``_stream_moves.Target``.
+        :raises NoEndpoint: if there is no engine to choose.
+        """
+        target, context.target = context.target, None
+        if target is not None:
+            if target.is_current(self._gateway):
+                return target
+            await target.aclose()
+        return _stream_moves.Target(*await self._choose_engine(context))
+
+    async def _acquire(self, context, target):
+        if target.owner is None or target.use is not None:
+            return
+        requested_s = self._now()
+        await target.acquire(self._gateway.grant_client)
+        waited_s = self._now() - requested_s
+        self._metrics.observe("grant_seconds", waited_s, context.labels)
+
+    async def _send_granted(self, context, sink, resp, target):
+        """Send a request, and note for the owner what became of its grant."""
+        gateway, server, use = self._gateway, target.server, target.use
+        granted_s = self._now()
+        try:
+            await self._send_to_engine(context, sink, resp, target)
+        except exceptions.EndpointNotRun as exc:
+            if use is not None:
+                use.outcome = self._refusal_outcome(server, exc)
+            raise
+        except exceptions.EndpointUnreachable:
+            is_cut_off = gateway.reach.is_cut_off(server.name)
+            if use is not None and not is_cut_off:
+                use.outcome = _grants.GrantOutcome.UNREACHABLE
+            raise
+        finally:
+            if use is not None:
+                if sink.first_event_s is not None and not context.begun:
+                    use.first_event_s = sink.first_event_s - granted_s
+                use.events, use.stream_s = sink.shown_steps()
+                gateway.speeds.note_stream(server, use.events, use.stream_s)
+
     def _refusal_outcome(self, server, exc):
         """Tell an engine's owner why the engine refused a request.
 
@@ -373,58 +313,37 @@
             raise context.no_endpoint(busy_s=busy_s)
         return choice
 
-    async def _send_to_engine(
-        self, context, sink, resp, server, grant_request, owner
-    ):
-        gateway = self._gateway
+    async def _send_to_engine(self, context, sink, resp, target):
+        server = target.server
         sink.begin_run()
         self._send_policy.remaining_s(context)
         self._send_policy.authorize_send(context, server)
-        last_event_id = sink.splitter.last_id if sink.started else None
-        request = self._send_policy.build_request(
-            context,
-            server,
-            context.priority,
-            grant_request.version,
-            last_event_id,
-        )
-        _logs.detail(
-            "sent",
-            id=context.meta.request_id,
-            server=server.name,
-            owner=owner or "",
-            adapter=grant_request.adapter,
-            version=grant_request.version,
-            software=server.software,
-            after_event=last_event_id or context.meta.last_event,
-            after_s=round(self._now() - context.received_s, 3),
-            sends=context.sends,
-            closed=gateway.states.describe_closed(context.service),
-        )
+        request = self._build_request(context, sink, target)
         sink.before_events = lambda: self._note_origin(context, server)
-        try:
-            with contextlib.ExitStack() as stack:
-                stack.enter_context(context.sending_to(server))
-                timeout = stack.enter_context(
-                    _IdleTimeout(_timeout_factor(context))
-                )
-                await gateway.upstream.send(
+        silence = _stream_moves.Silence()
+        mover = _stream_moves.Mover(
+            self._gateway, self._send_policy, context, server, silence
+        )
+
+        async def exchange():
+            with mover.scope:
+                await self._gateway.upstream.send(
                     server,
                     request,
                     float("inf"),
                     lambda exchange: self._relay(
-                        exchange, sink, resp, timeout
+                        exchange, sink, resp, silence
                     ),
                 )
-            if timeout.expired:
-                self._log_silence(context, server, timeout.silent_s)
-                await gateway.upstream.wait_until_dropped(
-                    server,
-                    context.meta.request_id,
-                    lambda name: name in gateway.view.servers,
-                )
-                raise exceptions.EndpointSilent("no event")
+
+        try:
+            with context.sending_to(server):
+                await self._run_moved(context, mover, exchange)
+                if mover.scope.cancelled_caught:
+                    await self._wait_until_dropped(context, mover, server)
+                    raise exceptions.EndpointSilent("no event")
         except exceptions.EndpointUnreachable:
+            gateway = self._gateway
             if await gateway.reach.find(server) in _reach.PAUSING:
                 gateway.engine_selector.unreachable(server)
             raise
@@ -436,36 +355,69 @@
             context.avoided = set(context.interrupted_by)
             raise
 
-    def _log_silence(self, context, server, silent_s):
-        """Log what the next attempt has when a silent one is given up."""
-        budget = self._gateway.retry_budget
+    async def _run_moved(self, context, mover, exchange):
+        """Run an exchange while its server may be left for another."""
+        if not context.route.resumable:
+            await exchange()
+            return
+        try:
+            await _tasks.run_with_background(
+                _tasks.run_contained,
+                exchange,
+                "request",
+                self._count,
+                mover.run,
+            )
+        finally:
+            context.target = mover.target
+
+    async def _wait_until_dropped(self, context, mover, server):
+        if mover.is_unreachable:
+            return
+        await self._gateway.upstream.wait_until_dropped(
+            server,
+            context.meta.request_id,
+            lambda name: name in self._gateway.view.servers,
+        )
+
+    def _build_request(self, context, sink, target):
+        """Build the request to an engine, and log that it is sent."""
+        last_event_id = sink.splitter.last_id if sink.started else None
+        server, grant_request = target.server, target.grant_request
         _logs.detail(
-            "silent_attempt_ended",
+            "sent",
             id=context.meta.request_id,
             server=server.name,
-            silent_s=round(silent_s, 3),
-            paid=False,
-            granted=False,
-            next_server="",
+            owner=target.owner or "",
+            adapter=grant_request.adapter,
+            version=grant_request.version,
+            software=server.software,
+            after_event=last_event_id or context.meta.last_event,
+            after_s=round(self._now() - context.received_s, 3),
             sends=context.sends,
-            attempts=context.route.attempts,
-            registered=server.name in self._gateway.view.servers,
-            **budget.describe(context.service),
+            closed=self._gateway.states.describe_closed(context.service),
+        )
+        return self._send_policy.build_request(
+            context,
+            server,
+            context.priority,
+            grant_request.version,
+            last_event_id,
         )
 
-    async def _relay(self, exchange, sink, resp, timeout):
-        await timeout.stop()
+    async def _relay(self, exchange, sink, resp, silence):
+        await silence.hold()
         if not 200 <= exchange.status < 300:
             await self._relay_error_response(exchange, sink, resp)
             return
         await sink.start(exchange)
-        timeout.restart()
+        silence.note_event()
         while exchange.phase is not _http.Phase.DONE:
-            timeout.resume()
+            silence.release()
             data = await exchange.read_some()
-            await timeout.stop()
+            await silence.hold()
             if await sink.write(data):
-                timeout.restart()
+                silence.note_event()
         await sink.end()
 
     def _note_origin(self, context, server):
@@ -490,7 +442,7 @@
         body = await exchange.read_body(_upstream.ERROR_BODY_BYTES_MAX)
         _upstream.check_no_false_promise(exchange.status)
         headers = messages.answer_headers(exchange.headers)
-        with _caller_errors():
+        with _stream_sink.caller_errors():
             await resp.reply(
                 exchange.status,
                 body,
@@ -498,70 +450,6 @@
             )
 
 
-class _IdleTimeout:
-    """Cancels an exchange with a server that sends no event for too long.
-
-    Bytes without an event do not extend it: a stalled server may go on
-    sending some.  The timeout must be stopped during writes to the caller: a
-    cancelled write would lose a part of the answer or truncate it.
-
-    :param factor: multiplies the timeouts; infinite for no timeout.
-    """
-
-    def __init__(self, factor):
-        self._factor = factor
-        self._scope = trio.CancelScope()
-        self._due_s = math.inf
-        self._since_s = math.inf
-        self.expired = False
-
-    @property
-    def silent_s(self):
-        """Get the time since the last event, or since the start."""
-        return trio.current_time() - self._since_s
-
-    def __enter__(self):
-        self._scope.__enter__()
-        self._set_timeout(FIRST_BYTE_TIMEOUT_S)
-        return self
-
-    def _set_timeout(self, timeout_s):
-        self._since_s = trio.current_time()
-        self._due_s = self._since_s + self._factor * timeout_s
-        self.resume()
-
-    def restart(self):
-        """Start the timeout between events."""
-        self._set_timeout(EVENT_TIMEOUT_S)
-
-    def resume(self):
-        """Let the timeout go on after a stop."""
-        self._scope.deadline = self._due_s
-
-    async def stop(self):
-        """Stop the timeout, or let its cancellation through if it expired."""
-        self._scope.deadline = math.inf
-        await trio.lowlevel.checkpoint_if_cancelled()
-
-    def __exit__(self, *exc_info):
-        suppress = self._scope.__exit__(*exc_info)
-        self.expired = self._scope.cancelled_caught
-        return suppress
-
-
 def _turn_away_reason(exc):
     """Get the reason why an owner granted nothing."""
     return getattr(exc, "reason", exc.code)
-
-
-def _timeout_factor(context):
-    """Get the factor on the timeouts of the server that now has a request.
-
-    If no other attempt is allowed, a timeout ends the request, so it is
-    better to wait longer for a server that may only be slow.
-    """
-    if not context.route.resumable:
-        return math.inf
-    is_last = len(context.may_have_run) >= context.route.attempts
-    is_last = is_last or context.sends >= _request_context.SENDS_MAX
-    return LAST_ATTEMPT_FACTOR if is_last else 1.0
--- a/src/coltsfootsail/_upstream.py
+++ b/src/coltsfootsail/_upstream.py
@@ -342,14 +342,18 @@
                 limits.note_answer(server.name, per_s, sent_s, succeeded)
 
     async def wait_until_dropped(self, server, request_id, is_registered):
-        """Wait until an engine has dropped a request that it was sent.
-
-        :raises EndpointStillRuns: if that is not known in time.
-        """
+        """Wait until an engine has dropped a request that it was sent."""
         await _dropped_runs.wait_until_dropped(
             self._report_client, server, request_id, is_registered
         )
 
+    async def find_contact(self, server):
+        """Find how an engine answers the question what it runs.
+
+        :returns: a ``_dropped_runs.Contact``.
+        """
+        return await _dropped_runs.find_contact(self._report_client, server)
+
     def _record_end(self, server, request, trace):
         self._count("sends", trace.conclusion)
         now_s = self._now()
--- a/src/coltsfootsail/exceptions.py
+++ b/src/coltsfootsail/exceptions.py
@@ -396,12 +396,6 @@
     outcome = Outcome.UNKNOWN
 
 
-class EndpointStillRuns(EndpointSilent):
-    """The endpoint sent nothing, but has not dropped the request."""
-
-    code = "endpoint_still_runs"
-
-
 class OrderUnsure(ColtsfootsailError):
     """An order to an engine may have taken effect, or may yet."""
 
--- a/tests/test_retry_budget.py
+++ b/tests/test_retry_budget.py
@@ -10,6 +10,7 @@
 import trio
 
 from coltsfootsail import _gateway
+from coltsfootsail import _retries
 from coltsfootsail.platform import messages
 from tests import gateways
 from tests import retry_windows
@@ -228,3 +229,34 @@
 def test_series_that_tempt_nodes_to_exceed_the_budget(name):
     for seed in range(10):
         _play(*SERIES[name], seed)
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_retries_that_are_sent_after_they_were_paid_keep_to_the_budget(seed):
+    rng = random.Random(seed)
+    bounds = retry_windows.Bounds(extra=10.0)
+    now_s = 100.0
+    budget = _retries.WindowBudget(
+        _retries.WindowBounds(bounds.ratio, bounds.extra, bounds.window_s),
+        lambda: 1.0,
+        lambda: now_s,
+    )
+    requests_s, retries_s, due = [], [], []
+    while now_s < 160.0:
+        if rng.random() < 0.3:
+            budget.request("engines")
+            requests_s.append(now_s)
+        if rng.random() < 0.5 and budget.reserve("engines"):
+            due.append(now_s + rng.uniform(0.0, 15.0))
+        elif rng.random() < 0.5 and budget.spend("engines"):
+            retries_s.append(now_s)
+        for at_s in [at_s for at_s in due if at_s <= now_s]:
+            due.remove(at_s)
+            is_sent = rng.random() < 0.8
+            budget.release("engines", is_sent)
+            retries_s += [now_s] * is_sent
+        now_s += 0.1
+    worst = retry_windows.worst_window(
+        requests_s, retries_s, lambda start_s: bounds
+    )
+    assert worst.retries <= worst.allowed, worst
