Take no silence of a server for a crash

Callers whose servers were cut off or suspended with their machines for three seconds could be refused later, by a strike against their contents.

A stream that is moved from a silent server was checked like one whose connection broke: a server that neither this node nor a witness could connect to counted as crashed. Nobody can connect to a machine that is only paused. A move because of silence adds a strike now only if the server turns out to have started again; a connection that breaks is checked as before.

--- a/src/coltsfootsail/_crashes.py
+++ b/src/coltsfootsail/_crashes.py
@@ -109,12 +109,20 @@
         for part in parts:
             del self._trials[part]
 
-    def interrupted(self, server, context):
+    def interrupted(self, server, context, was_silent=False):
         """Check in the background whether a request crashed its server.
 
+        A server that was only silent has crashed if it turns out to have
+        started again; that it can't be reached shows nothing.
+
         :param server: the ``Server`` that ran it.
         :param context: the request's ``RequestContext``.
+        :param was_silent: whether the request was moved from a silent server.
         """
+        if was_silent:
+            if server.born_ms:
+                self._note_interruption(server, context)
+            return
         context.crash_checked = trio.Event()
         self._tasks.start_soon(self._investigate, server, context)
 
--- a/src/coltsfootsail/_request_context.py
+++ b/src/coltsfootsail/_request_context.py
@@ -293,10 +293,13 @@
             self._count("retries_denied", "budget")
             raise exceptions.RetryBudgetSpent()
 
-    def check_for_crash(self, context, server, exc):
-        """Check whether a server that interrupted a request has crashed."""
+    def check_for_crash(self, context, server, exc, was_silent=False):
+        """Check whether a server that interrupted a request has crashed.
+
+        :param was_silent: whether it was left because it was silent.
+        """
         if isinstance(exc, _INTERRUPTION_ERRORS):
-            self._gateway.crashes.interrupted(server, context)
+            self._gateway.crashes.interrupted(server, context, was_silent)
 
 
 def correct_outcome(exc, context):
--- a/src/coltsfootsail/_stream_moves.py
+++ b/src/coltsfootsail/_stream_moves.py
@@ -168,6 +168,10 @@
         self.target = None
         self.is_unreachable = False
 
+    def has_moved(self):
+        """Tell whether the run was given up for another one."""
+        return self.scope.cancelled_caught and self.target is not None
+
     async def run(self):
         """Look for a move in each silence until one is made."""
         while not self.scope.cancel_called:
--- a/src/coltsfootsail/_streams.py
+++ b/src/coltsfootsail/_streams.py
@@ -350,7 +350,9 @@
         except exceptions.EndpointNotRun:
             raise
         except exceptions.ColtsfootsailError as exc:
-            self._send_policy.check_for_crash(context, server, exc)
+            self._send_policy.check_for_crash(
+                context, server, exc, mover.has_moved()
+            )
             context.interrupted_by.add(server.name)
             context.avoided = set(context.interrupted_by)
             raise
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -503,6 +503,27 @@
     gateways.run(scenario)
 
 
+@pytest.mark.parametrize("pause_s", [2.2, 3.0, 5.0])
+def test_dark_server_that_goes_on_earns_its_request_no_strike(pause_s):
+    """Guards against requests refused because their server was paused."""
+
+    async def scenario(fleet):
+        await _add_resumable_route(fleet)
+
+        async def cut(engine):
+            _cut_off(fleet, engine)
+            await trio.sleep(pause_s)
+            fleet.net.heal()
+
+        reply = await _call_stream(fleet, cut)
+        assert reply.whole and reply.body == EVENTS
+        await trio.sleep(3.0)
+        for gateway in fleet.gateways.values():
+            assert "strikes" not in gateway.metrics.counter_totals()
+
+    gateways.run(scenario)
+
+
 def test_stream_of_a_server_that_is_gone_ends_if_it_cannot_be_moved():
     """Without a registration and a connection it is not only silent."""
 
