Leave a silent plain server only for an attempt that may be sent

Callers of requests that may be repeated got a 504 half-way to their deadline when a server was silent for that long, although it would have answered in time: the first attempt was cancelled after half of the remaining time, and only then was it found that the retry budget, the route's attempts or another server was missing. Without another server, an answer that took more than half of the time was never received, since the second attempt began anew.

Now the first attempt goes on until the request's time is up. After half of the time, and every 0.25 s from then on, a node looks for another attempt: at a server that the request was not sent to and that has itself been silent for at most half as long, or through another node if this one is cut off. The first one is left only when that attempt has its grant and its retry. A request whose time is up is no longer held for the check of its server.

Of the tests, those without a retry, without another server, and with a retry that is allowed later failed before (504); those of a limited other server, a hung server and a cut link passed before and after.

--- a/src/coltsfootsail/_plain.py
+++ b/src/coltsfootsail/_plain.py
@@ -5,6 +5,8 @@
 """
 
 import contextlib
+import dataclasses
+import functools
 
 import trio
 
@@ -12,11 +14,15 @@
 from coltsfootsail import _logs
 from coltsfootsail import _reach
 from coltsfootsail import _request_context
+from coltsfootsail import _tasks
 from coltsfootsail import _upstream
 from coltsfootsail import exceptions
 
-# Share of the remaining time for an attempt that another may follow.
+# Share of the remaining time after which an attempt may be left for another.
 FIRST_ATTEMPT_SHARE = 0.5
+MOVE_CHECK_S = 0.25  # between looks for another server to move to
+# Longest silence of a server to move to, as a share of that of the first.
+MOVE_SILENCE_SHARE = 0.5
 # For a grant at a limited server while others may take the request.
 GRANT_AT_ONCE_S = 0.05
 _FINAL_ERRORS = (
@@ -26,6 +32,21 @@
 )
 
 
+@dataclasses.dataclass(slots=True)
+class _Attempt:
+    """A send to a server that has been granted and authorized.
+
+    :param stack: holds the grant.
+    :param scope: cancels the send when another attempt takes its place.
+    :param successor: that attempt, None if there is none.
+    """
+
+    server: object
+    stack: contextlib.AsyncExitStack
+    scope: trio.CancelScope
+    successor: object = None
+
+
 class PlainServiceForwarder:
     """Sends requests to the servers of plain services.
 
@@ -65,6 +86,8 @@
                     break
                 if isinstance(exc, _FINAL_ERRORS):
                     break
+                if self._is_time_up(context):
+                    break
                 await self._gateway.crashes.wait_until_checked(context)
                 continue
             response = latest
@@ -74,20 +97,52 @@
             return response
         raise _request_context.correct_outcome(error, context)
 
+    def _is_time_up(self, context):
+        margin_s = _request_context.ANSWER_MARGIN_S
+        return self._left_s(context.until_s) <= margin_s
+
     async def _attempt(self, context):
+        """Send a request, also to further servers if the first is silent.
+
+        :returns: an ``UpstreamResponse``.
+        """
+        return await self._send_or_move(context, await self._prepare(context))
+
+    async def _send_or_move(self, context, attempt):
+        try:
+            async with attempt.stack:
+                return await self._send(context, attempt)
+        except exceptions.ColtsfootsailError as exc:
+            successor, attempt.successor = attempt.successor, None
+            if successor is None:
+                raise
+            self._count("retries", exc.code, labels=context.labels)
+            return await self._send_or_move(context, successor)
+        finally:
+            if attempt.successor is not None:
+                await attempt.successor.stack.aclose()
+
+    def _usable_servers(self, context):
         gateway = self._gateway
-        servers = [
+        return [
             server
             for server in gateway.states.available_servers(context.service)
             if not gateway.states.busy_s(server.name)
             and gateway.reach.is_usable(server.name)
         ]
+
+    async def _prepare(self, context):
+        """Choose a server, and get all that a send to it needs.
+
+        :returns: an ``_Attempt``.
+        """
+        gateway = self._gateway
+        servers = self._usable_servers(context)
         candidates = [s for s in servers if s.name not in context.limited]
         server = gateway.balancer.choose(candidates, context.tried)
         if server is not None:
             until_s = self._now() + GRANT_AT_ONCE_S
-            async with self._granted(context, server, until_s):
-                return await self._send(context, server)
+            return await self._authorize(context, server, until_s)
         if context.limited and not context.waited_for_limit:
             context.waited_for_limit = True
             server = min(
@@ -100,8 +155,74 @@
             raise context.no_endpoint(
                 reason, gateway.states.soonest_s(context.service)
             )
-        async with self._granted(context, server, context.until_s):
-            return await self._send(context, server)
+        return await self._authorize(context, server, context.until_s)
+
+    async def _authorize(self, context, server, until_s):
+        """Get a grant and the permission for a send to a server.
+
+        :param until_s: when the request for the grant expires.
+        :returns: an ``_Attempt``.
+        """
+        async with contextlib.AsyncExitStack() as stack:
+            await stack.enter_async_context(
+                self._granted(context, server, until_s)
+            )
+            self._send_policy.remaining_s(context)
+            self._send_policy.authorize_send(context, server)
+            return _Attempt(server, stack.pop_all(), trio.CancelScope())
+
+    async def _move_when_silent(self, context, attempt):
+        """Let another attempt take the place of one that is silent.
+
+        The server may still answer, so the attempt goes on until the other
+        one may be sent.
+        """
+        begun_s = self._now()
+        left_s = self._left_s(context.until_s)
+        await trio.sleep(FIRST_ATTEMPT_SHARE * left_s)
+        while attempt.successor is None:
+            silence_s = MOVE_SILENCE_SHARE * (self._now() - begun_s)
+            attempt.successor = await self._prepare_move(context, silence_s)
+            if attempt.successor is None:
+                await trio.sleep(MOVE_CHECK_S)
+        attempt.scope.cancel()
+
+    async def _prepare_move(self, context, silence_s):
+        """Prepare an attempt that may take the place of a silent one.
+
+        :param silence_s: longest silence of its server.
+        :returns: an ``_Attempt``, or None if there can be none now.
+        """
+        gateway = self._gateway
+        servers = [
+            server
+            for server in self._usable_servers(context)
+            if server.name not in context.limited
+            and self._is_better(context, server, silence_s)
+        ]
+        server = gateway.balancer.choose(servers, context.tried)
+        if server is None or not gateway.retry_budget.allows(context.service):
+            return None
+        until_s = self._now() + GRANT_AT_ONCE_S
+        try:
+            return await self._authorize(context, server, until_s)
+        except exceptions.ColtsfootsailError as exc:
+            _logs.detail(
+                "move_refused",
+                id=context.meta.request_id,
+                server=server.name,
+                code=exc.code,
+                why=exc.detail,
+            )
+            return None
+
+    def _is_better(self, context, server, silence_s):
+        """Tell whether a server may answer sooner than the silent one."""
+        reach = self._gateway.reach
+        if reach.is_cut_off(server.name):
+            return True
+        is_new = server.name not in context.may_have_run
+        return is_new and reach.silence_s(server.name) <= silence_s
 
     @contextlib.asynccontextmanager
     async def _granted(self, context, server, until_s):
@@ -147,15 +268,9 @@
     def _left_s(self, until_s):
         return max(0.0, until_s - self._now())
 
-    async def _send(self, context, server):
+    async def _send(self, context, attempt):
         gateway = self._gateway
-        remaining_s = self._send_policy.remaining_s(context)
-        if (
-            context.route.repeatable
-            and context.sends + 1 < context.route.attempts
-        ):
-            remaining_s = remaining_s * FIRST_ATTEMPT_SHARE
-        self._send_policy.authorize_send(context, server)
+        server = attempt.server
         balancer = gateway.balancer
         balancer.begin(server)
         failed = None
@@ -170,9 +285,7 @@
                 closed=gateway.states.describe_closed(context.service),
             )
             with context.sending_to(server):
-                response = await gateway.upstream.fetch(
-                    server, request, remaining_s, context.account
-                )
+                response = await self._fetch(context, attempt, request)
                 failed = response.status >= 500
                 if not context.route.repeatable:
                     _upstream.check_no_false_promise(response.status)
@@ -190,3 +303,26 @@
             raise
         finally:
             balancer.end(server, failed)
+
+    async def _fetch(self, context, attempt, request):
+        """Send a request until it is answered or moves to another server.
+
+        :raises EndpointSilent: if it moves, or its time is up.
+        """
+        may_move = (
+            context.route.repeatable and context.sends < context.route.attempts
+        )
+        fetch = functools.partial(
+            self._gateway.upstream.fetch,
+            attempt.server,
+            request,
+            self._send_policy.remaining_s(context),
+            context.account,
+        )
+        if not may_move:
+            return await fetch()
+        with attempt.scope:
+            return await _tasks.run_with_background(
+                self._move_when_silent, fetch, context, attempt
+            )
+        raise exceptions.EndpointSilent("moved to another server")
--- a/src/coltsfootsail/_reach.py
+++ b/src/coltsfootsail/_reach.py
@@ -56,10 +56,12 @@
 class _Silence:
     """The silence of a server that was sent a request.
 
+    :param begun_s: when the request was sent.
     :param check_at_s: when to try it.
     :param wait_s: how long was waited for that.
     """
 
+    begun_s: float
     check_at_s: float
     wait_s: float = SILENCE_S
 
@@ -106,8 +108,14 @@
     def note_sent(self, server_name):
         """Note that a request is sent to a server on a connection."""
         if server_name not in self._silences:
-            check_at_s = self._now() + SILENCE_S
-            self._silences[server_name] = _Silence(check_at_s)
+            now_s = self._now()
+            silence = _Silence(now_s, now_s + SILENCE_S)
+            self._silences[server_name] = silence
+
+    def silence_s(self, server_name):
+        """Get for how long a server has left all requests unanswered."""
+        silence = self._silences.get(server_name)
+        return 0.0 if silence is None else self._now() - silence.begun_s
 
     def note_contact(self, server_name):
         """Note that a server has just answered a request."""
--- a/src/coltsfootsail/_retries.py
+++ b/src/coltsfootsail/_retries.py
@@ -134,15 +134,19 @@
             total -= self._bounds.ratio * slot.requests
         return most, total
 
+    def allows(self, service):
+        """Tell whether a retry for a service could be taken now."""
+        extra = self._extra()
+        self._slot(service)
+        most, whole = self._needed(service)
+        return most <= max(1.0, extra) + ROUNDING and whole <= extra + ROUNDING
+
     def spend(self, service):
         """Take a retry for a service.
 
         :returns: whether the budget allowed it.
         """
-        slot = self._slot(service)
-        extra = self._extra()
-        most, whole = self._needed(service)
-        if most > max(1.0, extra) + ROUNDING or whole > extra + ROUNDING:
+        if not self.allows(service):
             return False
-        slot.retries += 1
+        self._slot(service).retries += 1
         return True
--- /dev/null
+++ b/tests/test_silent_peers.py
@@ -0,0 +1,140 @@
+"""Sound servers, nodes and stores that are silent for a while and go on.
+
+Their silence may move a request; it ends and refuses none.
+"""
+
+import pytest
+import trio
+
+from coltsfootsail import _retries
+from coltsfootsail.standins import network as memory
+from tests import gateways
+
+NO_RETRIES = _retries.WindowBounds(ratio=0.0, extra=0.0, window_s=10.0)
+
+
+def _spend_retries(fleet):
+    """Leave no node a retry."""
+    for gateway in fleet.gateways.values():
+        gateway.retry_budget.set_bounds(NO_RETRIES)
+        gateway.retry_budget.spend("shop")
+
+
+async def _resume_after(fleet, hosts, pause_s):
+    """Pause hosts, and let them go on later."""
+    for host in hosts:
+        fleet.net.pause(host)
+    await trio.sleep(pause_s)
+    for host in hosts:
+        fleet.net.resume(host)
+
+
+def test_plain_request_without_a_retry_waits_for_its_silent_server():
+    async def scenario(fleet):
+        _spend_retries(fleet)
+        for number in range(4):
+            fleet.nursery.start_soon(_resume_after, fleet, ["s0", "s1"], 2.0)
+            reply = await fleet.call("/stock/9", request_id=f"r{number}")
+            assert reply.status == 200
+        assert sum(each.arrivals for each in fleet.shop_servers) == 4
+
+    gateways.run(scenario)
+
+
+def test_plain_request_without_another_server_waits_for_its_own():
+    async def scenario(fleet):
+        fleet.store.drop("servers/i-s1")
+        await trio.sleep(1.0)
+        fleet.shop_servers[0].work_s = 1.8
+        fleet.nursery.start_soon(_resume_after, fleet, ["s0"], 0.5)
+        assert (await fleet.call("/stock/9")).status == 200
+        assert fleet.shop_servers[0].arrivals == 1
+
+    gateways.run(scenario)
+
+
+@pytest.mark.parametrize("limit", ["0", "0.3"])
+def test_plain_request_without_a_grant_elsewhere_waits_for_its_server(limit):
+    async def scenario(fleet):
+        silent, other = fleet.shop_servers
+        other.limit = limit
+        for number in range(6):
+            await fleet.call("/stock/9", request_id=f"w{number}")
+        fleet.nursery.start_soon(_resume_after, fleet, ["s0"], 2.0)
+        replies = []
+
+        async def send(number):
+            reply = await fleet.call("/stock/9", request_id=f"r{number}")
+            replies.append(reply.status)
+
+        async with trio.open_nursery() as nursery:
+            for number in range(6):
+                nursery.start_soon(send, number)
+        assert replies == [200] * 6
+
+    gateways.run(scenario)
+
+
+def test_plain_request_moves_on_as_soon_as_it_may():
+    async def scenario(fleet):
+        _spend_retries(fleet)
+        fleet.net.pause("s0")
+        fleet.net.pause("s1")
+
+        async def allow():
+            await trio.sleep(2.0)
+            fleet.net.resume("s1")
+            for gateway in fleet.gateways.values():
+                gateway.retry_budget.set_bounds(
+                    _retries.WindowBounds(1.0, 58.0, 0.5)
+                )
+
+        fleet.nursery.start_soon(allow)
+        replies = []
+
+        async def send(number):
+            reply = await fleet.call("/stock/9", request_id=f"r{number}")
+            replies.append(reply.status)
+
+        async with trio.open_nursery() as nursery:
+            for number in range(6):
+                nursery.start_soon(send, number)
+        assert replies == [200] * 6
+
+    gateways.run(scenario)
+
+
+def test_plain_request_leaves_a_silent_server_for_another_that_is_allowed():
+    async def scenario(fleet):
+        fleet.net.pause("s0")
+        for number in range(6):
+            begun_s = trio.current_time()
+            reply = await fleet.call("/stock/9", request_id=f"r{number}")
+            assert reply.status == 200
+            assert trio.current_time() - begun_s < 2.0
+
+    gateways.run(scenario)
+
+
+def test_plain_request_to_a_hung_server_is_answered_in_its_time():
+    async def scenario(fleet):
+        _spend_retries(fleet)
+        fleet.net.pause("s0")
+        fleet.net.pause("s1")
+        begun_s = trio.current_time()
+        reply = await fleet.call("/stock/9", deadline_ms=2000)
+        assert reply.status == 504
+        assert trio.current_time() - begun_s <= 2.0
+
+    gateways.run(scenario)
+
+
+def test_plain_request_goes_through_another_node_to_its_only_server():
+    async def scenario(fleet):
+        fleet.store.drop("servers/i-s1")
+        await fleet.call("/stock/9")
+        await trio.sleep(1.0)
+        fleet.net.cut("g0", "s0", memory.LinkFault.SILENT)
+        assert (await fleet.call("/stock/9", request_id="r2")).status == 200
+
+    gateways.run(scenario)
