Give a node that sends through another one longer for its first message

A request that a cut-off node sent through another node was answered with 502 ("the answer of a node broke off") when its bytes arrived more than a second after the connection, because a node or the link between the two was silent: the other node closes a connection that has brought no message for a second. The request had run nowhere, but the first node could not know that.

The first message now has 5 s, as the rest of such a request has.

The test failed before (502 instead of 200).

--- a/src/coltsfootsail/_peers.py
+++ b/src/coltsfootsail/_peers.py
@@ -15,7 +15,7 @@
 from coltsfootsail import exceptions
 from coltsfootsail import platform
 
-HELLO_TIMEOUT_S = 1.0
+HELLO_TIMEOUT_S = 5.0
 MESH_PACE = _mesh.MeshPace(
     silence_s=2.5, redial_s=0.4, idle_per_link_s=0.1, watched_max=4
 )
--- a/tests/test_silent_peers.py
+++ b/tests/test_silent_peers.py
@@ -138,3 +138,15 @@
         assert (await fleet.call("/stock/9", request_id="r2")).status == 200
 
     gateways.run(scenario)
+
+
+def test_request_through_a_node_that_falls_silent_is_answered():
+    async def scenario(fleet):
+        for host in ("s0", "s1"):
+            fleet.net.cut("g0", host, memory.LinkFault.REFUSED)
+        await fleet.call("/stock/9", request_id="r0")
+        await trio.sleep(2.0)
+        fleet.nursery.start_soon(_resume_after, fleet, ["g1"], 1.8)
+        assert (await fleet.call("/orders/9")).status == 200
+
+    gateways.run(scenario, nodes=2)
