Count a silent server as crashed only if it stays out of reach

Callers got 422 for sound contents after the hosts of three servers had been paused while they ran them: a request whose time ran out was checked for a crash, and a paused host accepts no connection for 0.5 s, as seen from the witnesses too, so that each pause counted as a strike and three of them refused the content on every node.

An interruption by silence alone is now checked again for 5 s, and counts only if the server accepts no connection all the while or loses its registration. A connection that breaks still counts at once, as that of a process that ends does. A host that loses power, with no broken connection, and whose server is back at the same address within 5 s is no longer found.

The network in memory gets hosts that accept no connections.

--- a/src/coltsfootsail/_crashes.py
+++ b/src/coltsfootsail/_crashes.py
@@ -26,6 +26,9 @@
 # A server that starts again under its name within this time after it broke
 # off a request has crashed, although it accepts connections.
 RESTART_NOTICE_S = 10.0
+# A silent server that accepts no connection may be on a host that is paused.
+SILENCE_MAX_S = 5.0  # after which it counts as crashed
+SILENCE_RECHECK_S = 0.5
 TRIAL_TURN_S = 5.0  # in which one node may try a blamed part
 TRIAL_RETRY_S = 1.0  # for callers of other nodes meanwhile
 
@@ -109,14 +112,15 @@
         for part in parts:
             del self._trials[part]
 
-    def interrupted(self, server, context):
+    def interrupted(self, server, context, was_silent=False):
         """Check in the background whether a request crashed its server.
 
         :param server: the ``Server`` that ran it.
         :param context: the request's ``RequestContext``.
+        :param was_silent: whether the server only did not answer in time.
         """
         context.crash_checked = trio.Event()
-        self._tasks.start_soon(self._investigate, server, context)
+        self._tasks.start_soon(self._investigate, server, context, was_silent)
 
     async def wait_until_checked(self, context):
         """Wait until it is known whether a request crashed its last server."""
@@ -124,9 +128,11 @@
             with trio.move_on_after(CHECK_WAIT_S):
                 await context.crash_checked.wait()
 
-    async def _investigate(self, server, context):
+    async def _investigate(self, server, context, was_silent):
         try:
             finding = await self._checks.check(server)
+            if was_silent and finding is _crash_checks.Finding.CRASHED:
+                finding = await self._check_again(server)
             _logs.detail(
                 "crash_checked",
                 id=context.meta.request_id,
@@ -141,6 +147,22 @@
         finally:
             context.crash_checked.set()
 
+    async def _check_again(self, server):
+        """Check for a while whether a server stays out of reach.
+
+        :returns: a ``Finding``.
+        """
+        until_s = self._now() + SILENCE_MAX_S
+        finding = _crash_checks.Finding.CRASHED
+        while (
+            finding is _crash_checks.Finding.CRASHED
+            and self._now() < until_s
+            and server.name in self._view.servers
+        ):
+            await trio.sleep(SILENCE_RECHECK_S)
+            finding = await self._checks.check(server)
+        return finding
+
     def _note_interruption(self, server, context):
         """Remember a request whose server may turn out to have restarted."""
         now_s = self._now()
--- a/src/coltsfootsail/_request_context.py
+++ b/src/coltsfootsail/_request_context.py
@@ -254,7 +254,8 @@
     def check_for_crash(self, context, server, exc):
         """Check whether a server that interrupted a request has crashed."""
         if isinstance(exc, _INTERRUPTION_ERRORS):
-            self._gateway.crashes.interrupted(server, context)
+            was_silent = isinstance(exc, exceptions.EndpointSilent)
+            self._gateway.crashes.interrupted(server, context, was_silent)
 
 
 def correct_outcome(exc, context):
--- a/src/coltsfootsail/standins/network.py
+++ b/src/coltsfootsail/standins/network.py
@@ -147,6 +147,7 @@
         self._handlers = {}
         self._faults = {}
         self._paused = set()
+        self._frozen = set()
         self._pipes = []
         self._hosts_changed = trio.Event()
         self.connects = collections.Counter()
@@ -180,9 +181,15 @@
         """Stop all input and output of a host."""
         self._paused.add(host)
 
+    def freeze(self, host):
+        """Pause a host that accepts no connections meanwhile."""
+        self.pause(host)
+        self._frozen.add(host)
+
     def resume(self, host):
         """Resume a paused host."""
         self._paused.discard(host)
+        self._frozen.discard(host)
         self._wake_all()
 
     def set_fault(self, source, target, fault):
@@ -244,6 +251,7 @@
         await trio.lowlevel.checkpoint()
         target = address.rpartition(":")[0]
         self.connects[address] += 1
+        await self._wait_thawed(target, address)
         outward_fault = self._faults.get((host, target), LinkFault.NONE)
         return_fault = self._faults.get((target, host), LinkFault.NONE)
         if LinkFault.SILENT in (outward_fault, return_fault):
@@ -266,6 +274,17 @@
         nursery.start_soon(self._run, handler, remote)
         return MemoryStream(self, inbound, outbound)
 
+    async def _wait_thawed(self, host, address):
+        """Wait until a host accepts connections.
+
+        :raises TimeoutError: if it takes too long.
+        """
+        with trio.move_on_after(_net.CONNECT_TIMEOUT_S):
+            while host in self._frozen:
+                await self._hosts_changed.wait()
+            return
+        raise TimeoutError(address)
+
     @staticmethod
     async def _run(handler, stream):
         async with stream:
--- a/tests/test_silent_peers.py
+++ b/tests/test_silent_peers.py
@@ -150,3 +150,51 @@
         assert (await fleet.call("/orders/9")).status == 200
 
     gateways.run(scenario, nodes=2)
+
+
+async def _call_under_freezes(fleet, path, calls, freeze_s):
+    """Send a content again and again, and freeze its servers meanwhile."""
+    hosts = ("s0", "s1")
+
+    async def freeze():
+        await trio.sleep(0.01)
+        for host in hosts:
+            fleet.net.freeze(host)
+
+    replies = []
+    for number in range(calls):
+        fleet.nursery.start_soon(freeze)
+        reply = await fleet.call(
+            path,
+            fleet.names[number % 3],
+            request_id=f"r{number}",
+            deadline_ms=1000,
+        )
+        replies.append(reply.status)
+        await trio.sleep(freeze_s - 1.0)
+        for host in hosts:
+            fleet.net.resume(host)
+        await trio.sleep(1.0)
+    return replies
+
+
+@pytest.mark.parametrize("freeze_s", [1.3, 2.5, 3.5])
+@pytest.mark.parametrize("path", ["/orders/9", "/stock/9"])
+def test_content_is_not_refused_because_hosts_of_servers_freeze(
+    path, freeze_s
+):
+    async def scenario(fleet):
+        replies = await _call_under_freezes(fleet, path, 6, freeze_s)
+        assert replies == [504] * 6
+        for gateway in fleet.gateways.values():
+            assert "strikes" not in gateway.metrics.counter_totals()
+
+    gateways.run(scenario, nodes=3)
+
+
+def test_content_that_silences_servers_for_long_is_refused():
+    async def scenario(fleet):
+        replies = await _call_under_freezes(fleet, "/orders/9", 4, 9.0)
+        assert replies == [504, 504, 504, 422]
+
+    gateways.run(scenario, nodes=3)
