Wait for a silent server to read a large request

A request larger than what the kernels of both ends take in was broken off when its server read nothing for a little over 2 s: TCP_USER_TIMEOUT, 2 s at gateways, also runs while the far end has no room for more bytes. A caller of a request that may not be repeated got a 502, though the server would have gone on.

A request of more than 64 KiB now has 10 s while it waits for the head of its answer; the connection has its own limit again afterwards. Smaller requests to a host that is gone still fail after 2 s.

The test, on real sockets with a limit of 0.3 s and a silence of 1.5 s, failed before. Large answers to callers that read nothing, and large requests through other nodes, still have the 2 s.

--- a/src/coltsfootsail/_http_client.py
+++ b/src/coltsfootsail/_http_client.py
@@ -16,6 +16,7 @@
 
 from coltsfootsail import _answer_memory
 from coltsfootsail import _http_messages
+from coltsfootsail import _net
 from coltsfootsail import _tasks
 
 POOL_IDLE_MAX = 64
@@ -97,9 +98,10 @@
                 status = await self.read_head()
             raise _http_messages.AnswerTooLarge("answers to other requests")
 
-        return await _tasks.run_with_background(
-            self._send_ignoring_errors, read, data
-        )
+        with _net.allow_unread(self._stream, len(data)):
+            return await _tasks.run_with_background(
+                self._send_ignoring_errors, read, data
+            )
 
     async def _send_ignoring_errors(self, data):
         self._request_incomplete = True
--- a/src/coltsfootsail/_net.py
+++ b/src/coltsfootsail/_net.py
@@ -5,6 +5,7 @@
 """
 
 import collections.abc
+import contextlib
 import dataclasses
 import errno
 import socket
@@ -18,6 +19,8 @@
 
 CONNECT_TIMEOUT_S = 2.0
 UNACKED_TIMEOUT_MS = 10_000
+UNREAD_BYTES = 65_536  # that a host takes in for a process that is silent
+UNREAD_TIMEOUT_MS = 10_000  # for more than that
 BACKLOG = 1024
 # When resources are exhausted, accepting pauses instead of failing.
 ACCEPT_PAUSE_S = 0.1
@@ -100,6 +103,28 @@
         stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
 
 
+@contextlib.contextmanager
+def allow_unread(stream, size_bytes):
+    """Wait longer for a far end that may leave a part of a message unread.
+
+    The timeout for unacknowledged bytes also runs while the far end has no
+    room for more, which a silent process has not.
+
+    :param stream: a stream; one that is no TCP connection is left as it is.
+    :param size_bytes: size of the message.
+    """
+    is_tcp = isinstance(stream, trio.SocketStream)
+    if not is_tcp or size_bytes <= UNREAD_BYTES:
+        yield
+        return
+    before_ms = stream.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
+    _set_user_timeout(stream, max(before_ms, UNREAD_TIMEOUT_MS))
+    try:
+        yield
+    finally:
+        _set_user_timeout(stream, before_ms)
+
+
 async def _open_tcp(address, connect_timeout_s, unacked_timeout_ms):
     try:
         host, port = split_address(address)
--- a/tests/test_silent_peers.py
+++ b/tests/test_silent_peers.py
@@ -3,13 +3,19 @@
 Their silence may move a request; it ends and refuses none.
 """
 
+import socket
+
 import pytest
 import trio
 
+from coltsfootsail import _http
+from coltsfootsail import _http_client
+from coltsfootsail import _net
 from coltsfootsail import _retries
 from coltsfootsail.standins import network as memory
 from tests import gateways
 
+SERVER_LIMITS = _http.HttpLimits(body_bytes=16_777_216)
 NO_RETRIES = _retries.WindowBounds(ratio=0.0, extra=0.0, window_s=10.0)
 
 
@@ -198,3 +204,37 @@
         assert replies == [504, 504, 504, 422]
 
     gateways.run(scenario, nodes=3)
+
+
+def test_large_request_to_a_server_that_reads_nothing_for_a_while_is_whole():
+    timeouts_ms = []
+    body = bytes(8_000_000)
+
+    async def serve(stream):
+        await trio.sleep(1.5)
+        await _http.serve_connection(stream, SERVER_LIMITS, answer)
+
+    async def answer(req, resp):
+        await resp.reply(200, str(len(req.body)).encode())
+
+    async def main():
+        network = _net.tcp_network(unacked_timeout_ms=300)
+        client = _http_client.HttpClient(network)
+        async with trio.open_nursery() as nursery:
+            address = await nursery.start(network.serve, "127.0.0.1:0", serve)
+            async with client.exchange(address) as exchange:
+                fields = [("host", address)]
+                await exchange.request(
+                    "POST", "/", fields, body, lambda each: True
+                )
+                assert await exchange.read_body(100) == b"8000000"
+                stream, _, _ = exchange.connection()
+                timeouts_ms.append(
+                    stream.getsockopt(
+                        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT
+                    )
+                )
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
+    assert timeouts_ms == [300]
