--- a/src/coltsfootsail/_request_context.py
+++ b/src/coltsfootsail/_request_context.py
@@ -293,12 +293,10 @@
             self._count("retries_denied", "budget")
             raise exceptions.RetryBudgetSpent()
 
-    def check_for_crash(self, context, server, exc, was_silent=False):
-        """Check whether a server that interrupted a request has crashed.
-
-        :param was_silent: whether it was left because it was silent.
-        """
+    def check_for_crash(self, context, server, exc):
+        """Check whether a server that interrupted a request has crashed."""
         if isinstance(exc, _INTERRUPTION_ERRORS):
+            was_silent = isinstance(exc, exceptions.EndpointSilent)
             self._gateway.crashes.interrupted(server, context, was_silent)
 
 
