Let the soak pause sound servers, and find what nodes lose beside them

The soak had no rule for a request that a node ends by itself without a planned stop, no pauses that excuse nothing, and streams of 0.4 s on routes of 3 s, so that hardly one met a pause, and its route's timeout ended it first.

None of these pauses and changes excuses anything. LOST finds requests that were read and have no complete answer with no other fault about, before the deadline and the route's timeout, unless their server broke off or all nodes are being stopped at the end. CUT leaves out, as the users' rules do, requests whose time was up, and those cut in the last sixth of the grace period and sent within 3 s of the signal.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -24,6 +24,7 @@
 CHECK_S = 2.0
 LIMIT_PAUSE_S = 15.0  # mean pause between the limits of a server
 MEMORY_INTERVAL_S = 0.2
+PAUSERS = 3  # that pause one sound server each at a time
 SETTLE_S = 3.0  # without new faults, before the nodes are stopped
 
 
@@ -42,13 +43,17 @@
             direct,
             options.poison_share,
             systems.KEYS if options.keys else ("",),
+            options.route_timeout_s,
         ):
             nursery.start_soon(caller.run, options.pause_s)
         if options.keys:
             nursery.start_soon(_revoke_key, system, writer, options)
+        if options.changes:
+            nursery.start_soon(faults.change_configuration, system, writer)
         nursery.start_soon(_record_memory, system, writer)
         await _play_faults(system, options, rng, writer)
         await trio.sleep(SETTLE_S)
+        writer.write(records.Stop(records.now_s()))
         for node in systems.NODES:
             system.signal(node, signal.SIGTERM)
         for node in systems.NODES:
@@ -80,6 +85,15 @@
         async with trio.open_nursery() as nursery:
             busy = set()
             nursery.start_soon(faults.restart_crashed, system, writer, busy)
+            for number in range(PAUSERS if options.server_pause_s else 0):
+                nursery.start_soon(
+                    faults.pause_servers,
+                    system,
+                    random.Random(f"{options.seed}/pauses/{number}"),
+                    writer,
+                    busy,
+                    options.server_pause_s,
+                )
             for _ in range(options.series):
                 series_rng = random.Random(rng.random())
                 nursery.start_soon(
@@ -122,6 +136,9 @@
         has_proxies=not options.poison_share,
         brittle=options.brittle,
         has_keys=options.keys,
+        retry_extra=options.retry_extra,
+        route_timeout_s=options.route_timeout_s,
+        event_s=options.event_s,
     )
     async with trio.open_nursery() as nursery:
         nursery.start_soon(_end_on_sigterm)
@@ -178,6 +195,35 @@
     parser.add_argument(
         "--keys", action="store_true", help="need keys, and revoke one"
     )
+    parser.add_argument(
+        "--server-pauses",
+        type=float,
+        default=0.0,
+        dest="server_pause_s",
+        help="mean time between pauses of sound servers, 0 for none",
+    )
+    parser.add_argument(
+        "--changes",
+        action="store_true",
+        help="write new versions of the configuration",
+    )
+    parser.add_argument(
+        "--retry-extra", type=float, default=systems.RETRY_EXTRA
+    )
+    parser.add_argument(
+        "--route-timeout",
+        type=float,
+        default=0.0,
+        dest="route_timeout_s",
+        help="timeout of all routes, 0 for those of the configuration",
+    )
+    parser.add_argument(
+        "--event",
+        type=float,
+        default=systems.EVENT_S,
+        dest="event_s",
+        help="time that an engine takes for an event",
+    )
     parser.add_argument("--keep", action="store_true")
     parser.add_argument(
         "--build", default="", help="commit that nodes may run as well"
--- a/tests/soak/answers.py
+++ b/tests/soak/answers.py
@@ -45,6 +45,8 @@
         self.limit_per_s = None
         self.leaving = False
         self.retry_after_s = None
+        self.speaking = trio.Event()
+        self.speaking.set()
         self.brittle = 0
         self._full_s = []
         self.running = set()
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -47,6 +47,8 @@
     :param versions: of the software that wrote the events that the caller
         has, over all its attempts.
     :param key: the caller's key, empty for none.
+    :param due_s: when its deadline or its route's timeout ends it, 0 if it
+        was not sent.
     """
 
     at_s: float
@@ -60,6 +62,7 @@
     sent_s: float = 0.0
     versions: tuple = ()
     key: str = ""
+    due_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -70,6 +73,13 @@
     key: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Stop:
+    """All nodes are asked to stop, since the soak ends."""
+
+    at_s: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Fault:
     """A fault was applied until ``until_s``.
@@ -170,6 +180,7 @@
         RunEnd,
         Result,
         Revocation,
+        Stop,
         Fault,
         Order,
         Limit,
--- a/tests/soak/unsafe_node.py
+++ b/tests/soak/unsafe_node.py
@@ -101,6 +101,15 @@
     _limited_servers.LimitedServers.needs_grant = lambda self, name: False
 
 
+def _leave_silent_servers():
+    send = _upstream.UpstreamClient.send
+
+    async def send_briefly(self, server, request, timeout_s, *arguments):
+        await send(self, server, request, SILENCE_S, *arguments)
+
+    _upstream.UpstreamClient.send = send_briefly
+
+
 def _read_without_bound():
     _upstream.BODY_BYTES_MAX = _upstream.EVENT_BYTES_MAX = math.inf
     _answer_memory.AnswerMemory.take = lambda self, size_bytes: True
@@ -117,7 +126,10 @@
     _fleet.KeyTable.find = find_ever
 
 
+SILENCE_S = 1.0
+
 REMOVALS = {
+    "leave_silent_servers": _leave_silent_servers,
     "remember_keys": _remember_keys,
     "read_without_bound": _read_without_bound,
     "ignore_brittle": _ignore_brittle,
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -91,6 +91,80 @@
     assert rules == (["CUT"] if broken else [])
 
 
+@pytest.mark.parametrize(
+    ("at_s", "sent_s", "broken"),
+    [(5.6, 2.0, True), (5.7, 2.0, False), (5.7, 4.6, True)],
+)
+def test_checker_lets_a_stop_end_what_runs_in_the_last_of_the_grace(
+    at_s, sent_s, broken
+):
+    result = records.Result(
+        at_s, "stream", "c1", "x1", 0, "truncated", True, "g0", sent_s
+    )
+    stop = records.Fault(1.5, 6.0, "g0", "terminate")
+    rules = _rules(stop, _begin(sent_s, kind="stream"), result)
+    assert not rules
+    rules = _rules(
+        stop,
+        _begin(sent_s, kind="stream"),
+        records.RunEnd(at_s + 0.1, "a/1", "dropped"),
+        result,
+    )
+    assert rules == (["CUT"] if broken else [])
+
+
+@pytest.mark.parametrize(
+    ("what", "at_s", "fault", "broken"),
+    [
+        ("truncated", 4.0, None, True),
+        ("closed", 4.0, None, True),
+        ("answer", 4.0, None, False),
+        ("left", 4.0, None, False),
+        ("truncated", 9.9, None, False),
+        ("truncated", 4.0, records.Fault(3.0, 5.0, "a", "pause"), True),
+        ("truncated", 4.0, records.Fault(3.0, 5.0, "a", "silence"), True),
+        (
+            "truncated",
+            4.0,
+            records.Fault(3.0, 3.1, "store", "configuration"),
+            True,
+        ),
+        ("truncated", 4.0, records.Fault(3.0, 5.0, "a", "suspend"), False),
+        ("truncated", 4.0, records.Stop(3.0), False),
+        ("truncated", 4.0, records.Stop(4.5), True),
+    ],
+)
+def test_checker_finds_requests_that_nodes_end_beside_pauses(
+    what, at_s, fault, broken
+):
+    result = records.Result(
+        at_s,
+        "stream",
+        "c1",
+        "x1",
+        503 if what == "answer" else 0,
+        what,
+        True,
+        "g0",
+        2.0,
+        due_s=10.0,
+    )
+    extra = [] if fault is None else [fault]
+    end = records.RunEnd(at_s + 0.1, "a/1", "dropped")
+    rules = _rules(_begin(2.1, kind="stream"), end, result, *extra)
+    expected = {"LOST"} if broken else set()
+    assert set(rules) - {"REFUSED"} == expected
+
+
+@pytest.mark.parametrize("how", ["reset", "closed", "truncated"])
+def test_checker_blames_no_node_for_what_a_server_broke_off(how):
+    result = records.Result(
+        4.0, "stream", "c1", "x1", 0, "truncated", True, "g0", 2.0, due_s=9.0
+    )
+    end = records.RunEnd(3.9, "a/1", how)
+    assert not _rules(_begin(2.1, kind="stream"), end, result)
+
+
 @pytest.mark.parametrize(
     ("holder", "fence", "at_s", "broken"),
     [
@@ -233,6 +307,33 @@
     assert not violations, "\n".join(map(str, violations))
 
 
+SERVER_PAUSES = [
+    *["--server-pauses", "0.5", "--changes", "--route-timeout", "15"],
+    *["--event", "0.25"],
+    *["--faults", "reload", "--series", "1"],
+    *["--fault-share", "0", "--limits", "0", "--retry-extra", "0"],
+]
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_soak_of_servers_that_pause_loses_no_request(seed, tmp_path):
+    violations, summary = _play(
+        tmp_path, "25", *SERVER_PAUSES, "--seed", str(seed)
+    )
+    assert summary["result 200"] and summary["fault configuration"]
+    assert summary["fault pause"] and summary["fault silence"]
+    assert not violations, "\n".join(map(str, violations))
+
+
+def test_soak_notices_a_node_that_leaves_silent_servers(tmp_path):
+    name = "leave_silent_servers"
+    program = f"{sys.executable} -m tests.soak.unsafe_node {name}"
+    violations, _ = _play(
+        tmp_path, UNSAFE_SECONDS, *SERVER_PAUSES, "--program", program
+    )
+    assert "LOST" in {violation.rule for violation in violations}
+
+
 @pytest.mark.parametrize(
     ("name", "rule"), [("stop_at_once", "CUT"), ("take_over_at_once", "ONE")]
 )
