Let a node that stops serve until the last sixth of the grace period

A request that a node had passed on was cut off, or answered with 504, 1.2 s before the end of the grace period. What runs before its last sixth must not be: a period of 5 s has 0.83 s in that. The margin of 1.2 s lies within the last sixth of 7.2 s or more only; the known deployments have 8 s.

It now takes at most 0.15 of the period. At 8 s, that is 1.2 s as before.

--- a/src/coltsfootsail/_gateway.py
+++ b/src/coltsfootsail/_gateway.py
@@ -67,6 +67,9 @@
 # enough for them to end before the process does.
 DRAIN_ACCEPT_SHARE = 0.25
 EXIT_MARGIN_S = 1.2  # a draining node stops this long before it is killed
+# Share of the grace period that this margin may take, for short ones: what
+# runs before the last sixth must not be cut off.
+EXIT_MARGIN_SHARE = 0.15
 FINAL_ANSWERS_S = 0.3  # within it, for requests that still run then
 STRIKES_MAX = 3  # crashes after which every node refuses a content
 
@@ -79,6 +82,11 @@
     )
 
 
+def _exit_margin_s(grace_s):
+    """Get how long before the end of its grace period a node stops."""
+    return min(EXIT_MARGIN_S, EXIT_MARGIN_SHARE * grace_s)
+
+
 class Gateway:
     """The components of one gateway, and its start, reload and drain.
 
@@ -638,7 +646,7 @@
         as not run.
         """
         grace_s = self.settings.gateway.grace_s
-        stop_s = self.now() + grace_s - EXIT_MARGIN_S
+        stop_s = self.now() + grace_s - _exit_margin_s(grace_s)
         self._refuse_from_s = self.now() + DRAIN_ACCEPT_SHARE * grace_s
         self.draining = True
         _logs.state("node_draining", node=self._name)
--- a/tests/test_changes_beside_pauses.py
+++ b/tests/test_changes_beside_pauses.py
@@ -246,3 +246,40 @@
         _check_whole(replies)
 
     gateways.run(scenario)
+
+
+@pytest.mark.parametrize("grace_s", [3.0, 5.0, 8.0, 20.0])
+@pytest.mark.parametrize("path", PATHS)
+def test_stop_leaves_requests_five_sixths_of_the_grace(path, grace_s):
+    """A request that still runs then may be cut off."""
+
+    async def scenario(fleet):
+        ended_s = []
+        await _prepare(fleet)
+        for engine in fleet.engines:
+            engine.events = 2000
+        for shop in fleet.shop_servers:
+            shop.work_s = 100.0
+        fleet.store.put("op/config", _configuration(3, timeoutMs=100_000))
+        await trio.sleep(3.0)
+        gateway = fleet.gateways["g0"]
+        gateway.settings = dataclasses.replace(
+            gateway.settings,
+            gateway=dataclasses.replace(
+                gateway.settings.gateway, grace_s=grace_s
+            ),
+        )
+
+        async def call():
+            fields = {} if path in PATHS[2:] else {"adapter": "base"}
+            await fleet.call(path, deadline_ms=100_000, **fields)
+            ended_s.append(trio.current_time())
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(call)
+            await trio.sleep(BEFORE_S)
+            stopped_s = trio.current_time()
+            nursery.start_soon(gateway.drain)
+        assert 5 / 6 * grace_s <= ended_s[0] - stopped_s < grace_s
+
+    gateways.run(scenario)
