Apply new limits of the configuration to kept connections

A node read the limits for a connection when it began to wait for the next request, and the size of headers once for the whole connection. Callers may leave a connection idle for up to four fifths of the new limit, and found it closed after a second more than the old one; a request with headers that only the new limits allow was answered 431.

The limits are now read as a request begins, and again when a connection has been idle for as long as the ones before allowed.

Of the test, the cases with a longer idle time and with larger headers failed before; the one with a shorter idle time passed.

--- a/src/coltsfootsail/_http_server.py
+++ b/src/coltsfootsail/_http_server.py
@@ -168,20 +168,29 @@
             raise exceptions.BodyTooLarge(f"limit {limits.body_bytes} bytes")
 
 
+async def _receive_first(stream, get_limits):
+    """Wait for the first bytes of a request.
+
+    The limits may change meanwhile.
+
+    :returns: the bytes; none if the caller closed the connection or sent
+        nothing within ``idle_timeout_s``.
+    """
+    idle_since_s = trio.current_time()
+    while True:
+        until_s = idle_since_s + get_limits().idle_timeout_s
+        if until_s <= trio.current_time():
+            return b""
+        with trio.move_on_at(until_s):
+            return await stream.receive_some(_http_messages.RECEIVE_BYTES)
+
+
 async def _read_request(conn, stream, limits):
-    """Read one request.
+    """Read one request whose first bytes have been received.
 
-    :returns: an ``HttpRequest``, or None if the caller closed the connection
-        or sent nothing within ``idle_timeout_s``.
+    :returns: an ``HttpRequest``, or None if the caller closed the
+        connection.
     """
-    with trio.move_on_after(limits.idle_timeout_s):
-        while conn.trailing_data == (b"", False):
-            if conn.their_state is not h11.IDLE:
-                break
-            data = await stream.receive_some(_http_messages.RECEIVE_BYTES)
-            conn.receive_data(data)
-    if conn.trailing_data == (b"", False):
-        return None
     try:
         with trio.fail_after(limits.read_timeout_s):
             event = await _http_messages.next_event(conn, stream)
@@ -255,18 +264,26 @@
                 error_json(exc), exc.status, error_headers(exc)
             )
 
-    conn = h11.Connection(
-        h11.SERVER, max_incomplete_event_size=get_limits().header_bytes
-    )
     with contextlib.suppress(*_http_messages.STREAM_ERRORS, trio.TooSlowError):
-        keep_open = True
-        while keep_open:
-            keep_open = await _serve_one(
-                conn, stream, get_limits(), handle_request, on_error
+        received = b""
+        while received is not None:
+            received = received or await _receive_first(stream, get_limits)
+            if not received:
+                return
+            received = await _serve_one(
+                received, stream, get_limits(), handle_request, on_error
             )
 
 
-async def _serve_one(conn, stream, limits, handler, on_error):
+async def _serve_one(received, stream, limits, handler, on_error):
+    """Serve the request that begins with the bytes received.
+
+    :returns: the bytes received after it, or None if the connection ends.
+    """
+    conn = h11.Connection(
+        h11.SERVER, max_incomplete_event_size=limits.header_bytes
+    )
+    conn.receive_data(received)
     resp = Responder(conn, stream, limits)
     try:
         req = await _read_request(conn, stream, limits)
@@ -275,12 +292,11 @@
             on_error(exc)
         await _answer_error(conn, resp, exc)
         await _linger(stream)
-        return False
+        return None
     if req is None:
-        return False
+        return None
     await handler(req, resp)
     complete = resp.ended and conn.our_state is h11.DONE
     if not complete or conn.their_state is not h11.DONE:
-        return False
-    conn.start_next_cycle()
-    return True
+        return None
+    return conn.trailing_data[0]
--- a/tests/test_changes_beside_pauses.py
+++ b/tests/test_changes_beside_pauses.py
@@ -2,9 +2,11 @@
 
 import dataclasses
 
+import h11
 import pytest
 import trio
 
+from coltsfootsail.platform import messages
 from tests import gateways
 
 PATHS = ("/notes/1", "/prints/1", "/orders/9", "/stock/9")
@@ -283,3 +285,50 @@
         assert 5 / 6 * grace_s <= ended_s[0] - stopped_s < grace_s
 
     gateways.run(scenario)
+
+
+async def _send(stream, conn, path, request_id, pad=0):
+    """Send a request on a kept connection and read the reply."""
+    fields = [
+        ("host", gateways.HOST),
+        (messages.REQUEST_ID, request_id),
+        ("x-pad", "p" * pad),
+        ("content-length", "1"),
+    ]
+    request = h11.Request(method="POST", target=path, headers=fields)
+    events = (request, h11.Data(data=b"x"), h11.EndOfMessage())
+    await stream.send_all(b"".join(map(conn.send, events)))
+    reply = await gateways.read_reply(stream, conn)
+    conn.start_next_cycle()
+    return reply
+
+
+@pytest.mark.parametrize(
+    ("before", "after", "idle_s", "pad"),
+    [
+        ({"idleTimeoutMs": 2000}, {"idleTimeoutMs": 30_000}, 6.0, 0),
+        ({"idleTimeoutMs": 30_000}, {"idleTimeoutMs": 5000}, 4.0, 0),
+        ({"maxHeaderBytes": 1000}, {"maxHeaderBytes": 9000}, 3.0, 4000),
+    ],
+    ids=["longer_idle", "shorter_idle", "larger_headers"],
+)
+def test_kept_connections_follow_the_limits_of_a_new_configuration(
+    before, after, idle_s, pad
+):
+    async def scenario(fleet):
+        for version, limits in ((2, before), (3, after)):
+            raw = _configuration(version)
+            raw["limits"] = {**raw["limits"], **limits}
+            fleet.store.put("op/config", raw)
+            await trio.sleep(2.0)
+            if version == 2:
+                network = fleet.net.network("caller")
+                stream = await network.open_stream("g0:80")
+                conn = h11.Connection(h11.CLIENT)
+                first = await _send(stream, conn, "/orders/9", "r1")
+                assert first.status == 200
+        await trio.sleep(idle_s - 2.0)
+        reply = await _send(stream, conn, "/orders/9", "r2", pad)
+        assert reply.status == 200 and reply.whole
+
+    gateways.run(scenario)
