Read signals until a node has stopped

A node read no signal any more once it drained. Those that came meanwhile, a second SIGTERM or a SIGHUP, were delivered as the program left its receiver and ended the process: its exit status was that of the signal, though all requests had been answered and the node had logged its end.

Signals are now read until the node has stopped; further stops change nothing. The test failed before in its three cases (exit status -15 and -1) and passes; that the request was answered held before, too.

--- a/src/coltsfootsail/_daemon.py
+++ b/src/coltsfootsail/_daemon.py
@@ -65,18 +65,23 @@
 async def _run_until_signal(node, path):
     with trio.open_signal_receiver(*_SIGNALS) as signals:
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(_handle_signals, signals, node, path)
+            nursery.start_soon(_handle_signals, signals, node, path, nursery)
             await node.run()
             nursery.cancel_scope.cancel()
 
 
-async def _handle_signals(signals, node, path):
-    """Reload the settings on SIGHUP; drain and return on another signal."""
+async def _handle_signals(signals, node, path, nursery):
+    """Reload the settings on SIGHUP; drain on the first other signal.
+
+    Signals are read until the end: those left over would end the process.
+    """
+    is_draining = False
     async for signum in signals:
-        if signum != signal.SIGHUP:
-            await node.drain()
-            return
-        _reload(node, path)
+        if signum == signal.SIGHUP:
+            _reload(node, path)
+        elif not is_draining:
+            is_draining = True
+            nursery.start_soon(node.drain)
 
 
 def _reload(node, path):
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -146,6 +146,35 @@
     assert events[-1] == "node_stopped"
 
 
+@pytest.mark.parametrize(
+    "signals",
+    [
+        (signal.SIGTERM, signal.SIGHUP),
+        (signal.SIGTERM, signal.SIGTERM),
+        (signal.SIGHUP, signal.SIGTERM, signal.SIGHUP, signal.SIGHUP),
+    ],
+)
+def test_signals_during_a_stop_end_no_request(signals, with_gateway):
+    async def scenario(process, at, client, _):
+        at["stand_in"].work_s = 1.5
+        answers = []
+
+        async def send():
+            answers.append(await _send_order(client, at))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(send)
+            await trio.sleep(0.5)
+            for signum in signals:
+                process.send_signal(signum)
+                await trio.sleep(0.2)
+        assert answers == [(200, b"done:x")]
+        assert await process.wait() == 0
+
+    events = [line["message"] for line in with_gateway(scenario)]
+    assert events[-1] == "node_stopped"
+
+
 def test_node_cut_off_for_seconds_takes_no_stream_up_at_an_old_version(
     with_gateway,
 ):
