Test changes of a tenant beside silent servers

Its key revoked, the tenant removed, keys no longer needed, and a quota below what it sends: requests of all four kinds that run are answered whole while all servers are silent for 2.2 s.

--- a/tests/test_changes_beside_pauses.py
+++ b/tests/test_changes_beside_pauses.py
@@ -1,6 +1,7 @@
 """Running requests beside changes, reloads, stops and silent servers."""
 
 import dataclasses
+import functools
 
 import h11
 import pytest
@@ -95,8 +96,7 @@
     await trio.sleep(3.0)
 
 
-async def _call(fleet, path, replies, request_id="r1"):
-    fields = {}
+async def _call(fleet, path, replies, request_id="r1", **fields):
     if path in ("/notes/1", "/prints/1"):
         fields["adapter"] = "base"
     replies.append(
@@ -160,6 +160,47 @@
     gateways.run(scenario)
 
 
+def _with_tenant(version, **fields):
+    tenant = {"name": "one", "apiKeys": ["k"], **fields}
+    return {**_configuration(version), "tenants": [tenant]}
+
+
+TENANT_CHANGES = {
+    "revoke": lambda version: _with_tenant(version, apiKeys=["other"]),
+    "remove": lambda version: _with_tenant(version, name="two", apiKeys=["b"]),
+    "no_keys": _configuration,
+    "add_quota": lambda version: _with_tenant(
+        version, ratePerS=0.01, burst=0.01
+    ),
+}
+
+
+@pytest.mark.parametrize("path", PATHS)
+@pytest.mark.parametrize("change", TENANT_CHANGES)
+def test_change_of_a_tenant_beside_a_silent_server_ends_no_running_request(
+    change, path
+):
+    async def scenario(fleet):
+        replies = []
+        await _prepare(fleet)
+        fleet.store.put("op/config", _with_tenant(3))
+        await trio.sleep(3.0)
+        headers = [(messages.AUTHORIZATION, "Bearer k")]
+        async with trio.open_nursery() as nursery:
+            call = functools.partial(
+                _call, fleet, path, replies, headers=headers
+            )
+            nursery.start_soon(call)
+            await trio.sleep(BEFORE_S)
+            nursery.start_soon(_pause, fleet, _hosts(fleet))
+            fleet.store.put("op/config", TENANT_CHANGES[change](4))
+            await trio.sleep(1.5)
+            assert fleet.gateways["g0"].view.deployment.version == 4
+        _check_whole(replies)
+
+    gateways.run(scenario)
+
+
 @pytest.mark.parametrize("path", PATHS)
 def test_storm_of_changes_ends_no_running_request(path):
     async def scenario(fleet):
