--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -307,14 +307,28 @@
     assert not violations, "\n".join(map(str, violations))
 
 
-SERVER_PAUSES = [
+PAUSES = [
     *["--server-pauses", "0.5", "--changes", "--route-timeout", "15"],
-    *["--event", "0.25"],
+    *["--event", "0.25", "--retry-extra", "0"],
+]
+SERVER_PAUSES = [
+    *PAUSES,
     *["--faults", "reload", "--series", "1"],
-    *["--fault-share", "0", "--limits", "0", "--retry-extra", "0"],
+    *["--fault-share", "0", "--limits", "0"],
 ]
 
 
+@pytest.mark.parametrize("seed", [1, 2])
+def test_soak_of_stops_beside_pauses_cuts_off_no_request(seed, tmp_path):
+    arguments = [*PLANNED_STOPS, "--limits", "0", *PAUSES]
+    violations, summary = _play(
+        tmp_path, "25", *arguments, "--seed", str(seed)
+    )
+    assert summary["result 200"] and summary["fault terminate"]
+    assert summary["fault pause"] and summary["fault silence"]
+    assert not violations, "\n".join(map(str, violations))
+
+
 @pytest.mark.parametrize("seed", [1, 2])
 def test_soak_of_servers_that_pause_loses_no_request(seed, tmp_path):
     violations, summary = _play(
