Wait for the end of a silence until a point in time

No caller saw this: in virtual time a node could wait for ever for the end of a server's silence, and a run of the tests with it.

The rest of a silence was computed as a difference, which may be so small that a sleep of that length does not move the clock. The time at which the silence is due is kept now.

--- a/src/coltsfootsail/_stream_moves.py
+++ b/src/coltsfootsail/_stream_moves.py
@@ -43,7 +43,7 @@
 
     def __init__(self):
         self._since_s = trio.current_time()
-        self._limit_s = FIRST_BYTE_TIMEOUT_S
+        self._due_s = self._since_s + FIRST_BYTE_TIMEOUT_S
         self._is_held = False
         self._scope = None
 
@@ -54,12 +54,12 @@
 
     def is_due(self):
         """Tell whether the stream may be moved now."""
-        return not self._is_held and self.duration_s >= self._limit_s
+        return not self._is_held and trio.current_time() >= self._due_s
 
     def note_event(self):
         """Begin anew after an event."""
         self._since_s = trio.current_time()
-        self._limit_s = EVENT_TIMEOUT_S
+        self._due_s = self._since_s + EVENT_TIMEOUT_S
         if self._scope is not None:
             self._scope.cancel()
 
@@ -75,11 +75,13 @@
     async def wait_until_due(self):
         """Wait until the stream may be moved."""
         while not self.is_due():
-            left_s = self._limit_s - self.duration_s
-            if left_s <= 0.0:
-                left_s = HELD_CHECK_S
-            # An event meanwhile shortens the first limit.
-            await trio.sleep(min(left_s, EVENT_TIMEOUT_S))
+            now_s = trio.current_time()
+            if now_s >= self._due_s:
+                await trio.sleep(HELD_CHECK_S)
+            else:
+                # After the first event it may be due sooner.
+                soonest_s = now_s + EVENT_TIMEOUT_S
+                await trio.sleep_until(min(self._due_s, soonest_s))
 
     @contextlib.contextmanager
     def until_event(self):
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import random
 import types
 
 import pytest
@@ -608,3 +609,32 @@
         fleet.net.pause(owner)
         await trio.sleep(4.0)
         fleet.net.resume(owner)
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_wait_for_the_end_of_a_silence_ends(seed, monkeypatch):
+    """Guards against a pause that is too short to move the clock."""
+    rng = random.Random(seed)
+    pauses = []
+
+    def count_calls(original):
+        async def sleep(when_s):
+            pauses.append(when_s)
+            assert len(pauses) <= 5, pauses
+            await original(when_s)
+
+        return sleep
+
+    sleep = trio.sleep
+    monkeypatch.setattr(trio, "sleep", count_calls(trio.sleep))
+    monkeypatch.setattr(trio, "sleep_until", count_calls(trio.sleep_until))
+
+    async def main():
+        for _ in range(200):
+            await sleep(rng.uniform(0.0, 1.0))
+            silence = _stream_moves.Silence()
+            silence.note_event()
+            pauses.clear()
+            await silence.wait_until_due()
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
