Let a moved stream wait for what its next run lacks

Callers could get a stream that broke off although its first server was sound: the run had been given up for another one, the engine of which then refused it or accepted no connection, and there was no second retry to spend.

The payment of a move covers one send. What follows a send that was not run was treated as the end of a stream that had broken by itself, so that an empty budget, no engine or no grant ended it. Until the next run brings an event, these now count as a pause as they did while the payment lasted: the stream waits and tries again as long as its request has time.

The test failed before for both an engine that refuses and one that accepts no connection, and passes.

--- a/src/coltsfootsail/_request_context.py
+++ b/src/coltsfootsail/_request_context.py
@@ -24,6 +24,14 @@
     exceptions.EndpointSilent,
 )
 
+# Failures of an attempt after which another may succeed a little later.
+_PAUSES = (
+    exceptions.NoEndpoint,
+    exceptions.TurnedAway,
+    exceptions.OwnerSilent,
+    exceptions.EndpointLeaving,
+    exceptions.EndpointBusy,
+)
 
 _NO_ROOM_REASONS = frozenset({_admission.LIMIT_REASON, _grants.SERVER_BUSY})
 
@@ -57,6 +65,8 @@
     :param waited_for_limit: whether it has waited for such a server.
     :param workspace: the ``Workspace`` that it is made for, None for none.
     :param is_retry_reserved: whether its next send is paid already.
+    :param is_moving: whether its last run was given up for another one, which
+        has not brought anything yet.
     :param target: the ``_stream_moves.Target`` of its next send, None if that
         has to be chosen.
     """
@@ -84,6 +94,7 @@
     crash_checked: object = None
     workspace: _fleet.Workspace | None = None
     is_retry_reserved: bool = False
+    is_moving: bool = False
     target: object = None
 
     @property
@@ -150,6 +161,16 @@
         has_attempts = len(self.may_have_run) < self.route.attempts
         return has_attempts and self.sends < SENDS_MAX
 
+    def may_go_on_later(self, exc):
+        """Tell whether to wait and try again after a failure.
+
+        A request whose run was given up for another one waits for what that
+        one lacks, as long as it has time.
+        """
+        if isinstance(exc, exceptions.RetryBudgetSpent):
+            return self.is_moving and self.may_run_elsewhere()
+        return self.is_moving and isinstance(exc, _PAUSES)
+
     def may_retry(self, exc):
         """Tell whether another attempt is safe after a failure."""
         return exc.outcome is NOT_RUN or self.route.repeatable
--- a/src/coltsfootsail/_stream_moves.py
+++ b/src/coltsfootsail/_stream_moves.py
@@ -302,18 +302,6 @@
         }
 
 
-def is_pause(exc):
-    """Tell whether a failed attempt may succeed a little later."""
-    return isinstance(
-        exc,
-        exceptions.NoEndpoint
-        | exceptions.TurnedAway
-        | exceptions.OwnerSilent
-        | exceptions.EndpointLeaving
-        | exceptions.EndpointBusy,
-    )
-
-
 def clear_rejections(context):
     """Let all engines be chosen again, but for those that failed."""
     context.limited.clear()
--- a/src/coltsfootsail/_streams.py
+++ b/src/coltsfootsail/_streams.py
@@ -154,7 +154,7 @@
                 sends=context.sends,
                 paid=context.is_retry_reserved,
             )
-            if context.is_retry_reserved and _stream_moves.is_pause(exc):
+            if context.may_go_on_later(exc):
                 await trio.sleep(next(pauses_s))
                 _stream_moves.clear_rejections(context)
                 return False
@@ -319,7 +319,7 @@
         self._send_policy.remaining_s(context)
         self._send_policy.authorize_send(context, server)
         request = self._build_request(context, sink, target)
-        sink.before_events = lambda: self._note_origin(context, server)
+        sink.before_events = lambda: self._note_events(context, server)
         silence = _stream_moves.Silence()
         mover = _stream_moves.Mover(
             self._gateway, self._send_policy, context, server, silence
@@ -340,6 +340,7 @@
             with context.sending_to(server):
                 await self._run_moved(context, mover, exchange)
                 if mover.scope.cancelled_caught:
+                    context.is_moving = mover.target is not None
                     await self._wait_until_dropped(context, mover, server)
                     raise exceptions.EndpointSilent("no event")
         except exceptions.EndpointUnreachable:
@@ -420,11 +421,13 @@
                 silence.note_event()
         await sink.end()
 
-    def _note_origin(self, context, server):
-        """Bind a stream to the software version that begins it.
+    def _note_events(self, context, server):
+        """Note that a server sends events, before the caller has them.
 
-        Other nodes are told before the caller has the first event.
+        The stream is bound to the software version that begins it, and
+        other nodes are told.
         """
+        context.is_moving = False
         if context.origin_noted:
             return
         context.origin_noted = True
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -638,3 +638,49 @@
             await silence.wait_until_due()
 
     trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+def _refuse_next_run(engine):
+    """Let an engine refuse the next request that it is sent."""
+    original = engine._run
+
+    async def run(req, resp):
+        engine._run = original
+        engine._note_arrival(req)
+        await resp.reply(421, b"", engine._base_headers(req))
+
+    engine._run = run
+
+
+def _refusing(fleet):
+    async def change(engine):
+        await trio.lowlevel.checkpoint()
+        _refuse_next_run(fleet.engines[1])
+
+    return change
+
+
+def _unreachable(fleet):
+    async def change(engine):
+        await trio.sleep(2.0)
+        fleet.scopes["e1"].cancel()
+        fleet.net.break_host("e1")
+        await trio.sleep(3.5)
+        await fleet.listen("e1:80", fleet.engines[1].serve)
+
+    return change
+
+
+@pytest.mark.parametrize("make_change", [_refusing, _unreachable])
+def test_move_whose_send_is_not_run_ends_no_stream(make_change):
+    """Guards against a run that is given up for a single try."""
+
+    async def scenario(fleet):
+        await _add_resumable_route(fleet, timeoutMs=30_000)
+        await trio.sleep(20.0)  # until the nodes have a share
+        _stalling(fleet, 4.0)
+        change = make_change(fleet)
+        reply = await _call_stream(fleet, change, deadline_ms=30_000)
+        assert reply.whole and reply.body == EVENTS
+
+    gateways.run(scenario, make_fleet=OneRetryFleet)
