Send a moved stream at once after its grant

Owners space the prompts of an engine by the times of their grants. A moved stream got its grant before its silent engine was left, and was sent when that had dropped it, 0.3 s to seconds later, together with prompts that were granted then. The grant is still had before the run is given up, but it is given back if the drop has to be waited for, and asked for again before the send; the stream waits for it as for its payment. A time to the first event that is longer than the silence that starts a search is not reported as reading time any more.

--- a/src/coltsfootsail/_stream_moves.py
+++ b/src/coltsfootsail/_stream_moves.py
@@ -8,6 +8,7 @@
 
 import contextlib
 import dataclasses
+import math
 
 import trio
 
@@ -20,6 +21,9 @@
 EVENT_TIMEOUT_S = 1.5
 HELD_CHECK_S = 0.1
 CONTACT_AGE_S = 0.5  # the server was found to be reached or not this long ago
+# Owners space the prompts of an engine by the times of their grants, so that a
+# grant is good only for a send at once.
+GRANT_AGE_S = 0.1
 # Between attempts to move a stream, twice as long after each.
 PAUSE_MIN_S = 0.25
 PAUSE_MAX_S = 1.0
@@ -108,6 +112,7 @@
         self.owner = owner
         self.grant_request = grant_request
         self.use = None
+        self._granted_s = math.inf
         self._stack = contextlib.AsyncExitStack()
 
     async def acquire(self, grant_client):
@@ -122,6 +127,7 @@
             self.owner, self.server.name, self.grant_request
         )
         self.use = await self._stack.enter_async_context(grant)
+        self._granted_s = trio.current_time()
 
     async def aclose(self):
         """Give the grant back."""
@@ -130,13 +136,16 @@
     def is_current(self, gateway):
         """Tell whether the stream can still be sent to the engine.
 
+        A grant that is not used at once has to be asked for again.
         An owner that can't be reached now keeps what it has granted.
         """
         name, request = self.server.name, self.grant_request
         version = gateway.view.versions.get(request.adapter, 0)
         owner = gateway.engine_selector.owner(self.server)
+        granted_ago_s = trio.current_time() - self._granted_s
         return (
-            name in gateway.view.servers
+            granted_ago_s <= GRANT_AGE_S
+            and name in gateway.view.servers
             and gateway.states.takes_requests(name)
             and not gateway.states.is_unavailable(name)
             and owner in (None, self.owner)
--- a/src/coltsfootsail/_streams.py
+++ b/src/coltsfootsail/_streams.py
@@ -256,11 +256,23 @@
             raise
         finally:
             if use is not None:
-                if sink.first_event_s is not None and not context.begun:
-                    use.first_event_s = sink.first_event_s - granted_s
+                use.first_event_s = self._reading_time_s(
+                    context, sink, granted_s
+                )
                 use.events, use.stream_s = sink.shown_steps()
                 gateway.speeds.note_stream(server, use.events, use.stream_s)
 
+    def _reading_time_s(self, context, sink, granted_s):
+        """Get the time to the first event, 0 if it shows no reading speed.
+
+        A silent server shows none, nor does one that goes on with a stream.
+        """
+        if sink.first_event_s is None or context.begun:
+            return 0.0
+        first_event_s = sink.first_event_s - granted_s
+        is_silence = first_event_s > _stream_moves.FIRST_BYTE_TIMEOUT_S
+        return 0.0 if is_silence else first_event_s
+
     def _refusal_outcome(self, server, exc):
         """Tell an engine's owner why the engine refused a request.
 
@@ -375,6 +387,10 @@
     async def _wait_until_dropped(self, context, mover, server):
         if mover.is_unreachable:
             return
+        if context.target is not None:
+            # The drop takes longer than the grant is good for.
+            await context.target.aclose()
+            context.target = None
         await self._gateway.upstream.wait_until_dropped(
             server,
             context.meta.request_id,
