Share the question what a silent engine runs

An engine that was silent got the question what it runs from each of its streams: with 60 streams, up to 600 connections a second in virtual time while the drop was waited for, and 1.9 a second and stream otherwise. On real sockets a listener with a queue of 100 that accepts nothing can't be reached any more from the second second on, so that a suspended engine would be taken for one that can't be asked, and its streams sent elsewhere beside it.

A node now asks an engine one question at a time, and its streams share the answer for 0.1 s.

--- a/src/coltsfootsail/_upstream.py
+++ b/src/coltsfootsail/_upstream.py
@@ -220,7 +220,7 @@
         count,
     ):
         self._client = client
-        self._report_client = report_client
+        self._run_reports = _dropped_runs.RunReports(report_client)
         self._relays = relays
         self._limits = limits
         self._refusals = refusals
@@ -343,8 +343,8 @@
 
     async def wait_until_dropped(self, server, request_id, is_registered):
         """Wait until an engine has dropped a request that it was sent."""
-        await _dropped_runs.wait_until_dropped(
-            self._report_client, server, request_id, is_registered
+        await self._run_reports.wait_until_dropped(
+            server, request_id, is_registered
         )
 
     async def find_contact(self, server):
@@ -352,7 +352,7 @@
 
         :returns: a ``_dropped_runs.Contact``.
         """
-        return await _dropped_runs.find_contact(self._report_client, server)
+        return await self._run_reports.find_contact(server)
 
     def _record_end(self, server, request, trace):
         self._count("sends", trace.conclusion)
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -13,6 +13,7 @@
 import trio.testing
 
 from coltsfootsail import _answer_memory
+from coltsfootsail import _dropped_runs
 from coltsfootsail import _gateway
 from coltsfootsail import _http
 from coltsfootsail import _stream_moves
@@ -684,3 +685,32 @@
         assert reply.whole and reply.body == EVENTS
 
     gateways.run(scenario, make_fleet=OneRetryFleet)
+
+
+def test_silent_streams_of_an_engine_share_the_question_what_it_runs():
+    class Client:
+        asked = 0
+
+        async def is_accepting(self, address, timeout_s):
+            self.asked += 1
+            await trio.sleep(0.3)
+            return False
+
+    client = Client()
+    reports = _dropped_runs.RunReports(client)
+    server = types.SimpleNamespace(name="i-e0", address="e0:80")
+    found = []
+
+    async def ask():
+        while trio.current_time() < 3.0:
+            found.append(await reports.find_contact(server))
+            await trio.sleep(0.1)
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            for _ in range(60):
+                nursery.start_soon(ask)
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+    assert client.asked <= 10
+    assert set(found) == {_dropped_runs.Contact.NONE}
