--- a/tests/builds/test_mixes.py
+++ b/tests/builds/test_mixes.py
@@ -12,7 +12,7 @@
 from tests import gateways
 
 TODAY = fleets.TODAY
-COMMITS = ["8079aa1", "7eab665", "a1198f1", "6342f7f"]
+COMMITS = ["8079aa1", "7eab665", "a1198f1", "6342f7f", "772602a"]
 CALLS_PER_S = 10.0
 OLD_AND_NEW = pytest.mark.parametrize("commit", COMMITS)
 
