--- a/src/coltsfootsail/_streams.py
+++ b/src/coltsfootsail/_streams.py
@@ -438,12 +438,15 @@
         await sink.end()
 
     def _note_events(self, context, server):
-        """Note that a server sends events, before the caller has them.
+        """Note that a server sends events, before the caller has them."""
+        context.is_moving = False
+        self._note_origin(context, server)
+
+    def _note_origin(self, context, server):
+        """Bind a stream to the software version that begins it.
 
-        The stream is bound to the software version that begins it, and
-        other nodes are told.
+        Other nodes are told before the caller has the first event.
         """
-        context.is_moving = False
         if context.origin_noted:
             return
         context.origin_noted = True
