--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -672,21 +672,43 @@
     return change
 
 
+@pytest.mark.parametrize("deadline_ms", [14_000, 30_000])
 @pytest.mark.parametrize("make_change", [_refusing, _unreachable])
-def test_move_whose_send_is_not_run_ends_no_stream(make_change):
+def test_move_whose_send_is_not_run_ends_no_stream(make_change, deadline_ms):
     """Guards against a run that is given up for a single try."""
 
     async def scenario(fleet):
-        await _add_resumable_route(fleet, timeoutMs=30_000)
+        await _add_resumable_route(fleet, timeoutMs=deadline_ms + 1000)
         await trio.sleep(20.0)  # until the nodes have a share
         _stalling(fleet, 4.0)
         change = make_change(fleet)
-        reply = await _call_stream(fleet, change, deadline_ms=30_000)
+        reply = await _call_stream(fleet, change, deadline_ms=deadline_ms)
         assert reply.whole and reply.body == EVENTS
 
     gateways.run(scenario, make_fleet=OneRetryFleet)
 
 
+def test_run_that_hangs_holds_no_retry_for_long():
+    """The run is never dropped, though its engine answers all else."""
+
+    async def scenario(fleet):
+        await _add_resumable_route(fleet)
+        await trio.sleep(20.0)  # until the nodes have a share
+        _stalling(fleet, 60.0)
+        reserved = []
+
+        async def watch(engine):
+            for _ in range(26):
+                await trio.sleep(0.5)
+                budget = fleet.gateways["g0"].retry_budget
+                reserved.append(budget.describe("engines")["reserved"])
+
+        await _call_stream(fleet, watch)
+        assert sum(reserved) * 0.5 <= 3.0
+
+    gateways.run(scenario, make_fleet=OneRetryFleet)
+
+
 def test_silent_streams_of_an_engine_share_the_question_what_it_runs():
     class Client:
         asked = 0
