--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -736,3 +736,41 @@
     trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
     assert client.asked <= 10
     assert set(found) == {_dropped_runs.Contact.NONE}
+
+
+def test_moved_stream_is_sent_at_once_after_its_grant(monkeypatch):
+    """Guards against prompts that are spaced by older grants."""
+    granted_s, waits_s = [], []
+    acquire = _stream_moves.Target.acquire
+
+    async def note_grant(self, grant_client):
+        is_new = self.use is None
+        await acquire(self, grant_client)
+        if is_new:
+            granted_s.append(trio.current_time())
+
+    monkeypatch.setattr(_stream_moves.Target, "acquire", note_grant)
+
+    async def scenario(fleet):
+        await _add_resumable_route(fleet)
+        await trio.sleep(20.0)  # until the nodes have a share
+        _stalling(fleet, 3.0)
+        for gateway in fleet.gateways.values():
+            _watch_sends(gateway.upstream, granted_s, waits_s)
+        reply = await _call_stream(fleet, _change_nothing)
+        assert reply.whole and reply.body == EVENTS
+        assert len(waits_s) == 2
+        assert max(waits_s) <= _stream_moves.GRANT_AGE_S
+
+    gateways.run(scenario, make_fleet=OneRetryFleet)
+
+
+def _watch_sends(upstream, granted_s, waits_s):
+    """Note how long before each send the last grant was had."""
+    send = upstream.send
+
+    async def send_noted(*arguments, **options):
+        waits_s.append(trio.current_time() - granted_s[-1])
+        await send(*arguments, **options)
+
+    upstream.send = send_noted
