--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -122,22 +122,23 @@
         await trio.sleep(rng.uniform(0.0, 1.0))
 
 
-async def _pause(system, rng, target):
-    """Let a server accept connections and say nothing."""
-    system.signal(target, signal.SIGSTOP)
-    try:
-        await trio.sleep(rng.uniform(*PAUSE_S))
-    finally:
-        system.signal(target, signal.SIGCONT)
+def _between(begin, end):
+    """Make a pause of a sound server that two signals begin and end."""
 
+    async def pause(system, rng, target):
+        system.signal(target, begin)
+        try:
+            await trio.sleep(rng.uniform(*PAUSE_S))
+        finally:
+            system.signal(target, end)
 
-async def _silence(system, rng, target):
-    """Let the streams of a server pause; all else goes on."""
-    system.signal(target, signal.SIGUSR1)
-    try:
-        await trio.sleep(rng.uniform(*PAUSE_S))
-    finally:
-        system.signal(target, signal.SIGUSR1)
+    return pause
+
+
+# The server accepts connections and says nothing.
+_pause = _between(signal.SIGSTOP, signal.SIGCONT)
+# Its streams pause, and all else goes on.
+_silence = _between(signal.SIGUSR1, signal.SIGUSR1)
 
 
 NODE_FAULTS = {
--- a/tests/test_silent_peers.py
+++ b/tests/test_silent_peers.py
@@ -35,6 +35,23 @@
         fleet.net.resume(host)
 
 
+async def _call_at_once(fleet, calls):
+    """Send several requests at a time.
+
+    :returns: list of the statuses of their replies.
+    """
+    statuses = []
+
+    async def send(number):
+        reply = await fleet.call("/stock/9", request_id=f"r{number}")
+        statuses.append(reply.status)
+
+    async with trio.open_nursery() as nursery:
+        for number in range(calls):
+            nursery.start_soon(send, number)
+    return statuses
+
+
 def test_plain_request_without_a_retry_waits_for_its_silent_server():
     async def scenario(fleet):
         _spend_retries(fleet)
@@ -62,21 +79,11 @@
 @pytest.mark.parametrize("limit", ["0", "0.3"])
 def test_plain_request_without_a_grant_elsewhere_waits_for_its_server(limit):
     async def scenario(fleet):
-        silent, other = fleet.shop_servers
-        other.limit = limit
+        fleet.shop_servers[1].limit = limit
         for number in range(6):
             await fleet.call("/stock/9", request_id=f"w{number}")
         fleet.nursery.start_soon(_resume_after, fleet, ["s0"], 2.0)
-        replies = []
-
-        async def send(number):
-            reply = await fleet.call("/stock/9", request_id=f"r{number}")
-            replies.append(reply.status)
-
-        async with trio.open_nursery() as nursery:
-            for number in range(6):
-                nursery.start_soon(send, number)
-        assert replies == [200] * 6
+        assert await _call_at_once(fleet, 6) == [200] * 6
 
     gateways.run(scenario)
 
@@ -96,16 +103,7 @@
                 )
 
         fleet.nursery.start_soon(allow)
-        replies = []
-
-        async def send(number):
-            reply = await fleet.call("/stock/9", request_id=f"r{number}")
-            replies.append(reply.status)
-
-        async with trio.open_nursery() as nursery:
-            for number in range(6):
-                nursery.start_soon(send, number)
-        assert replies == [200] * 6
+        assert await _call_at_once(fleet, 6) == [200] * 6
 
     gateways.run(scenario)
 
