Count what is held for others in one budget of the process

The budget of answers was the same for each host, whatever memory it has, and its name left no place for other holders. It is made of the memory that the platform states (settings gateway.memory_mb; descriptors beside it, not used yet), and each use has a share for what goes beyond the first 64 KB of a holder. The first bytes are now counted too. Answers may take 24.6 MB of 300 MB of memory, 24 MB before. Two tests that named the constants of the old module state the same bounds as figures.

--- a/src/coltsfootsail/_gateway.py
+++ b/src/coltsfootsail/_gateway.py
@@ -14,7 +14,6 @@
 import trio
 
 from coltsfootsail import _access
-from coltsfootsail import _answer_memory
 from coltsfootsail import _claims
 from coltsfootsail import _clock_steps
 from coltsfootsail import _connection_limits
@@ -24,6 +23,7 @@
 from coltsfootsail import _engine_selection
 from coltsfootsail import _freshness
 from coltsfootsail import _grants
+from coltsfootsail import _held_memory
 from coltsfootsail import _http
 from coltsfootsail import _lease
 from coltsfootsail import _limited_servers
@@ -347,7 +347,9 @@
             self.upstream,
             self.metrics.count,
         )
-        self.answer_memory = _answer_memory.AnswerMemory()
+        self.held_memory = _held_memory.HeldMemory(
+            _held_memory.budget_bytes(gateway_settings.memory_mb * 10**6)
+        )
         self.crashes = _crashes.CrashTracker(
             self._name,
             _poison.Strikes(self.view.strike_count, STRIKES_MAX),
--- /dev/null
+++ b/src/coltsfootsail/_held_memory.py
@@ -0,0 +1,132 @@
+"""The memory that a process holds for callers, servers and peers.
+
+They choose how much they send and how fast they read.  All that is held for
+them is counted in one budget, so that none of them can use up the memory of
+the host.  The first bytes of each holder are counted apart from the rest,
+which may take a share of the budget only: small requests pass whatever large
+ones hold, and answers whatever requests hold.
+"""
+
+import collections
+import contextlib
+import dataclasses
+
+PROGRAM_BYTES = 110_000_000  # without what is held for others
+# Of the remaining memory; buffers and fragmentation take the other part.
+HELD_SHARE = 0.35
+BUDGET_MIN_BYTES = 16_777_216
+SMALL_BYTES = 65_536  # of each holder
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Use:
+    """What bytes are held for.
+
+    :param name: label of its metrics.
+    :param total_share: share of the budget up to which all uses together may
+        hold bytes when more are taken for this one.
+    :param large_share: share that all holders of this use together may take
+        beyond the first ``SMALL_BYTES`` of each.
+    """
+
+    name: str
+    total_share: float
+    large_share: float
+
+
+REQUEST = Use("request", total_share=0.9, large_share=0.42)
+ANSWER = Use("answer", total_share=1.0, large_share=0.37)
+
+
+def budget_bytes(memory_bytes):
+    """Get how much a process may hold for others.
+
+    :param memory_bytes: the memory that the host gives the process.
+    """
+    free_bytes = memory_bytes - PROGRAM_BYTES
+    return max(BUDGET_MIN_BYTES, int(HELD_SHARE * free_bytes))
+
+
+class HeldMemory:
+    """The budget of one process.
+
+    :param budget_bytes: the most that may be held.
+    """
+
+    def __init__(self, budget_bytes):
+        self.budget_bytes = budget_bytes
+        self.held_bytes = 0
+        self.peak_bytes = 0
+        self._large_bytes = collections.Counter()
+
+    @contextlib.contextmanager
+    def hold(self, use):
+        """Yield an ``Account`` whose bytes are given back at the end.
+
+        :param use: a ``Use``.
+        """
+        account = Account(self, use)
+        try:
+            yield account
+        finally:
+            account.give_back(account.held_bytes)
+
+    def has_room(self, use, size_bytes, large_bytes):
+        """Tell whether bytes can be taken now.
+
+        :param size_bytes: how many.
+        :param large_bytes: how many of them are not the holder's first ones.
+        """
+        total_bytes = self.held_bytes + size_bytes
+        if total_bytes > use.total_share * self.budget_bytes:
+            return False
+        all_large_bytes = self._large_bytes[use] + large_bytes
+        return not large_bytes or (
+            all_large_bytes <= use.large_share * self.budget_bytes
+        )
+
+    def add(self, use, size_bytes, large_bytes):
+        """Add bytes to those that are held, or take off negative numbers."""
+        self.held_bytes += size_bytes
+        self._large_bytes[use] += large_bytes
+        self.peak_bytes = max(self.peak_bytes, self.held_bytes)
+
+
+class Account:
+    """The bytes that one holder has.
+
+    :param memory: the ``HeldMemory``.
+    :param use: a ``Use``.
+    """
+
+    def __init__(self, memory, use):
+        self._memory = memory
+        self._use = use
+        self.held_bytes = 0
+
+    def _large_bytes(self, change_bytes):
+        """Get by how much the bytes after the first ones change."""
+        before_bytes = max(0, self.held_bytes - SMALL_BYTES)
+        after_bytes = max(0, self.held_bytes + change_bytes - SMALL_BYTES)
+        return after_bytes - before_bytes
+
+    def has_room(self, size_bytes):
+        """Tell whether this many further bytes can be taken now."""
+        large_bytes = self._large_bytes(size_bytes)
+        return self._memory.has_room(self._use, size_bytes, large_bytes)
+
+    def take(self, size_bytes):
+        """Take bytes; tell whether the budget had as many."""
+        if not self.has_room(size_bytes):
+            return False
+        self._change(size_bytes)
+        return True
+
+    def give_back(self, size_bytes):
+        """Return bytes to the budget."""
+        self._change(-size_bytes)
+
+    def _change(self, size_bytes):
+        large_bytes = self._large_bytes(size_bytes)
+        self._memory.add(self._use, size_bytes, large_bytes)
+        self.held_bytes += size_bytes
--- a/src/coltsfootsail/_http_client.py
+++ b/src/coltsfootsail/_http_client.py
@@ -14,7 +14,6 @@
 import h11
 import trio
 
-from coltsfootsail import _answer_memory
 from coltsfootsail import _http_messages
 from coltsfootsail import _net
 from coltsfootsail import _tasks
@@ -176,7 +175,7 @@
         """Read the whole body.
 
         :param limit_bytes: the largest body to accept.
-        :param account: an ``_answer_memory.Account`` from which the bytes
+        :param account: a ``_held_memory.Account`` from which the bytes
             are taken, or None.
         :raises AnswerTooLarge: if the body is larger, or the memory of all
             answers is used up.
@@ -204,7 +203,7 @@
 
     :param exchange: an ``Exchange``, or what is used as one.
     :param limit_bytes: the largest body to accept.
-    :param account: an ``_answer_memory.Account`` or None.
+    :param account: a ``_held_memory.Account`` or None.
     """
     parts = []
     try:
@@ -222,10 +221,7 @@
         size += len(data)
         if size > limit_bytes:
             raise _http_messages.AnswerTooLarge("body too large")
-        counted = account is not None and (
-            size > _answer_memory.UNCOUNTED_BYTES
-        )
-        if counted and not account.take(len(data)):
+        if account is not None and not account.take(len(data)):
             raise _http_messages.AnswerTooLarge("memory of all answers")
         parts.append(data)
 
--- a/src/coltsfootsail/_request_context.py
+++ b/src/coltsfootsail/_request_context.py
@@ -61,7 +61,7 @@
     :param origin_noted: whether this answer has brought an event.
     :param limited: the wait in seconds at each server that has no room for
         it, because of a limit or because it is busy for all nodes.
-    :param account: the ``_answer_memory.Account`` of its answers.
+    :param account: the ``_held_memory.Account`` of its answers.
     :param crash_checked: set when it is known whether the server that
         interrupted it last has crashed, None if none did.
     :param waited_for_limit: whether it has waited for such a server.
--- a/src/coltsfootsail/_request_handler.py
+++ b/src/coltsfootsail/_request_handler.py
@@ -11,6 +11,7 @@
 
 from coltsfootsail import _access
 from coltsfootsail import _fleet
+from coltsfootsail import _held_memory
 from coltsfootsail import _http
 from coltsfootsail import _logs
 from coltsfootsail import _metrics
@@ -170,7 +171,8 @@
         if context.route.kind is _fleet.RouteKind.STREAMING:
             await self._streams.forward(context, resp)
         else:
-            with self._gateway.answer_memory.hold() as context.account:
+            memory = self._gateway.held_memory
+            with memory.hold(_held_memory.ANSWER) as context.account:
                 response = await self._plain.forward(context)
                 await resp.reply(
                     response.status,
--- a/src/coltsfootsail/_settings.py
+++ b/src/coltsfootsail/_settings.py
@@ -179,6 +179,14 @@
         "node; 0 if revocations are only bound by the propagation time.",
         0.0,
     )
+    memory_mb: int = _setting(
+        "Memory that the host gives the process, in megabytes; what it holds "
+        "for callers, servers and peers is bounded by it.",
+        300,
+    )
+    descriptors: int = _setting(
+        "File descriptors that the host gives the process.", 4100
+    )
     quota_window_s: float = _setting(
         "Time window over which a workspace's quota is judged.", 8.0
     )
--- a/src/coltsfootsail/_stream_sink.py
+++ b/src/coltsfootsail/_stream_sink.py
@@ -17,7 +17,7 @@
     :param resp: the response to the caller.
     :param extra_headers: closure that lists headers to add.
     :param now: closure that reads the clock.
-    :param account: an ``_answer_memory.Account`` for incomplete events.
+    :param account: a ``_held_memory.Account`` for incomplete events.
 
     ``before_events`` is called before events are written.
     """
--- a/src/coltsfootsail/_streams.py
+++ b/src/coltsfootsail/_streams.py
@@ -11,6 +11,7 @@
 
 from coltsfootsail import _admission
 from coltsfootsail import _grants
+from coltsfootsail import _held_memory
 from coltsfootsail import _http
 from coltsfootsail import _logs
 from coltsfootsail import _reach
@@ -60,7 +61,8 @@
 
     async def forward(self, context, resp):
         """Relay a stream to the caller until the request's deadline."""
-        with self._gateway.answer_memory.hold() as context.account:
+        memory = self._gateway.held_memory
+        with memory.hold(_held_memory.ANSWER) as context.account:
             await self._forward(context, resp)
 
     async def _forward(self, context, resp):
--- a/src/coltsfootsail/_upstream.py
+++ b/src/coltsfootsail/_upstream.py
@@ -10,7 +10,6 @@
 
 import trio
 
-from coltsfootsail import _answer_memory
 from coltsfootsail import _dropped_runs
 from coltsfootsail import _http
 from coltsfootsail import _logs
@@ -52,7 +51,7 @@
 class EventSplitter:
     """Splits a stream into complete events and stores the last event's id.
 
-    :param account: an ``_answer_memory.Account`` from which the bytes of an
+    :param account: a ``_held_memory.Account`` from which the bytes of an
         event that is not complete yet are taken.
     """
 
@@ -82,8 +81,8 @@
         return complete
 
     def _take_memory(self):
-        """Take the bytes of the incomplete event, but for the first ones."""
-        wanted = max(0, len(self._partial) - _answer_memory.UNCOUNTED_BYTES)
+        """Take the bytes of the incomplete event."""
+        wanted = len(self._partial)
         missing = wanted - self._taken_bytes
         if missing < 0:
             self._account.give_back(-missing)
@@ -243,7 +242,7 @@
     async def fetch(self, server, request, timeout_s, account):
         """Send a request and read the complete answer.
 
-        :param account: an ``_answer_memory.Account`` for its body.
+        :param account: a ``_held_memory.Account`` for its body.
         :returns: an ``UpstreamResponse``.
         :raises EndpointNotRun: if the server states that it did not run the
             request.
--- a/tests/soak/unsafe_node.py
+++ b/tests/soak/unsafe_node.py
@@ -11,10 +11,10 @@
 import trio
 
 from coltsfootsail import __main__ as program
-from coltsfootsail import _answer_memory
 from coltsfootsail import _claims
 from coltsfootsail import _fleet
 from coltsfootsail import _gateway
+from coltsfootsail import _held_memory
 from coltsfootsail import _http_client
 from coltsfootsail import _limited_servers
 from coltsfootsail import _poison_parts
@@ -135,7 +135,7 @@
 
 def _read_without_bound():
     _upstream.BODY_BYTES_MAX = _upstream.EVENT_BYTES_MAX = math.inf
-    _answer_memory.AnswerMemory.take = lambda self, size_bytes: True
+    _held_memory.Account.has_room = lambda self, size_bytes: True
 
 
 def _remember_keys():
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -8,10 +8,10 @@
 
 from coltsfootsail import _adapter_slots
 from coltsfootsail import _admission
-from coltsfootsail import _answer_memory
 from coltsfootsail import _claims
 from coltsfootsail import _fleet
 from coltsfootsail import _grants
+from coltsfootsail import _held_memory
 from coltsfootsail import _retries
 from coltsfootsail import _upstream
 
@@ -313,8 +313,9 @@
 )
 def test_splitter_yields_whole_events_for_any_chunk_sizes(sizes, count):
     text = b"".join(b"id: %d\ndata: x\n\n" % n for n in range(count))
-    memory = _answer_memory.AnswerMemory()
-    splitter = _upstream.EventSplitter(_answer_memory.Account(memory))
+    memory = _held_memory.HeldMemory(1 << 24)
+    account = _held_memory.Account(memory, _held_memory.ANSWER)
+    splitter = _upstream.EventSplitter(account)
     received, rest = b"", text + b"id: 99\nda"
     for size in [*sizes, len(rest)]:
         received += splitter.feed(rest[:size])
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -143,7 +143,7 @@
     def check(fleet, server, replies):
         assert len(replies) == 15
         assert all(reply.status == 502 for reply, _ in replies)
-        memory = fleet.gateways["g0"].answer_memory
+        memory = fleet.gateways["g0"].held_memory
         assert memory.peak_bytes <= MEMORY_BYTES_MAX / 2
         assert memory.held_bytes == 0
         assert server.sent_bytes <= 2 * MEMORY_BYTES_MAX
--- a/tests/test_endless_readers.py
+++ b/tests/test_endless_readers.py
@@ -7,7 +7,7 @@
 import trio
 import trio.testing
 
-from coltsfootsail import _answer_memory
+from coltsfootsail import _held_memory
 from coltsfootsail import _http
 from coltsfootsail import _seeds
 from coltsfootsail import _upstream
@@ -21,6 +21,7 @@
 SENT_BYTES_MAX = 1 << 27
 PART = b"x" * 65536
 STREAMS = 60
+BUDGET_BYTES = 25_165_824  # of all answers, but for their first bytes
 DEADLINE_MS = 4000
 
 # What an engine sends in a stream without end.
@@ -80,8 +81,9 @@
         async with trio.open_nursery() as nursery:
             for number in range(STREAMS):
                 nursery.start_soon(call, number)
-        held = fleet.gateways["g0"].answer_memory
-        assert held.peak_bytes <= _answer_memory.BUDGET_BYTES
+        held = fleet.gateways["g0"].held_memory
+        small_bytes = STREAMS * _held_memory.SMALL_BYTES
+        assert held.peak_bytes <= BUDGET_BYTES + small_bytes
         assert held.held_bytes == 0
         for reply, after_s in replies:
             assert not (reply.status == 200 and reply.whole)
@@ -244,7 +246,7 @@
             shop.body = b"x" * 20_000_000
         reply = await fleet.call("/orders/9", request_id="r1")
         assert reply.status == 502
-        assert fleet.gateways["g0"].answer_memory.held_bytes == 0
+        assert fleet.gateways["g0"].held_memory.held_bytes == 0
 
     gateways.run(scenario)
 
@@ -260,9 +262,11 @@
 
 
 def test_events_that_are_not_complete_share_one_budget():
-    budget = _answer_memory.AnswerMemory(200_000)
+    budget = _held_memory.HeldMemory(540_000)
     first, second = (
-        _upstream.EventSplitter(_answer_memory.Account(budget))
+        _upstream.EventSplitter(
+            _held_memory.Account(budget, _held_memory.ANSWER)
+        )
         for _ in range(2)
     )
     first.feed(b"data: " + 3 * PART)
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -12,9 +12,9 @@
 import trio
 import trio.testing
 
-from coltsfootsail import _answer_memory
 from coltsfootsail import _dropped_runs
 from coltsfootsail import _gateway
+from coltsfootsail import _held_memory
 from coltsfootsail import _http
 from coltsfootsail import _stream_moves
 from coltsfootsail import _stream_sink
@@ -75,7 +75,8 @@
     def run(exchange, write_s=0.0, late=False):
         async def main():
             caller = CallerResponse(write_s)
-            account = _answer_memory.Account(_answer_memory.AnswerMemory())
+            memory = _held_memory.HeldMemory(1 << 24)
+            account = _held_memory.Account(memory, _held_memory.ANSWER)
             sink = _stream_sink.StreamSink(
                 caller, tuple, trio.current_time, account
             )
--- a/tests/test_unanswered_requests.py
+++ b/tests/test_unanswered_requests.py
@@ -33,7 +33,7 @@
     "crashes.check_allowed",
     "crashes.end_trials",
     "crashes.completed",
-    "answer_memory.hold",
+    "held_memory.hold",
     "retry_budget.request",
     "states.takes_requests",
     "states.note_answer",
@@ -125,7 +125,7 @@
         for controller in gateway.owned_engines.controllers.values():
             assert not controller.queue.running
             assert not controller.queue.waiting
-        assert not gateway.answer_memory.held_bytes
+        assert not gateway.held_memory.held_bytes
         assert not gateway.upstream._client._in_use
         for service in ("shop", "engines"):
             assert not gateway.retry_budget.describe(service)["reserved"]
