Take nothing for lost that a stopping node gave up

Seen: the last lines of a node's log were node_draining, endpoint_lost, node_stopped (tests/test_cli.py::test_nodes_as_processes_serve_after_a_kill _and_drain in one of three runs of all tests).

Cause: a stopping node revokes its lease while its loops run on. Until the store has answered, the loop of the endpoints' owners sees the claims gone and takes the endpoints for lost, and the loop of the lease takes the lease for lost, obtains another one and writes the node's registration again, which stays for the lease's time to live after the process has ended. The second is so in gateways too.

Change: the revocation ends the loop of the lease, also a renewal under way. The product's own node gives its endpoints up before it: requests that still wait are refused as not run.

Evidence: the test lets the store answer the revocation after 4 s. Before, it failed: a registration was left, and the log had endpoint_lost for each endpoint and the lease as lost and held.

--- a/src/coltsfootsail/_lease.py
+++ b/src/coltsfootsail/_lease.py
@@ -31,6 +31,7 @@
         self._renewal_sent_s = None
         self._era = None
         self._renew_soon = trio.Event()
+        self._renewals = None
         self.number = 0
         self.kv_ok = False
 
@@ -77,7 +78,12 @@
         return True
 
     async def revoke(self):
-        """Revoke the lease, which also deletes all claims of the node."""
+        """Revoke the lease, which also deletes all claims of the node.
+
+        ``run`` does not replace it.
+        """
+        if self._renewals is not None:
+            self._renewals.cancel()
         number, self.number = self.number, 0
         if number:
             await self._kv.lease_revoke(number)
@@ -85,11 +91,18 @@
     async def run(self, renew_s, make_member, on_change):
         """Renew the lease until cancelled; replace it when it is lost.
 
+        Once it is revoked, neither is done.
+
         :param renew_s: mean seconds between renewals.
         :param make_member: closure that builds the ``Member`` record.
         :param on_change: called with ``"held"``, ``"lost"``, ``"kv_down"``
             or ``"kv_up"`` on each change.
         """
+        with trio.CancelScope() as self._renewals:
+            await self._keep(renew_s, make_member, on_change)
+        await trio.sleep_forever()
+
+    async def _keep(self, renew_s, make_member, on_change):
         backoff = _kv.Backoff(limit_s=renew_s)
         while True:
             try:
--- a/src/coltsfootsail/_node.py
+++ b/src/coltsfootsail/_node.py
@@ -523,6 +523,7 @@
         with trio.move_on_after(settings.timeout_s):
             while self._is_busy():
                 await trio.sleep(0.1)
+        self.owners.release()
         with contextlib.suppress(exceptions.KvError):
             await self.lease.revoke()
         _logs.state("node_stopped", node=self.identity.node)
--- a/src/coltsfootsail/_owners.py
+++ b/src/coltsfootsail/_owners.py
@@ -39,6 +39,7 @@
         self._changed = set()
         self._changed_event = trio.Event()
         self._tasks = _tasks.TaskGroup("server", node.metrics.count)
+        self._reconciliation = trio.CancelScope()
 
     def items(self):
         """List the pairs of endpoint name and owner."""
@@ -56,7 +57,18 @@
         """Keep the owners up to date until the task is cancelled."""
         async with self._tasks.opened(), trio.open_nursery() as nursery:
             nursery.start_soon(self._announce_changes)
-            await self._reconcile()
+            with self._reconciliation:
+                await self._reconcile()
+
+    def release(self):
+        """Give up all endpoints, before the node revokes its lease.
+
+        Waiting requests are refused; running ones continue to their end.
+        """
+        self._reconciliation.cancel()
+        for owner in self._owners.values():
+            if owner.active:
+                owner.deactivate()
 
     def _may_order(self, endpoint):
         return self._node.lease.valid() and bool(
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import json
+import logging
 import random
 
 import pytest
@@ -272,6 +273,31 @@
     virtual(main)
 
 
+def test_stopping_node_takes_nothing_for_lost_that_it_gave_up(
+    virtual, system, caplog
+):
+    embedded = system("museum", hosts=1)
+
+    async def main():
+        async with embedded.running():
+            node = embedded.nodes["entry-0"]
+            revoke = node.kv.lease_revoke
+
+            async def revoke_slowly(lease):
+                await revoke(lease)
+                await trio.sleep(4.0)
+
+            node.kv.lease_revoke = revoke_slowly
+            caplog.clear()
+            await node.drain()
+            assert not embedded.kv.keys(_keys.member("entry-0"))
+
+    with caplog.at_level(logging.INFO, "coltsfootsail"):
+        virtual(main)
+    events = [record.getMessage() for record in caplog.records]
+    assert events == ["node_draining", "node_stopped"]
+
+
 def test_draining_node_is_left_out_of_the_address_answers(virtual, system):
     embedded = system("museum")
 
