Leave no claim and no registration with a node that stops

Seen by reading, while looking for stops that are taken for a loss: a gateway that gets its SIGTERM while it takes claims goes on taking them after it has released those that it held. It holds them until its lease is revoked, at the end of its grace, and is the owner of engines at which no other node may give orders meanwhile. A claim that is released while the node gives up another one ended the loop of the claims with a KeyError until its next start.

Cause: whether claims may be taken was asked before the list of those to take was made, and not after each answer of the store.

Change: it is asked before each claim; one that the store grants after the release is released at once.

Evidence: the tests let the store answer transactions after 0.3 s. Before, two claims of four were held 1.2 s after the SIGTERM, and the loop failed; now none is, and it goes on.

--- a/src/coltsfootsail/_claims.py
+++ b/src/coltsfootsail/_claims.py
@@ -352,7 +352,9 @@
     async def _give_up_claims(self):
         """Release the claims on servers that only other nodes reach."""
         for server in [s for s in self.held if self._should_give_up(s)]:
-            claim = self.held[server]
+            claim = self.held.get(server)
+            if claim is None:
+                continue  # released while the store answered for another
             self._drop_claim(server, "cut off")
             self._on_change()
             await self._delete_claim(server, claim)
@@ -401,6 +403,10 @@
             former=",".join(former),
             wait_s=round(self._orders_wait_s(server), 2),
         )
+        if not self.may_take_claims:
+            # The node began to stop while the store answered.
+            await self.release()
+            return False
         self._on_change()
         return True
 
@@ -456,13 +462,13 @@
             await trio.sleep(CHECK_INTERVAL_S)
 
     async def _take_claims(self):
-        if not self.may_take_claims:
-            return
         position = self._view.era, self._view.revision
         for server, revision in list(self._claims_to_take()):
             # After a refusal, the view has to show first why.
             if self._refused_at.get(server) == position:
                 continue
+            if not self.may_take_claims:
+                return
             try:
                 if not await self._take_claim(server, revision):
                     self._refused_at[server] = position
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import itertools
+import logging
 import types
 
 import pytest
@@ -197,3 +198,66 @@
             controller.check_grantable(request)
 
     gateways.run(scenario, nodes=3, engines=1)
+
+
+def _answer_late(fleet, node):
+    """Let the store's answers to a node's transactions take 0.3 s."""
+    kv = fleet.gateways[node].kv
+    txn = kv.txn
+
+    async def txn_late(compares, operations):
+        result = await txn(compares, operations)
+        await trio.sleep(0.3)
+        return result
+
+    kv.txn = txn_late
+
+
+def test_node_that_stops_while_it_takes_claims_keeps_none(caplog):
+    async def scenario(fleet):
+        gateway = fleet.gateways["g0"]
+        _answer_late(fleet, "g0")
+        while not gateway.claims.held:
+            await trio.sleep(0.01)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(gateway.drain)
+            await trio.sleep(1.2)
+            assert not gateway.claims.held
+            assert not fleet.store.keys(_keys.CLAIMS)
+        lost = [r for r in caplog.records if r.message == "claim_lost"]
+        assert not lost
+
+    with caplog.at_level(logging.INFO, "coltsfootsail"):
+        gateways.run(scenario, nodes=1, engines=4, ready=False)
+
+
+def test_node_that_stops_while_it_gives_up_claims_goes_on():
+    async def scenario(fleet):
+        claims = fleet.gateways["g0"].claims
+        assert len(claims.held) == len(fleet.engines)
+        _answer_late(fleet, "g0")
+        claims._should_give_up = lambda server: True
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(claims._give_up_claims)
+            await trio.sleep(0.1)
+            nursery.start_soon(claims.release)
+        assert not fleet.store.keys(_keys.CLAIMS)
+
+    gateways.run(scenario, nodes=1, engines=3)
+
+
+def test_stopped_node_leaves_no_registration():
+    async def scenario(fleet):
+        gateway = fleet.gateways["g0"]
+        revoke = gateway.kv.lease_revoke
+
+        async def revoke_late(lease):
+            await revoke(lease)
+            gateway.lease.renew_soon()
+            await trio.sleep(0.1)
+
+        gateway.kv.lease_revoke = revoke_late
+        await gateway.drain()
+        assert not fleet.store.keys(_keys.MEMBERS + "g0")
+
+    gateways.run(scenario)
