Let no error of a note beside an answer end it

Callers saw: a stream whose head was out was cut off, and a plain answer that had arrived was replaced by a 500, for an error in what stands beside its bytes: counts, metrics, log lines, times between events, speeds, the origin of the stream, the end of a grant, crash marks. An error in the metrics of the end left the request without its last log line.

Cause: only the notes about a server's statements contained their errors.

Change: _tasks.contained, one context manager for such notes, which logs the error once with the request's id (note_failed) and counts it (task_errors, note). Grants carry the id of their request on the node that asks. The end of a request is logged before it is counted. What decides on a send is left as it was. A stream that can't be moved no longer holds off moves, and its software version is bound at the first events of each run only.

--- a/src/coltsfootsail/_engine_selection.py
+++ b/src/coltsfootsail/_engine_selection.py
@@ -146,6 +146,7 @@
             may_move=not context.moved,
             workspace=context.workspace_name,
             expected_tokens=prompt.expected_tokens,
+            request_id=context.meta.request_id,
         )
 
     def has_engine(self, context):
--- a/src/coltsfootsail/_gateway.py
+++ b/src/coltsfootsail/_gateway.py
@@ -286,6 +286,7 @@
             lambda server, node, fence: self.engine_selector.note_owner(
                 server, node, fence
             ),
+            self.metrics.count,
         )
         self.engine_selector = _engine_selection.EngineSelector(
             self._name,
--- a/src/coltsfootsail/_grants.py
+++ b/src/coltsfootsail/_grants.py
@@ -15,6 +15,7 @@
 
 from coltsfootsail import _admission
 from coltsfootsail import _logs
+from coltsfootsail import _tasks
 from coltsfootsail import _wire
 from coltsfootsail import exceptions
 
@@ -77,6 +78,7 @@
     :param workspace: name of the workspace that the request is made for,
         empty for none.
     :param expected_tokens: expected length of the answer, 0 if not known.
+    :param request_id: for the log of the node that asks, empty at others.
     """
 
     adapter: str
@@ -90,6 +92,7 @@
     may_move: bool = False
     workspace: str = ""
     expected_tokens: int = 0
+    request_id: str = ""
 
 
 class PrefixCacheEstimate:
@@ -319,15 +322,26 @@
         of an owner.
     :param on_owner: ``(server name, node, fence)``, called when a former
         owner names its successor.
+    :param count: ``(counter, reason)``.
     """
 
-    def __init__(self, node, grant_server, mesh, now, on_backlog, on_owner):
+    def __init__(
+        self,
+        node,
+        grant_server,
+        mesh,
+        now,
+        on_backlog,
+        on_owner,
+        count=lambda counter, reason: None,
+    ):
         self._node = node
         self._grant_server = grant_server
         self._mesh = mesh
         self._now = now
         self._on_backlog = on_backlog
         self._on_owner = on_owner
+        self._count = count
         self._numbers = itertools.count(1)
         self._pending = {}
         self._local = []
@@ -374,7 +388,10 @@
         try:
             yield use
         finally:
-            finish(use)
+            with _tasks.contained(
+                self._count, request.request_id, server_name
+            ):
+                finish(use)
 
     async def _acquire_locally(self, server_name, request):
         pending = _PendingGrant(server_name)
--- a/src/coltsfootsail/_plain.py
+++ b/src/coltsfootsail/_plain.py
@@ -70,7 +70,8 @@
 
         :returns: an ``UpstreamResponse``.
         """
-        self._gateway.retry_budget.request(context.service)
+        with self._send_policy.contained(context):
+            self._gateway.retry_budget.request(context.service)
         error = context.no_endpoint()
         response = None
         while True:
@@ -85,7 +86,7 @@
                 if isinstance(exc, exceptions.RetryBudgetSpent):
                     break
                 error = exc
-                self._count("retries", exc.code, labels=context.labels)
+                self._note_retry(context, exc)
                 if not context.may_retry(exc):
                     break
                 if isinstance(exc, _FINAL_ERRORS):
@@ -135,12 +136,17 @@
             successor, attempt.successor = attempt.successor, None
             if successor is None:
                 raise
-            self._count("retries", exc.code, labels=context.labels)
+            self._note_retry(context, exc)
             context.is_moving = True
             return await self._send_or_move(context, successor)
         finally:
             if attempt.successor is not None:
-                await attempt.successor.stack.aclose()
+                with self._send_policy.contained(context):
+                    await attempt.successor.stack.aclose()
+
+    def _note_retry(self, context, exc):
+        with self._send_policy.contained(context):
+            self._count("retries", exc.code, labels=context.labels)
 
     def _usable_servers(self, context):
         gateway = self._gateway
@@ -277,6 +283,7 @@
             objective_s=context.received_s + context.route.objective_s,
             until_s=min(context.until_s, until_s),
             workspace=context.workspace_name,
+            request_id=context.meta.request_id,
         )
         owner = gateway.limited_servers.owner(server)
         grant = gateway.grant_client.acquire(owner, server.name, request)
@@ -334,7 +341,8 @@
             self._send_policy.check_for_crash(context, server, exc)
             raise
         finally:
-            balancer.end(server, failed)
+            with self._send_policy.contained(context):
+                balancer.end(server, failed)
 
     async def _fetch(self, context, attempt, request):
         """Send a request until it is answered or moves to another server.
--- a/src/coltsfootsail/_quotas.py
+++ b/src/coltsfootsail/_quotas.py
@@ -21,6 +21,7 @@
 from coltsfootsail import _quota
 from coltsfootsail import _quota_pool
 from coltsfootsail import _request_context
+from coltsfootsail import _tasks
 from coltsfootsail import _wire
 from coltsfootsail import exceptions
 
@@ -114,7 +115,8 @@
                 _request_context.NOT_RUN,
             )
             if not is_run and not context.may_have_run:
-                self._refund(workspace, cost, begun_s)
+                with _tasks.contained(self._count, context.meta.request_id):
+                    self._refund(workspace, cost, begun_s)
             raise
 
     def _refund(self, workspace, cost, begun_s):
--- a/src/coltsfootsail/_request_context.py
+++ b/src/coltsfootsail/_request_context.py
@@ -10,6 +10,7 @@
 from coltsfootsail import _logs
 from coltsfootsail import _metrics
 from coltsfootsail import _server_states
+from coltsfootsail import _tasks
 from coltsfootsail import _upstream
 from coltsfootsail import exceptions
 from coltsfootsail.platform import messages
@@ -195,6 +196,10 @@
         self._now = gateway.now
         self._count = gateway.metrics.count
 
+    def contained(self, context):
+        """Contain the errors of notes about a request."""
+        return _tasks.contained(self._count, context.meta.request_id)
+
     def remaining_s(self, context):
         """Get the time left to a request.
 
--- a/src/coltsfootsail/_request_handler.py
+++ b/src/coltsfootsail/_request_handler.py
@@ -121,11 +121,17 @@
             )
             if not resp.ended:
                 error = exceptions.UnexpectedError(outcome=progress.outcome())
-        if error is None:
-            self._record_answered(progress.context, resp.status)
-            return
-        self._record_refused(error, resp, progress)
-        await self._refuse(error, resp)
+        with self._contained(progress.request_id):
+            if error is None:
+                self._record_answered(progress.context, resp.status)
+            else:
+                self._record_refused(error, resp, progress)
+        if error is not None:
+            await self._refuse(error, resp)
+
+    def _contained(self, request_id):
+        """Contain the errors of notes about a request."""
+        return _tasks.contained(self._count, request_id)
 
     async def _answer(self, req, resp, progress):
         """Answer a request, unless the node stops meanwhile.
@@ -158,7 +164,8 @@
                 gateway.crashes.check_allowed(context)
                 await self._forward(context, resp)
         finally:
-            gateway.crashes.end_trials(context)
+            with self._contained(meta.request_id):
+                gateway.crashes.end_trials(context)
 
     def end_all(self):
         """Give the requests that still run, or follow, their final answers."""
@@ -167,7 +174,8 @@
             scope.cancel()
 
     async def _forward(self, context, resp):
-        self._record_request(context)
+        with self._contained(context.meta.request_id):
+            self._record_request(context)
         if context.route.kind is _fleet.RouteKind.STREAMING:
             await self._streams.forward(context, resp)
         else:
@@ -180,7 +188,8 @@
                     [*response.headers, *self._gateway.closing_headers(resp)],
                 )
         if resp.status < 300:
-            self._gateway.crashes.completed(context)
+            with self._contained(context.meta.request_id):
+                self._gateway.crashes.completed(context)
 
     def _record_request(self, context):
         prompt = context.meta.prompt
@@ -203,8 +212,6 @@
 
     def _record_answered(self, context, status):
         duration_s = self._now() - context.received_s
-        self._metrics.observe("whole_seconds", duration_s, context.labels)
-        self._count("requests", "answered", labels=context.labels)
         _logs.detail(
             "answered",
             id=context.meta.request_id,
@@ -212,9 +219,10 @@
             sends=context.sends,
             after_s=round(duration_s, 3),
         )
+        self._count("requests", "answered", labels=context.labels)
+        self._metrics.observe("whole_seconds", duration_s, context.labels)
 
     def _record_refused(self, exc, resp, progress):
-        self._count("refusals", exc.code, labels=progress.labels())
         _logs.detail(
             "refused",
             id=progress.request_id,
@@ -225,6 +233,7 @@
             retry_after_s=exc.retry_after_s,
             begun=resp.status is not None,
         )
+        self._count("refusals", exc.code, labels=progress.labels())
 
     async def _refuse(self, exc, resp):
         """Send an error, unless an answer has begun."""
--- a/src/coltsfootsail/_stream_moves.py
+++ b/src/coltsfootsail/_stream_moves.py
@@ -43,9 +43,12 @@
     Bytes without an event do not end it: a stalled server may go on sending
     some.  It is held during writes to the caller: a write that is cancelled
     would lose a part of the answer or truncate it.
+
+    :param may_move: whether the stream may be moved at all.
     """
 
-    def __init__(self):
+    def __init__(self, may_move=True):
+        self.may_move = may_move
         self._since_s = trio.current_time()
         self._due_s = self._since_s + FIRST_BYTE_TIMEOUT_S
         self._is_held = False
--- a/src/coltsfootsail/_stream_sink.py
+++ b/src/coltsfootsail/_stream_sink.py
@@ -1,5 +1,6 @@
 """Writing of streams to callers, event by event."""
 
+import contextlib
 import re
 
 from coltsfootsail import _engine_speed
@@ -11,6 +12,10 @@
 _DATA_FIELD = re.compile(rb"^data", re.MULTILINE)
 
 
+def _nothing():
+    """Do nothing."""
+
+
 class StreamSink:
     """Writes a stream to the caller, from one or more servers in turn.
 
@@ -19,16 +24,28 @@
     :param now: closure that reads the clock.
     :param account: a ``_held_memory.Account`` for incomplete events.
 
-    ``before_events`` is called before events are written.
+    :param contained: closure that makes a context manager which contains
+        the errors of notes.
+
+    ``before_events`` is called before the first events of each server are
+    written.
     """
 
-    def __init__(self, resp, extra_headers, now, account):
+    def __init__(
+        self,
+        resp,
+        extra_headers,
+        now,
+        account,
+        contained=contextlib.nullcontext,
+    ):
         self._resp = resp
         self._extra_headers = extra_headers
         self._now = now
+        self.contained = contained
         self._last_write_s = None
         self.splitter = _upstream.EventSplitter(account)
-        self.before_events = lambda: None
+        self.before_events = _nothing
         self.started = False
         self.first_event_s = None
         self.longest_pause_s = 0.0
@@ -62,8 +79,10 @@
         if not events:
             return False
         self.before_events()
+        self.before_events = _nothing
         data_fields = len(_DATA_FIELD.findall(events))
-        self._note_time(data_fields)
+        with self.contained():
+            self._note_time(data_fields)
         await self._resp.write(events)
         return data_fields > 0
 
--- a/src/coltsfootsail/_streams.py
+++ b/src/coltsfootsail/_streams.py
@@ -73,13 +73,16 @@
             lambda: self._gateway.closing_headers(resp),
             self._now,
             context.account,
+            lambda: self._send_policy.contained(context),
         )
         with trio.move_on_after(max(0.0, context.until_s - self._now())):
             if context.meta.resumes or context.meta.last_event:
                 await self._bind_taken_up(context)
-            self._gateway.retry_budget.request(context.service)
+            with self._send_policy.contained(context):
+                self._gateway.retry_budget.request(context.service)
             await self._run_attempts(context, sink, resp)
-            self._observe_times(context, sink)
+            with self._send_policy.contained(context):
+                self._observe_times(context, sink)
             return
         # At the deadline, a stream that has started is cut off; a caller
         # that has received nothing gets an error response.
@@ -136,9 +139,15 @@
             while not await self._try_once(context, sink, resp, pauses_s):
                 sink.splitter.discard_partial_event()
         finally:
-            self._send_policy.release_retry(context)
+            with self._send_policy.contained(context):
+                self._send_policy.release_retry(context)
             if context.target is not None:
-                await context.target.aclose()
+                await self._give_back(context, context.target)
+
+    async def _give_back(self, context, target):
+        """Give the grant of a target back."""
+        with self._send_policy.contained(context):
+            await target.aclose()
 
     async def _try_once(self, context, sink, resp, pauses_s):
         """Make an attempt.
@@ -151,15 +160,8 @@
         try:
             await self._attempt(context, sink, resp)
         except exceptions.ColtsfootsailError as exc:
-            self._count("retries", exc.code, labels=context.labels)
-            _logs.detail(
-                "attempt_failed",
-                id=context.meta.request_id,
-                code=exc.code,
-                why=exc.detail,
-                sends=context.sends,
-                paid=self._send_policy.holds_retry(context),
-            )
+            with self._send_policy.contained(context):
+                self._record_failure(context, exc)
             if context.may_go_on_later(exc):
                 await trio.sleep(next(pauses_s))
                 _stream_moves.clear_rejections(context)
@@ -169,6 +171,17 @@
             return False
         return True
 
+    def _record_failure(self, context, exc):
+        self._count("retries", exc.code, labels=context.labels)
+        _logs.detail(
+            "attempt_failed",
+            id=context.meta.request_id,
+            code=exc.code,
+            why=exc.detail,
+            sends=context.sends,
+            paid=self._send_policy.holds_retry(context),
+        )
+
     def _raise_if_final(self, context, sink, exc):
         """Raise the failure again unless another attempt may follow.
 
@@ -200,7 +213,8 @@
         target = await self._take_target(context)
         server, owner = target.server, target.owner
         try:
-            async with contextlib.aclosing(target):
+            async with contextlib.AsyncExitStack() as stack:
+                stack.push_async_callback(self._give_back, context, target)
                 await self._acquire(context, target)
                 await self._send_granted(context, sink, resp, target)
         except (exceptions.TurnedAway, exceptions.OwnerSilent) as exc:
@@ -234,7 +248,7 @@
         if target is not None:
             if target.is_current(self._gateway):
                 return target
-            await target.aclose()
+            await self._give_back(context, target)
         return _stream_moves.Target(*await self._choose_engine(context))
 
     async def _acquire(self, context, target):
@@ -262,11 +276,16 @@
             raise
         finally:
             if use is not None:
-                use.first_event_s = self._reading_time_s(
-                    context, sink, granted_s
-                )
-                use.events, use.stream_s = sink.shown_steps()
-                gateway.speeds.note_stream(server, use.events, use.stream_s)
+                with self._send_policy.contained(context):
+                    self._note_use(context, sink, target, granted_s)
+
+    def _note_use(self, context, sink, target, granted_s):
+        use = target.use
+        use.first_event_s = self._reading_time_s(context, sink, granted_s)
+        use.events, use.stream_s = sink.shown_steps()
+        self._gateway.speeds.note_stream(
+            target.server, use.events, use.stream_s
+        )
 
     def _reading_time_s(self, context, sink, granted_s):
         """Get the time to the first event, 0 if it shows no reading speed.
@@ -339,7 +358,7 @@
         paid = self._send_policy.authorize_send(context, server)
         request = self._build_request(context, sink, target)
         sink.before_events = lambda: self._note_events(context, server)
-        silence = _stream_moves.Silence()
+        silence = _stream_moves.Silence(context.route.resumable)
         mover = _stream_moves.Mover(
             self._gateway, self._send_policy, context, server, silence
         )
@@ -397,7 +416,7 @@
             return
         if context.target is not None:
             # The drop takes longer than the grant is good for.
-            await context.target.aclose()
+            await self._give_back(context, context.target)
             context.target = None
         await self._gateway.upstream.wait_until_dropped(
             server,
@@ -431,34 +450,40 @@
         )
 
     async def _relay(self, exchange, sink, resp, silence):
-        await silence.hold()
+        hold = trio.lowlevel.checkpoint_if_cancelled
+        if silence.may_move:
+            hold = silence.hold
+        await hold()
         if not 200 <= exchange.status < 300:
             await self._relay_error_response(exchange, sink, resp)
             return
         await sink.start(exchange)
-        silence.note_event()
+        with sink.contained():
+            silence.note_event()
         while exchange.phase is not _http.Phase.DONE:
-            silence.release()
+            with sink.contained():
+                silence.release()
             data = await exchange.read_some()
-            await silence.hold()
+            await hold()
             if await sink.write(data):
-                silence.note_event()
+                with sink.contained():
+                    silence.note_event()
         await sink.end()
 
     def _note_events(self, context, server):
-        """Note that a server sends events, before the caller has them."""
-        context.is_moving = False
-        self._note_origin(context, server)
-
-    def _note_origin(self, context, server):
         """Bind a stream to the software version that begins it.
 
         Other nodes are told before the caller has the first event.
         """
+        context.is_moving = False
         if context.origin_noted:
             return
         context.origin_noted = True
         context.software = server.software
+        with self._send_policy.contained(context):
+            self._note_origin(context, server)
+
+    def _note_origin(self, context, server):
         origin = _stream_origins.Origin(context.service, server.software)
         meta = context.meta
         for request_id in {meta.request_id, meta.resumes} - {""}:
--- a/src/coltsfootsail/_tasks.py
+++ b/src/coltsfootsail/_tasks.py
@@ -28,6 +28,23 @@
     return True
 
 
+@contextlib.contextmanager
+def contained(count, request_id, server=""):
+    """Contain the errors of notes beside an answer; it goes on without them.
+
+    Nothing that decides whether a request may be sent belongs here.
+
+    :param count: ``(counter, reason)``.
+    :param request_id: of the request that is answered, for the log.
+    :param server: name of the server that the notes are about, if any.
+    """
+    try:
+        yield
+    except Exception as exc:
+        _logs.failure("note_failed", exc, id=request_id, server=server)
+        count("task_errors", "note")
+
+
 async def run_contained(serves, count, work, *args):
     """Run a task whose error ends nothing else; log and count its error.
 
--- a/src/coltsfootsail/_upstream.py
+++ b/src/coltsfootsail/_upstream.py
@@ -13,6 +13,7 @@
 from coltsfootsail import _dropped_runs
 from coltsfootsail import _http
 from coltsfootsail import _logs
+from coltsfootsail import _tasks
 from coltsfootsail import exceptions
 from coltsfootsail.platform import messages
 
@@ -192,17 +193,6 @@
         }
 
 
-@contextlib.contextmanager
-def _contained(server, request):
-    """Log the errors of notes about a server; its answer needs none."""
-    try:
-        yield
-    except Exception as exc:
-        _logs.failure(
-            "note_failed", exc, id=request.request_id, server=server.name
-        )
-
-
 class UpstreamClient:
     """Sends requests to servers.
 
@@ -288,7 +278,12 @@
             trace.conclusion = exceptions.UnexpectedError.code
             raise
         finally:
-            self._record_end(server, request, trace)
+            with self._contained(server, request):
+                self._record_end(server, request, trace)
+
+    def _contained(self, server, request):
+        """Contain the errors of notes about a server."""
+        return _tasks.contained(self._count, request.request_id, server.name)
 
     async def _send_once(self, server, request, timeout_s, on_response, trace):
         try:
@@ -305,7 +300,7 @@
             trace.exchange = exchange
             trace.phase = _http.Phase.SENDING
             sent_s = self._now()
-            with _contained(server, request):
+            with self._contained(server, request):
                 self._reach.note_sent(server.name)
             await exchange.request(
                 request.method,
@@ -315,7 +310,7 @@
                 _make_response_check(request.request_id),
             )
             trace.phase = _http.Phase.ANSWERING
-            with _contained(server, request):
+            with self._contained(server, request):
                 _set_keep_alive(exchange)
                 self._note_statements(server, exchange, sent_s, trace)
             if messages.was_not_run(exchange):
--- a/tests/test_engine_selection.py
+++ b/tests/test_engine_selection.py
@@ -80,6 +80,7 @@
         call = types.SimpleNamespace(
             service="engines",
             meta=types.SimpleNamespace(
+                request_id="r1",
                 prompt=types.SimpleNamespace(
                     adapter=adapter,
                     model="base",
@@ -87,7 +88,7 @@
                     prompt_tokens=tokens,
                     output_tokens=100,
                     expected_tokens=100,
-                )
+                ),
             ),
             route=types.SimpleNamespace(objective_s=1.0, gap_s=0.3),
             priority=1,
