Close connections that no request is to use any more

Cause: an idle connection to a server was closed only when another request to the same address took it. For a server that has left none comes, so its connections stayed in CLOSE_WAIT for good.

Change: each pool that keeps connections (requests, orders to engines, the store) is looked through every 0.5 s with one poll. A connection is closed that its server has closed, whose time is over, or whose server is gone from the view. Tables have no entries for addresses without connections. Report clients and crash checks keep none; links to peers are no pool.

--- a/src/coltsfootsail/_connection_limits.py
+++ b/src/coltsfootsail/_connection_limits.py
@@ -33,6 +33,11 @@
             for server in self._view.servers.values()
         }
 
+    def addresses(self):
+        """Get the addresses of all servers, as the keys of a dict."""
+        self._refresh()
+        return self._service_names.keys()
+
     def limit(self, address):
         """Get the number of connections this node may have to a server.
 
--- a/src/coltsfootsail/_gateway.py
+++ b/src/coltsfootsail/_gateway.py
@@ -114,8 +114,9 @@
     def _build_store_and_peers(self, settings, network):
         """Build the components that talk to the store and to peers."""
         gateway_settings, lease = settings.gateway, settings.lease
+        self._store_client = _http.HttpClient(network, idle_max=4)
         self.kv = platform.StoreClient(
-            _http.HttpClient(network, idle_max=4),
+            self._store_client,
             settings.platform.kv_addresses[0],
             lambda operation: self.metrics.count("kv_calls", operation),
             self._on_new_era,
@@ -246,8 +247,9 @@
         self._popularity = _popularity.Popularity(
             POPULARITY_HALF_LIFE_S, prior_s=2.0
         )
+        self._order_client = _http.HttpClient(network, idle_max=2)
         dependencies = _engine_controller.ControllerDependencies(
-            _http.HttpClient(network, idle_max=2),
+            self._order_client,
             self._popularity,
             self.now,
             self.metrics,
@@ -274,7 +276,7 @@
     def _build_request_handling(self, settings, network):
         """Build the components that answer callers."""
         gateway_settings = settings.gateway
-        limits = _connection_limits.ConnectionLimits(
+        limits = self._connection_limits = _connection_limits.ConnectionLimits(
             self.view, self._node_count
         )
         self.grant_client = _grants.GrantClient(
@@ -635,6 +637,12 @@
                 ("sweep", self._run_sweep),
                 ("clock", self._watch_clock),
             ]
+            addresses = self._connection_limits.addresses
+            loops += [
+                ("connections", self.server_client.tend, addresses),
+                ("connections", self._order_client.tend, addresses),
+                ("connections", self._store_client.tend),
+            ]
             if self.freshness.is_needed:
                 loops.append(("proofs", self.peer_proofs.run))
             for serves, *work in loops:
--- a/src/coltsfootsail/_http_client.py
+++ b/src/coltsfootsail/_http_client.py
@@ -24,6 +24,7 @@
 FOREIGN_ANSWERS_MAX = 4  # answers to other requests before the answer
 FOREIGN_BYTES_MAX = 1_048_576  # of their bodies
 CONNECTION_REQUESTS_MAX = 100  # bounds the ids that a connection remembers
+STALE_CHECK_S = 0.5  # between looks for idle connections of no more use
 
 
 @dataclasses.dataclass(slots=True)
@@ -246,14 +247,19 @@
     return b"".join(parts)
 
 
-def _has_input(stream):
-    """Tell whether an idle connection received bytes or was closed."""
-    sock = getattr(stream, "socket", None)
-    if sock is None:
-        return False
+def _with_input(streams):
+    """Get the streams that received bytes or were closed by the far end.
+
+    :returns: a set of those that are TCP connections.
+    """
     poll = select.poll()
-    poll.register(sock.fileno(), select.POLLIN | select.POLLHUP)
-    return bool(poll.poll(0))
+    by_descriptor = {}
+    for stream in streams:
+        sock = getattr(stream, "socket", None)
+        if sock is not None:
+            by_descriptor[sock.fileno()] = stream
+            poll.register(sock.fileno(), select.POLLIN | select.POLLHUP)
+    return {by_descriptor[descriptor] for descriptor, _ in poll.poll(0)}
 
 
 @dataclasses.dataclass(slots=True)
@@ -328,28 +334,35 @@
 
         :returns: an ``_IdleConnection``, or None if there is none.
         """
-        idle = self._idle.get(address, [])
         while True:
+            idle = self._idle.get(address, ())
             usable = (c for c in reversed(idle) if c.may_carry(request_id))
             pooled = next(usable, None)
             if pooled is None:
                 return None
-            idle.remove(pooled)
+            self._remove_idle(address, pooled)
             unexpired = self._network.now() < pooled.until_s
-            if unexpired and not _has_input(pooled.stream):
+            if unexpired and not _with_input([pooled.stream]):
                 return pooled
             await trio.aclose_forcefully(pooled.stream)
 
     def _keep(self, address, exchange):
         if exchange.history.exchanges >= CONNECTION_REQUESTS_MAX:
             return False
-        idle = self._idle.setdefault(address, [])
+        idle = self._idle.get(address, [])
         if len(idle) >= self._idle_max or self._exceeds_total(address):
             return False
         until_s = self._network.now() + exchange.keep_s
+        self._idle[address] = idle
         idle.append(_IdleConnection(*exchange.connection(), until_s))
         return True
 
+    def _remove_idle(self, address, pooled):
+        connections = self._idle[address]
+        connections.remove(pooled)
+        if not connections:
+            del self._idle[address]
+
     def _exceeds_total(self, address):
         """Tell whether the connections to an address exceed the total."""
         if self._total is None:
@@ -373,7 +386,52 @@
 
     async def forget(self, address):
         """Close the idle connections to an address."""
-        for pooled in self._idle.pop(address, []):
+        await self._close_idle(
+            [(address, pooled) for pooled in self._idle.get(address, ())]
+        )
+
+    async def tend(self, get_addresses=lambda: None):
+        """Close idle connections of no more use until cancelled.
+
+        :param get_addresses: closure that returns the addresses of all
+            servers that are left; None if they don't change.
+        """
+        while True:
+            await trio.sleep(STALE_CHECK_S)
+            await self.close_stale(get_addresses())
+
+    async def close_stale(self, addresses=None):
+        """Close the idle connections that no request is to use any more.
+
+        Their server has closed them or has left, or their time is over.
+
+        :param addresses: those of all servers that are left; None for any.
+        """
+        now_s = self._network.now()
+        idle = [
+            (address, pooled)
+            for address, connections in self._idle.items()
+            for pooled in connections
+        ]
+        ended = _with_input(pooled.stream for _, pooled in idle)
+        await self._close_idle(
+            [
+                (address, pooled)
+                for address, pooled in idle
+                if now_s >= pooled.until_s
+                or pooled.stream in ended
+                or (addresses is not None and address not in addresses)
+            ]
+        )
+
+    async def _close_idle(self, idle):
+        """Close idle connections, none of which is taken meanwhile.
+
+        :param idle: list of pairs of address and ``_IdleConnection``.
+        """
+        for address, pooled in idle:
+            self._remove_idle(address, pooled)
+        for _, pooled in idle:
             await trio.aclose_forcefully(pooled.stream)
 
     @contextlib.asynccontextmanager
--- a/src/coltsfootsail/standins/network.py
+++ b/src/coltsfootsail/standins/network.py
@@ -253,6 +253,10 @@
                 pipe.broken = True
         self._wake_all()
 
+    def open_connections(self, host):
+        """Count the connections that a host has not closed."""
+        return sum(p.source == host and not p.closed for p in self._pipes)
+
     async def _open(self, host, address):
         await trio.lowlevel.checkpoint()
         target = address.rpartition(":")[0]
