Bound the bodies of requests that a process holds

Each body was joined from its chunks, and joined again with its head for the server; both copies were kept until the answer, and nothing bounded their sum.

A body is now taken from the budget of the process before it is read, by its stated length or, if it is chunked, as it arrives, and given back when the answer has ended. Without room the request is refused at once as not run (memory_full, 503, Retry-After 1), instead of a 100 Continue too. Each refusal of a request that was not read whole has its log line, with the id if the head was read. The body is read into one buffer and sent to the server without a copy. An error that nobody expects while a request is read is refused as read_failed with 503: its 500 with "not run" contradicted itself.

test_relayed_answer_without_end_is_left looked at the budget within the turn in which the answer arrived; it now looks once no task can go on.

--- a/src/coltsfootsail/_frontend.py
+++ b/src/coltsfootsail/_frontend.py
@@ -100,7 +100,10 @@
         self._connections += 1
         try:
             await _http.serve_connection(
-                stream, self._http_limits, self._handle, self._count_refusal
+                stream,
+                self._http_limits,
+                self._handle,
+                lambda exc, headers: self._count_refusal(exc),
             )
         finally:
             self._connections -= 1
--- a/src/coltsfootsail/_gateway.py
+++ b/src/coltsfootsail/_gateway.py
@@ -454,7 +454,8 @@
                 stream,
                 self.http_limits,
                 self.request_handler.handle,
-                lambda exc: self.metrics.count("refusals", exc.code),
+                self.request_handler.note_unread,
+                self.held_memory,
             )
         except Exception as exc:
             # A bug ends this one connection only, not the process and the
--- a/src/coltsfootsail/_held_memory.py
+++ b/src/coltsfootsail/_held_memory.py
@@ -11,11 +11,14 @@
 import contextlib
 import dataclasses
 
+from coltsfootsail import exceptions
+
 PROGRAM_BYTES = 110_000_000  # without what is held for others
 # Of the remaining memory; buffers and fragmentation take the other part.
 HELD_SHARE = 0.35
 BUDGET_MIN_BYTES = 16_777_216
 SMALL_BYTES = 65_536  # of each holder
+RETRY_AFTER_S = 1.0  # in which some of the requests that hold it end
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -69,7 +72,7 @@
         try:
             yield account
         finally:
-            account.give_back(account.held_bytes)
+            account.give_back_all()
 
     def has_room(self, use, size_bytes, large_bytes):
         """Tell whether bytes can be taken now.
@@ -122,10 +125,27 @@
         self._change(size_bytes)
         return True
 
+    def require(self, size_bytes):
+        """Take bytes for a request that has not run.
+
+        :raises MemoryFull: if the budget does not have as many.
+        """
+        if not self.take(size_bytes):
+            memory = self._memory
+            raise exceptions.MemoryFull(
+                f"{size_bytes} bytes wanted, {memory.held_bytes} held of "
+                f"{memory.budget_bytes}",
+                retry_after_s=RETRY_AFTER_S,
+            )
+
     def give_back(self, size_bytes):
         """Return bytes to the budget."""
         self._change(-size_bytes)
 
+    def give_back_all(self):
+        """Return all bytes to the budget."""
+        self._change(-self.held_bytes)
+
     def _change(self, size_bytes):
         large_bytes = self._large_bytes(size_bytes)
         self._memory.add(self._use, size_bytes, large_bytes)
--- a/src/coltsfootsail/_http_client.py
+++ b/src/coltsfootsail/_http_client.py
@@ -68,9 +68,8 @@
     async def send(self, method, target, headers, body):
         """Send the whole request."""
         self.phase = _http_messages.Phase.SENDING
-        await self._stream.send_all(
-            _encode_request(self._conn, method, target, headers, body)
-        )
+        for part in _encode_request(self._conn, method, target, headers, body):
+            await self._stream.send_all(part)
         self.phase = _http_messages.Phase.SENT
 
     async def request(self, method, target, headers, body, accept):
@@ -85,7 +84,7 @@
         :raises h11.RemoteProtocolError: if the connection ends without an
             answer.
         """
-        data = _encode_request(self._conn, method, target, headers, body)
+        parts = _encode_request(self._conn, method, target, headers, body)
         self.phase = _http_messages.Phase.SENDING
 
         async def read():
@@ -97,15 +96,16 @@
                 status = await self.read_head()
             raise _http_messages.AnswerTooLarge("answers to other requests")
 
-        with _net.allow_unread(self._stream, len(data)):
+        with _net.allow_unread(self._stream, sum(map(len, parts))):
             return await _tasks.run_with_background(
-                self._send_ignoring_errors, read, data
+                self._send_ignoring_errors, read, parts
             )
 
-    async def _send_ignoring_errors(self, data):
+    async def _send_ignoring_errors(self, parts):
         self._request_incomplete = True
         try:
-            await self._stream.send_all(data)
+            for part in parts:
+                await self._stream.send_all(part)
         except _http_messages.STREAM_ERRORS:
             # The server may have answered before it closed the connection.
             return
@@ -230,6 +230,8 @@
     """Encode a request.
 
     A GET, HEAD or DELETE without a body gets no content length.
+
+    :returns: what to send, in parts, so that a large body is not copied.
     """
     fields = list(headers)
     if body or method not in ("GET", "HEAD", "DELETE"):
@@ -241,9 +243,9 @@
     )
     parts = [conn.send(req)]
     if body:
-        parts.append(conn.send(h11.Data(data=body)))
-    parts.append(conn.send(h11.EndOfMessage()))
-    return b"".join(parts)
+        parts += conn.send_with_data_passthrough(h11.Data(data=body))
+    conn.send(h11.EndOfMessage())
+    return _http_messages.join_small(parts)
 
 
 def _has_input(stream):
--- a/src/coltsfootsail/_http_messages.py
+++ b/src/coltsfootsail/_http_messages.py
@@ -38,12 +38,13 @@
     """A received request; header names are in lower case.
 
     :param headers: not printed, because they may hold a caller's key.
+    :param body: its only copy, which is not to be changed.
     """
 
     method: str
     target: str
     headers: tuple = dataclasses.field(repr=False)
-    body: bytes
+    body: bytes | bytearray
 
     def header(self, name, default=""):
         """Get a header's first value.
@@ -112,6 +113,17 @@
         conn.receive_data(await stream.receive_some(RECEIVE_BYTES))
 
 
+def join_small(parts):
+    """Join the parts of a message, unless that would copy a large one.
+
+    :param parts: list of bytes-like objects.
+    :returns: a list of what to send.
+    """
+    if sum(map(len, parts)) > RECEIVE_BYTES:
+        return parts
+    return [b"".join(parts)]
+
+
 def find_header(headers, name, default=""):
     """Get a header's first value.
 
--- a/src/coltsfootsail/_http_server.py
+++ b/src/coltsfootsail/_http_server.py
@@ -2,10 +2,12 @@
 
 import contextlib
 import json
+import math
 
 import h11
 import trio
 
+from coltsfootsail import _held_memory
 from coltsfootsail import _http_messages
 from coltsfootsail import _net
 from coltsfootsail import exceptions
@@ -51,8 +53,8 @@
 
     ``status`` is that of the answer once a part of it may have been sent,
     None before; ``ended`` is set once all of it was.  ``method`` is that of
-    the request, empty until it was read.  ``has_hung_up`` tells whether the
-    caller was seen to send no more.
+    the request, empty until it was read, ``request_headers`` its headers.
+    ``has_hung_up`` tells whether the caller was seen to send no more.
 
     :param unread: the connection's ``UnreadAllowance``.
     """
@@ -63,6 +65,7 @@
         self._limits = limits
         self._unread = unread
         self.method = ""
+        self.request_headers = ()
         self.status = None
         self.ended = False
         self.has_hung_up = False
@@ -216,19 +219,39 @@
     return [("retry-after", str(max(1, round(exc.retry_after_s))))]
 
 
-async def _read_body(conn, stream, limits):
-    chunks = []
-    size = 0
+async def _read_body(conn, stream, headers, limits, account):
+    """Read a body into one buffer.
+
+    :param account: a ``_held_memory.Account``, from which a stated length
+        is taken before anything is read, and other bytes as they arrive.
+    :raises MemoryFull: if it has not as many.
+    """
+    size = int(_http_messages.find_header(headers, "content-length", "0"))
+    account.require(size)
+    body = bytearray(size)
+    try:
+        await _fill_body(body, conn, stream, limits, account)
+    except BaseException:
+        # The traceback of the error would keep it.
+        body.clear()
+        raise
+    return body
+
+
+async def _fill_body(body, conn, stream, limits, account):
+    end = 0
     while True:
         event = await _http_messages.next_event(conn, stream)
         if isinstance(event, h11.EndOfMessage):
-            return b"".join(chunks)
+            return
         if not isinstance(event, h11.Data):
             raise exceptions.BadHttp("connection ended inside the body")
-        size += len(event.data)
-        if size > limits.body_bytes:
+        begin, end = end, end + len(event.data)
+        if end > limits.body_bytes:
             raise exceptions.BodyTooLarge(f"limit {limits.body_bytes} bytes")
-        chunks.append(bytes(event.data))
+        if end > len(body):
+            account.require(end - len(body))
+        body[begin:end] = event.data
 
 
 def _check_head(event, headers, limits):
@@ -305,10 +328,11 @@
             await self._stream.send_all(data)
 
 
-async def _read_request(conn, resp, limits):
+async def _read_request(conn, resp, limits, account):
     """Read one request whose first bytes have been received.
 
-    :param resp: its ``Responder``, which learns its method.
+    :param resp: its ``Responder``, which learns its method and headers.
+    :param account: a ``_held_memory.Account`` for its body.
     :returns: an ``HttpRequest``, or None if the caller closed the
         connection.
     """
@@ -320,8 +344,9 @@
             return None
         resp.method = event.method.decode("ascii")
         headers = _http_messages.text_headers(event.headers)
+        resp.request_headers = headers
         _check_head(event, headers, limits)
-        body = await _read_body(conn, reader, limits)
+        body = await _read_body(conn, reader, headers, limits, account)
     except trio.TooSlowError as exc:
         raise exceptions.RequestTimeout() from exc
     except h11.RemoteProtocolError as exc:
@@ -363,7 +388,9 @@
     await resp.reply_json(error_json(exc), exc.status, headers)
 
 
-async def serve_connection(stream, limits, handler, on_error=None):
+async def serve_connection(
+    stream, limits, handler, on_error=None, memory=None
+):
     """Serve requests on one connection until it ends.
 
     :param stream: a ``trio.abc.Stream``.
@@ -372,10 +399,15 @@
     :param handler: ``async (HttpRequest, Responder)``; an error that it
         raises before the answer starts is sent as JSON.  ``CallerGone``
         ends the connection; what is no typed error is raised again.
-    :param on_error: called with each typed error that occurs before the
-        handler is called.
+    :param on_error: ``(error, headers)``, called for each typed error that
+        occurs before the handler is called, with the headers that were read.
+    :param memory: the ``HeldMemory`` from which the bodies of requests are
+        taken until they are answered; None bounds each body alone, for
+        servers whose callers are the operators or this program.
     """
     get_limits = limits if callable(limits) else lambda: limits
+    on_error = on_error or (lambda exc, headers: None)
+    memory = memory or _held_memory.HeldMemory(math.inf)
 
     async def handle_request(req, resp):
         try:
@@ -402,17 +434,24 @@
                     unread.note_read()
             if not received:
                 return
-            received = await _serve_one(
-                received,
-                stream,
-                get_limits(),
-                unread,
-                handle_request,
-                on_error,
-            )
+            account = _held_memory.Account(memory, _held_memory.REQUEST)
+            try:
+                received = await _serve_one(
+                    received,
+                    stream,
+                    get_limits(),
+                    unread,
+                    handle_request,
+                    on_error,
+                    account,
+                )
+            finally:
+                account.give_back_all()
 
 
-async def _serve_one(received, stream, limits, unread, handler, on_error):
+async def _serve_one(
+    received, stream, limits, unread, handler, on_error, account
+):
     """Serve the request that begins with the bytes received.
 
     :returns: the bytes received after it, or None if the connection ends.
@@ -423,18 +462,20 @@
     conn.receive_data(received)
     resp = Responder(conn, stream, limits, unread)
     try:
-        req = await _read_request(conn, resp, limits)
+        req = await _read_request(conn, resp, limits, account)
     except exceptions.CallerGone:
         raise
     except exceptions.ColtsfootsailError as exc:
-        if on_error is not None:
-            on_error(exc)
+        account.give_back_all()
+        on_error(exc, resp.request_headers)
         await _answer_last(resp, exc)
         await _linger(stream)
         return None
     except Exception:
-        outcome = exceptions.Outcome.NOT_RUN
-        await _answer_last(resp, exceptions.UnexpectedError(outcome=outcome))
+        account.give_back_all()
+        error = exceptions.ReadFailed()
+        on_error(error, resp.request_headers)
+        await _answer_last(resp, error)
         raise
     if req is None:
         return None
--- a/src/coltsfootsail/_poison.py
+++ b/src/coltsfootsail/_poison.py
@@ -20,7 +20,8 @@
     :param body: the request's body as received.
     :returns: hex text.
     """
-    digest = hashlib.blake2b(adapter.encode() + b"\0" + body, digest_size=16)
+    digest = hashlib.blake2b(adapter.encode() + b"\0", digest_size=16)
+    digest.update(body)
     return digest.hexdigest()
 
 
--- a/src/coltsfootsail/_request_handler.py
+++ b/src/coltsfootsail/_request_handler.py
@@ -13,6 +13,7 @@
 from coltsfootsail import _fleet
 from coltsfootsail import _held_memory
 from coltsfootsail import _http
+from coltsfootsail import _http_messages
 from coltsfootsail import _logs
 from coltsfootsail import _metrics
 from coltsfootsail import _plain
@@ -94,6 +95,14 @@
         finally:
             self.active_requests -= 1
 
+    def note_unread(self, exc, headers):
+        """Note a request that was refused before it was read whole.
+
+        :param headers: those that were read.
+        """
+        request_id = _http_messages.find_header(headers, messages.REQUEST_ID)
+        self._note_refused(exc, request_id, exc.status, begun=False)
+
     async def _watch_caller(self, progress, resp, scope):
         await resp.wait_hangup()
         self._count("requests", "caller_gone")
@@ -214,16 +223,27 @@
         )
 
     def _record_refused(self, exc, resp, progress):
-        self._count("refusals", exc.code, labels=progress.labels())
+        self._note_refused(
+            exc,
+            progress.request_id,
+            resp.status or error_status(exc),
+            begun=resp.status is not None,
+            labels=progress.labels(),
+        )
+
+    def _note_refused(
+        self, exc, request_id, status, begun, labels=_metrics.NO_LABELS
+    ):
+        self._count("refusals", exc.code, labels=labels)
         _logs.detail(
             "refused",
-            id=progress.request_id,
+            id=request_id,
             code=exc.code,
             outcome=str(exc.outcome),
-            status=resp.status or error_status(exc),
+            status=status,
             why=exc.detail,
             retry_after_s=exc.retry_after_s,
-            begun=resp.status is not None,
+            begun=begun,
         )
 
     async def _refuse(self, exc, resp):
--- a/src/coltsfootsail/exceptions.py
+++ b/src/coltsfootsail/exceptions.py
@@ -103,6 +103,12 @@
     status = 408
 
 
+class ReadFailed(Refusal):
+    """An error that the code does not expect ended the request's reading."""
+
+    code = "read_failed"
+
+
 class NotFound(Refusal):
     """No such path."""
 
@@ -170,6 +176,12 @@
     status = 429
 
 
+class MemoryFull(Refusal):
+    """The node holds as much for callers and servers as it may."""
+
+    code = "memory_full"
+
+
 class OverQuota(Refusal):
     """The workspace has used what its quota allows at this time."""
 
--- a/tests/test_endless_readers.py
+++ b/tests/test_endless_readers.py
@@ -246,6 +246,7 @@
             shop.body = b"x" * 20_000_000
         reply = await fleet.call("/orders/9", request_id="r1")
         assert reply.status == 502
+        await trio.testing.wait_all_tasks_blocked()
         assert fleet.gateways["g0"].held_memory.held_bytes == 0
 
     gateways.run(scenario)
--- a/tests/test_unanswered_requests.py
+++ b/tests/test_unanswered_requests.py
@@ -33,6 +33,7 @@
     "crashes.check_allowed",
     "crashes.end_trials",
     "crashes.completed",
+    "held_memory.has_room",
     "held_memory.hold",
     "retry_budget.request",
     "states.takes_requests",
