Blame no server for an error of the node that reads its answer

Callers saw: a stream error or a time limit of a node's own step while an answer was read was taken for the server's: a resumable stream went on at another engine at once, without a wait until the first one had dropped it, and in some cases without an event that had been split and not written; the server was checked for a crash and its failures counted.

Cause: the type of an error decided, whoever raised it.

Change: the errors of a server's connection are typed where its answer is read (_upstream.ServerAnswer); all others that arise once the head is there are the node's. The time limit of a send is told by its own scope. A plain request whose reading failed so is logged (send_failed) and ends with the outcome that is known, or is sent elsewhere where its route and the retry budget allow that; neither the balancer nor the crash check hears of it. A node that relays takes an error of the connection to the node that asked for that node's hangup, as before.

--- a/src/coltsfootsail/_plain.py
+++ b/src/coltsfootsail/_plain.py
@@ -334,12 +334,14 @@
                 balancer.unreachable(server)
                 failed = True
             raise
-        except exceptions.EndpointNotRun:
-            raise
+        except (exceptions.EndpointNotRun, exceptions.UnexpectedError):
+            raise  # the server did not fail
         except exceptions.ColtsfootsailError as exc:
             failed = True
             self._send_policy.check_for_crash(context, server, exc)
             raise
+        except Exception as exc:
+            raise self._send_policy.unexpected(context, server, exc) from exc
         finally:
             with self._send_policy.contained(context):
                 balancer.end(server, failed)
--- a/src/coltsfootsail/_relays.py
+++ b/src/coltsfootsail/_relays.py
@@ -250,13 +250,24 @@
     scope.cancel()
 
 
-async def _pass_on(exchange, messages):
-    """Send the answer of a server to the node that asked for it."""
-    await messages.send(_wire.AnswerHead(exchange.status, exchange.headers))
+async def _pass_on(answer, messages):
+    """Send the answer of a server to the node that asked for it.
+
+    :param answer: a ``ServerAnswer``.
+    :raises CallerGone: if that node has closed the connection.
+    """
+    await _send(messages, _wire.AnswerHead(answer.status, answer.headers))
     sent_bytes = 0
-    while exchange.phase is not Phase.DONE:
-        data = await exchange.read_some()
+    while answer.phase is not Phase.DONE:
+        data = await answer.read_some()
         if data:
             sent_bytes += len(data)
-            await messages.send(_wire.AnswerData(bytes(data)))
-    await messages.send(_wire.AnswerEnd(sent_bytes))
+            await _send(messages, _wire.AnswerData(bytes(data)))
+    await _send(messages, _wire.AnswerEnd(sent_bytes))
+
+
+async def _send(messages, msg):
+    try:
+        await messages.send(msg)
+    except OSError as exc:
+        raise exceptions.CallerGone(repr(exc)) from exc
--- a/src/coltsfootsail/_request_context.py
+++ b/src/coltsfootsail/_request_context.py
@@ -118,6 +118,13 @@
         """Get the name of its workspace, empty for none."""
         return "" if self.workspace is None else self.workspace.name
 
+    @property
+    def outcome(self):
+        """Get what is known of whether a server has run it."""
+        if self.may_have_run:
+            return exceptions.Outcome.UNKNOWN
+        return NOT_RUN
+
     @property
     def labels(self):
         """Get the ``Labels`` of the request's metrics."""
@@ -367,6 +374,20 @@
             raise exceptions.RetryBudgetSpent()
         return taken
 
+    def unexpected(self, context, server, exc):
+        """Log an unexpected error of this node that has ended a send.
+
+        The server is not blamed for it.
+
+        :param exc: the error.
+        :returns: a typed error with what is known of the request's outcome.
+        """
+        self._count("task_errors", "request")
+        _logs.failure(
+            "send_failed", exc, id=context.meta.request_id, server=server.name
+        )
+        return exceptions.UnexpectedError(outcome=context.outcome)
+
     def check_for_crash(self, context, server, exc):
         """Check whether a server that interrupted a request has crashed."""
         if isinstance(exc, _INTERRUPTION_ERRORS):
--- a/src/coltsfootsail/_request_handler.py
+++ b/src/coltsfootsail/_request_handler.py
@@ -48,9 +48,9 @@
 
     def outcome(self):
         """Get what is known of whether a server has run it."""
-        if self.context is not None and self.context.may_have_run:
-            return exceptions.Outcome.UNKNOWN
-        return _request_context.NOT_RUN
+        if self.context is None:
+            return _request_context.NOT_RUN
+        return self.context.outcome
 
 
 class RequestHandler:
--- a/src/coltsfootsail/_upstream.py
+++ b/src/coltsfootsail/_upstream.py
@@ -12,6 +12,7 @@
 
 from coltsfootsail import _dropped_runs
 from coltsfootsail import _http
+from coltsfootsail import _http_client
 from coltsfootsail import _logs
 from coltsfootsail import _tasks
 from coltsfootsail import exceptions
@@ -121,11 +122,51 @@
     return accept
 
 
-async def _read_body(exchange, account):
+class ServerAnswer:
+    """The answer of a server, whose errors are raised as typed errors.
+
+    All other errors in passing it on are the node's own.
+
+    :param exchange: an ``Exchange`` that has read the head.
+    """
+
+    def __init__(self, exchange):
+        self._exchange = exchange
+        self.status = exchange.status
+        self.headers = exchange.headers
+
+    @property
+    def phase(self):
+        """Get the ``Phase`` of the exchange."""
+        return self._exchange.phase
+
+    async def read_some(self):
+        """Read a part of the body, as ``Exchange.read_some``.
+
+        :raises AnswerTruncated: if the connection fails.
+        """
+        try:
+            return await self._exchange.read_some()
+        except _http.STREAM_ERRORS as exc:
+            raise _to_typed_error(_http.Phase.ANSWERING, exc) from exc
+
+    async def read_body(self, limit_bytes, account=None):
+        """Read the whole body, as ``Exchange.read_body``.
+
+        :raises AnswerTruncated: if the connection fails, or the body is too
+            large.
+        """
+        try:
+            return await _http_client.read_body(self, limit_bytes, account)
+        except _http.AnswerTooLarge as exc:
+            raise _to_typed_error(_http.Phase.ANSWERING, exc) from exc
+
+
+async def _read_body(answer, account):
     """Read a body; give back what it took if it is not whole."""
     held_bytes = account.held_bytes
     try:
-        return await exchange.read_body(BODY_BYTES_MAX, account)
+        return await answer.read_body(BODY_BYTES_MAX, account)
     except BaseException:
         account.give_back(account.held_bytes - held_bytes)
         raise
@@ -244,11 +285,11 @@
         """
         responses = []
 
-        async def on_response(exchange):
-            body = await _read_body(exchange, account)
-            headers = messages.answer_headers(exchange.headers)
+        async def on_response(answer):
+            body = await _read_body(answer, account)
+            headers = messages.answer_headers(answer.headers)
             responses.append(
-                UpstreamResponse(exchange.status, tuple(headers), body)
+                UpstreamResponse(answer.status, tuple(headers), body)
             )
 
         await self.send(server, request, timeout_s, on_response)
@@ -259,9 +300,8 @@
     ):
         """Send a request and pass the answer on while it arrives.
 
-        :param on_response: ``async (exchange)``, called when the head has
-            been read and checked; connection errors that it raises are
-            converted to typed errors.
+        :param on_response: ``async (answer)``, called with a
+            ``ServerAnswer`` when the head has been read and checked.
         :param may_relay: whether it may be sent through another node.
         """
         trace = _SendTrace(self._now())
@@ -286,12 +326,16 @@
         return _tasks.contained(self._count, request.request_id, server.name)
 
     async def _send_once(self, server, request, timeout_s, on_response, trace):
+        exchange = self._relay if trace.relay else self._exchange
         try:
-            exchange = self._relay if trace.relay else self._exchange
-            with trio.fail_after(timeout_s):
+            with trio.move_on_after(timeout_s) as scope:
                 await exchange(server, request, on_response, trace)
         except (*_http.STREAM_ERRORS, trio.TooSlowError) as exc:
+            if trace.phase is _http.Phase.ANSWERING:
+                raise  # the server's are typed where they are read
             raise _to_typed_error(trace.phase, exc) from exc
+        if scope.cancelled_caught:
+            raise _to_typed_error(trace.phase, trio.TooSlowError())
 
     async def _exchange(self, server, request, on_response, trace):
         async with self._client.exchange(
@@ -313,13 +357,16 @@
             with self._contained(server, request):
                 _set_keep_alive(exchange)
                 self._note_statements(server, exchange, sent_s, trace)
+            answer = ServerAnswer(exchange)
             if messages.was_not_run(exchange):
                 with contextlib.suppress(_http.AnswerTooLarge):
-                    await exchange.read_body(NOT_RUN_BODY_BYTES_MAX)
+                    await _http_client.read_body(
+                        answer, NOT_RUN_BODY_BYTES_MAX, None
+                    )
                 is_full = messages.was_full(exchange)
                 raise _NOT_RUN_ERRORS[is_full](f"status {exchange.status}")
             _check_response(exchange)
-            await on_response(exchange)
+            await on_response(answer)
             trace.conclusion = "answered"
 
     async def _relay(self, server, request, on_response, trace):
@@ -330,7 +377,7 @@
             trace.phase = _http.Phase.SENDING
             await exchange.request(server, request)
             trace.phase = _http.Phase.ANSWERING
-            await on_response(exchange)
+            await on_response(ServerAnswer(exchange))
             trace.conclusion = "answered"
 
     def _note_statements(self, server, exchange, sent_s, trace):
--- a/tests/test_stream_errors.py
+++ b/tests/test_stream_errors.py
@@ -67,6 +67,7 @@
 ERRORS = (KeyError("x"), trio.TooSlowError(), trio.ClosedResourceError())
 PATHS = ("/prints/1", "/notes/1", "/stock/1", "/orders/1")
 STREAMS = PATHS[:2]
+SENT_ELSEWHERE = frozenset({"/stock/1"})  # after an error on the path
 # On the path of the bytes; the others stand beside it.
 BYTES = frozenset(
     {
@@ -81,6 +82,8 @@
         "EventSplitter.pending",
         "HeldMemory.add",
         "HeldMemory.has_room",
+        "ServerAnswer.read_body",
+        "ServerAnswer.read_some",
         "Silence.hold",
         "StreamSink.end",
         "StreamSink.write",
@@ -330,3 +333,30 @@
 
     gateways.run(scenario)
     assert not faults
+
+
+@pytest.mark.parametrize("path", PATHS)
+@pytest.mark.parametrize("error", ERRORS, ids=_case_id)
+def test_error_on_the_path_of_the_bytes_is_blamed_on_no_server(
+    monkeypatch, caplog, injection, path, error
+):
+    faults = {}
+
+    async def scenario(fleet):
+        _watch_doubles(monkeypatch, fleet, injection)
+        calls = _calls_with_errors(fleet, injection, path, error, True)
+        async for label, held, reply in calls:
+            lines = _failure_lines(caplog, f"at-{label}")
+            is_whole = _is_whole(path, reply)
+            is_right = (
+                lines in (["send_failed"], ["request_failed"])
+                and (is_whole or path not in SENT_ELSEWHERE)
+                and not injection.blamed
+                and not injection.doubled
+            )
+            if not is_right:
+                faults[label] = reply.status, reply.whole, lines, dict(held)
+        assert not _failure_rates(fleet)
+
+    gateways.run(scenario)
+    assert not faults
