Take the bodies of other nodes' requests from the budget

A node that sends requests of others to servers received bodies of up to 16 MiB each for them, and nothing bounded their sum. It now takes a body's length from its budget first and, without room, answers memory_full, not run, at once. A body is received into one buffer and sent in parts of 64 KB, not 256.

The six new tests failed before: the node in between took all bodies.

--- a/src/coltsfootsail/_gateway.py
+++ b/src/coltsfootsail/_gateway.py
@@ -343,16 +343,17 @@
             self.now,
             self.metrics.count,
         )
+        self.held_memory = _held_memory.HeldMemory(
+            _held_memory.budget_bytes(gateway_settings.memory_mb * 10**6)
+        )
         self.relay_server = _relays.RelayServer(
             self.view,
             self.states,
             self.reach,
             self.upstream,
+            self.held_memory,
             self.metrics.count,
         )
-        self.held_memory = _held_memory.HeldMemory(
-            _held_memory.budget_bytes(gateway_settings.memory_mb * 10**6)
-        )
         self.crashes = _crashes.CrashTracker(
             self._name,
             _poison.Strikes(self.view.strike_count, STRIKES_MAX),
--- a/src/coltsfootsail/_plain.py
+++ b/src/coltsfootsail/_plain.py
@@ -334,7 +334,7 @@
                 balancer.unreachable(server)
                 failed = True
             raise
-        except exceptions.EndpointNotRun:
+        except (exceptions.EndpointNotRun, exceptions.MemoryFull):
             raise
         except exceptions.ColtsfootsailError as exc:
             failed = True
--- a/src/coltsfootsail/_relays.py
+++ b/src/coltsfootsail/_relays.py
@@ -13,6 +13,7 @@
 import trio
 
 from coltsfootsail import _forward
+from coltsfootsail import _held_memory
 from coltsfootsail import _http
 from coltsfootsail import _http_client
 from coltsfootsail import _http_messages
@@ -24,7 +25,7 @@
 
 CONNECT_TIMEOUT_S = 0.5  # to another node
 REQUEST_TIMEOUT_S = 5.0  # until the whole request has arrived
-BODY_PART_BYTES = 262_144
+BODY_PART_BYTES = 65_536
 BODY_BYTES_MAX = 16_777_216
 Phase = _http.Phase
 
@@ -53,12 +54,13 @@
     async def request(self, server, request):
         """Send a request and wait for the head of its answer.
 
+        The other node may report an error before it has the whole body.
+
         :param server: the ``Server`` that is to run it.
         :param request: an ``UpstreamRequest``.
         :raises ColtsfootsailError: if the other node reports an error.
         """
         self.phase = Phase.SENDING
-        body = request.body
         await self._messages.send(
             _wire.RelayRequest(
                 server.name,
@@ -66,18 +68,26 @@
                 request.method,
                 request.target,
                 tuple(request.headers),
-                len(body),
+                len(request.body),
             )
         )
-        for start in range(0, len(body), BODY_PART_BYTES):
-            part = body[start : start + BODY_PART_BYTES]
-            await self._messages.send(_wire.AnswerData(part))
-        self.phase = Phase.SENT
-        head = await self._receive(_wire.AnswerHead)
+        head = await _tasks.run_with_background(
+            self._send_body,
+            lambda: self._receive(_wire.AnswerHead),
+            request.body,
+        )
         self.phase = Phase.ANSWERING
         self.status = head.status
         self.headers = head.headers
 
+    async def _send_body(self, body):
+        # Receiving raises the error of a connection that breaks.
+        with contextlib.suppress(OSError):
+            for start in range(0, len(body), BODY_PART_BYTES):
+                part = bytes(body[start : start + BODY_PART_BYTES])
+                await self._messages.send(_wire.AnswerData(part))
+            self.phase = Phase.SENT
+
     async def _receive(self, *expected):
         """Receive the next message.
 
@@ -151,14 +161,16 @@
     :param states: the node's ``ServerStates``.
     :param reach: the node's ``Reach``.
     :param upstream: the node's ``UpstreamClient``.
+    :param memory: the node's ``HeldMemory``.
     :param count: ``(counter, reason)``.
     """
 
-    def __init__(self, view, states, reach, upstream, count):
+    def __init__(self, view, states, reach, upstream, memory, count):
         self._view = view
         self._states = states
         self._reach = reach
         self._upstream = upstream
+        self._memory = memory
         self._count = count
 
     async def serve(self, messages, msg):
@@ -167,12 +179,41 @@
         :param messages: its ``MessageStream``.
         """
         messages.allow_unread()
-        try:
-            with trio.fail_after(REQUEST_TIMEOUT_S):
-                body = await _receive_body(messages, msg.body_bytes)
-        except (OSError, exceptions.WireError, trio.TooSlowError):
-            self._count("relays", "incomplete")
-            return
+        with self._memory.hold(_held_memory.REQUEST) as account:
+            try:
+                with trio.fail_after(REQUEST_TIMEOUT_S):
+                    body = await _receive_body(
+                        messages, msg.body_bytes, account
+                    )
+            except exceptions.MemoryFull as exc:
+                await self._refuse(exc, messages, msg)
+            except (OSError, exceptions.WireError, trio.TooSlowError):
+                self._count("relays", "incomplete")
+            else:
+                await self._send_on(messages, msg, body)
+
+    async def _refuse(self, exc, messages, msg):
+        """Refuse a request, and discard its body until its sender leaves.
+
+        An early form of the sender reads no answer before it has sent all.
+        """
+        self._count("relays", exc.code)
+        _logs.detail(
+            "relay_refused",
+            id=msg.request_id,
+            server=msg.server,
+            code=exc.code,
+            why=exc.detail,
+        )
+        with (
+            trio.move_on_after(REQUEST_TIMEOUT_S),
+            contextlib.suppress(OSError, exceptions.WireError),
+        ):
+            await messages.send(_forward.to_answer_error(exc))
+            while await messages.receive() is not None:
+                pass
+
+    async def _send_on(self, messages, msg, body):
         request = _upstream.UpstreamRequest(
             msg.method, msg.target, msg.headers, body, msg.request_id
         )
@@ -225,22 +266,27 @@
         return self._view.servers[name]
 
 
-async def _receive_body(messages, size):
+async def _receive_body(messages, size, account):
     """Receive the parts of a request's body.
 
+    :param account: a ``_held_memory.Account``, from which it is taken.
+    :raises MemoryFull: if that does not have as many bytes.
     :raises WireError: if it is not as long as announced.
     """
-    parts = []
-    left = size
-    if size > BODY_BYTES_MAX:
+    if not 0 <= size <= BODY_BYTES_MAX:
         raise exceptions.WireError("body too large")
-    while left > 0:
+    account.require(size)
+    body = bytearray(size)
+    end = 0
+    while end < size:
         msg = await messages.receive()
-        if not isinstance(msg, _wire.AnswerData) or len(msg.data) > left:
+        if not isinstance(msg, _wire.AnswerData):
+            raise exceptions.WireError("not a part of the body")
+        begin, end = end, end + len(msg.data)
+        if end > size:
             raise exceptions.WireError("not a part of the body")
-        parts.append(msg.data)
-        left -= len(msg.data)
-    return b"".join(parts)
+        body[begin:end] = msg.data
+    return body
 
 
 async def _cancel_on_hangup(messages, scope):
--- a/tests/test_large_requests.py
+++ b/tests/test_large_requests.py
@@ -5,11 +5,14 @@
 import h11
 import pytest
 import trio
+import trio.testing
 
+from coltsfootsail import _wire
 from coltsfootsail import exceptions
 from coltsfootsail.platform import messages
 from coltsfootsail.standins import users
 from tests import gateways
+from tests import test_relays
 
 LARGE = 16  # requests at a time, about twice what the budget allows
 BODY = b"x" * (users.LIMITS["maxBodyBytes"] - 4096)
@@ -81,7 +84,7 @@
     return reply.status == 503 and FULL.encode() in reply.body
 
 
-def _check(fleet, replies):
+async def _check(fleet, replies):
     """Check the replies to large requests, by id, and what is held."""
     ran = _ran(fleet)
     for request_id, reply in replies.items():
@@ -89,6 +92,7 @@
         if _is_refused(reply):
             assert request_id not in ran
             assert reply.headers["retry-after"]
+    await trio.testing.wait_all_tasks_blocked()
     for gateway in fleet.gateways.values():
         held = gateway.held_memory
         assert held.peak_bytes <= held.budget_bytes
@@ -131,7 +135,7 @@
             await fleet.call(path, **PATHS[path])
         await _slow_down(fleet, bytes_per_s)
         replies, small = await _send_large(fleet, path)
-        _check(fleet, replies)
+        await _check(fleet, replies)
         refused = [each for each in replies.values() if _is_refused(each)]
         assert 1 <= len(refused) < LARGE
         counters = fleet.gateways["g0"].metrics
@@ -176,7 +180,7 @@
             for number in range(LARGE):
                 nursery.start_soon(call, f"large-{number}")
         assert len(replies) == LARGE
-        _check(fleet, replies)
+        await _check(fleet, replies)
 
     gateways.run(scenario)
 
@@ -199,9 +203,9 @@
     return stream, conn
 
 
-def _fill(fleet, large_bytes):
+def _fill(fleet, large_bytes, node="g0"):
     """Leave room for only so many bytes of large requests."""
-    held = fleet.gateways["g0"].held_memory
+    held = fleet.gateways[node].held_memory
     held.budget_bytes = large_bytes / 0.42
 
 
@@ -247,3 +251,56 @@
         assert held.held_bytes == 0
 
     gateways.run(scenario)
+
+
+@pytest.mark.parametrize("bytes_per_s", [0, SLOW_BYTES_PER_S])
+@pytest.mark.parametrize("path", ["/orders/9", "/notes/1"])
+def test_large_bodies_through_another_node_keep_to_its_budget(
+    path, bytes_per_s
+):
+    async def scenario(fleet):
+        if path == "/notes/1":
+            await fleet.call(path, **PATHS[path])
+        await _slow_down(fleet, bytes_per_s)
+        await test_relays._cut_and_notice(fleet, "g0")
+        _fill(fleet, 10_000_000, "g1")
+        replies, small = await _send_large(fleet, path)
+        await _check(fleet, replies)
+        assert fleet.gateways["g1"].metrics.counter_total("relays", FULL)
+        assert small == [200] * len(small)
+
+    gateways.run(scenario)
+
+
+def test_request_without_room_at_the_other_node_is_refused_as_not_run():
+    async def scenario(fleet):
+        await test_relays._cut_and_notice(fleet, "g0")
+        _fill(fleet, 1_000_000, "g1")
+        begun_s = trio.current_time()
+        reply = await fleet.call("/orders/9", body=BODY, request_id="r9")
+        assert _is_refused(reply) and "r9" not in _ran(fleet)
+        assert trio.current_time() - begun_s <= 0.5
+        await _check(fleet, {})
+
+    gateways.run(scenario)
+
+
+def test_early_form_that_sends_all_before_it_reads_learns_of_the_refusal():
+    async def scenario(fleet):
+        _fill(fleet, 1_000_000, "g1")
+        stream = await fleet.net.network("g0").open_stream("g1:81")
+        link = _wire.MessageStream(stream)
+        await link.send(
+            _wire.RelayRequest(
+                "i-s0", "r9", "POST", "/orders/9", (), len(BODY)
+            )
+        )
+        for start in range(0, len(BODY), 262_144):
+            part = BODY[start : start + 262_144]
+            await link.send(_wire.AnswerData(part))
+        answer = await link.receive()
+        assert (answer.code, answer.outcome) == (FULL, "not_run")
+        await trio.aclose_forcefully(stream)
+        assert "r9" not in _ran(fleet)
+
+    gateways.run(scenario)
--- a/tests/test_silent_peers.py
+++ b/tests/test_silent_peers.py
@@ -10,6 +10,7 @@
 import pytest
 import trio
 
+from coltsfootsail import _held_memory
 from coltsfootsail import _http
 from coltsfootsail import _http_client
 from coltsfootsail import _net
@@ -326,7 +327,8 @@
         messages = _wire.MessageStream(stream)
         await trio.sleep(UNREAD_S)
         msg = await messages.receive()
-        server = _relays.RelayServer(None, None, None, None, None)
+        held = _held_memory.HeldMemory(1 << 28)
+        server = _relays.RelayServer(None, None, None, None, held, None)
         server._answer = answer
         await server.serve(messages, msg)
 
