--- a/src/coltsfootsail/_plain.py
+++ b/src/coltsfootsail/_plain.py
@@ -30,6 +30,12 @@
     exceptions.Poisoned,
     exceptions.PoisonedPart,
 )
+# After which a server has not failed.
+_BLAMELESS_ERRORS = (
+    exceptions.EndpointNotRun,
+    exceptions.MemoryFull,
+    exceptions.UnexpectedError,
+)
 
 
 @dataclasses.dataclass(slots=True)
@@ -334,8 +340,8 @@
                 balancer.unreachable(server)
                 failed = True
             raise
-        except (exceptions.EndpointNotRun, exceptions.UnexpectedError):
-            raise  # the server did not fail
+        except _BLAMELESS_ERRORS:
+            raise
         except exceptions.ColtsfootsailError as exc:
             failed = True
             self._send_policy.check_for_crash(context, server, exc)
