Keep a server's limit while its registration is gone

Servers saw: a plain server that names a limit of 0, and whose registration is lost for 0.5 s and written again, gets 30 requests in 4 s, where the limit allows 5. So it goes when the store comes back from an older copy.

Cause: what a server named was forgotten as soon as its registration was gone. It serves on under its name, and had no limit when it was back, until the first answer to a request came. That a server leaves was kept in this case.

Change: what it named is set aside and holds again when it is back, within 600 s, unless it has started again. The same holds for brittle servers.

Evidence: test_limit_is_kept_while_a_registration_is_gone failed before with 30 (0.5 s) and 31 arrivals (3 s), and passes now.

--- a/src/coltsfootsail/_server_limits.py
+++ b/src/coltsfootsail/_server_limits.py
@@ -11,6 +11,10 @@
 Nodes tell each other of each change that they observe, as soon as the head of
 an answer is read, so that whichever grants the starts at the server knows it.
 Nodes that get a new link tell each other all that they know.
+
+A server whose registration is lost, as with a store that comes back from an
+older copy, serves on and may be registered again.  Until then its limit is
+set aside.
 """
 
 import dataclasses
@@ -21,6 +25,7 @@
 
 TRANSIT_S = 0.2  # longest way of a message that its age does not include
 UNLIMITED = math.inf
+FORGET_AFTER_S = 600.0  # after a server was last registered
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -67,6 +72,7 @@
         self._kind = kind
         self._observations = {}
         self._observe_from_s = {}
+        self._set_aside = {}
 
     def per_s(self, server_name):
         """Get a server's limit, ``UNLIMITED`` if it names none."""
@@ -78,14 +84,25 @@
         return self.per_s(server_name) < UNLIMITED
 
     def keep(self, names):
-        """Forget the servers that are not in ``names``."""
-        for table in (self._observations, self._observe_from_s):
-            for name in [name for name in table if name not in names]:
-                del table[name]
+        """Set aside what servers named that are not in ``names``.
+
+        It holds again if they are back within ``FORGET_AFTER_S``.
+        """
+        now_s = self._now()
+        for name in [n for n in self._observations if n not in names]:
+            self._set_aside[name] = now_s, self._observations.pop(name)
+        for name in [n for n in self._observe_from_s if n not in names]:
+            del self._observe_from_s[name]
+        for name, (gone_s, observation) in list(self._set_aside.items()):
+            if name in names:
+                self._observations.setdefault(name, observation)
+            if name in names or now_s - gone_s > FORGET_AFTER_S:
+                del self._set_aside[name]
 
     def forget(self, name):
         """Forget what a server named before it started again."""
         self._observations.pop(name, None)
+        self._set_aside.pop(name, None)
         self._observe_from_s[name] = self._now()
 
     def note_answer(self, server_name, stated_per_s, sent_s, succeeded):
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -76,6 +76,27 @@
     assert math.isinf(limits.per_s("s"))
 
 
+def test_limit_holds_again_if_a_server_is_back_soon_and_has_not_restarted(
+    clock, limits
+):
+    limits.note_answer("s", 1.5, 99.0, True)
+    limits.keep({"t"})
+    clock.now_s += _server_limits.FORGET_AFTER_S
+    limits.keep({"t"})
+    limits.keep({"s", "t"})
+    assert limits.per_s("s") == 1.5
+    limits.keep({"t"})
+    limits.forget("s")
+    limits.keep({"s", "t"})
+    assert math.isinf(limits.per_s("s"))
+    limits.note_answer("s", 1.5, 99.0, True)
+    limits.keep({"t"})
+    clock.now_s += _server_limits.FORGET_AFTER_S + 1.0
+    limits.keep({"t"})
+    limits.keep({"s", "t"})
+    assert math.isinf(limits.per_s("s"))
+
+
 def test_each_change_of_a_limit_is_logged(caplog):
     async def scenario(fleet):
         fleet.store.drop("servers/i-s1")
@@ -193,6 +214,28 @@
         gateways.run(make_scenario(limit), nodes=4)
 
 
+@pytest.mark.parametrize("absent_s", [0.5, 3.0])
+def test_limit_is_kept_while_a_registration_is_gone(absent_s):
+    async def scenario(fleet):
+        limited, other = fleet.shop_servers
+        fleet.store.drop(f"servers/{other.name}")
+        limited.limit, limited.work_s = "0", 0.5
+        named_s = trio.current_time()
+
+        async def lose_registration():
+            await trio.sleep(5.0)
+            fleet.store.drop(f"servers/{limited.name}")
+            await trio.sleep(absent_s)
+            fleet.register_shop(0)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(lose_registration)
+            await _send_calls(fleet, "/stock/9", 15.0, [], 60.0)
+        _check_limited([limited], named_s + NAMED_S, 0.0)
+
+    gateways.run(scenario, nodes=4)
+
+
 def _granting_node(fleet, server_name):
     """Get the node that grants the starts at a server."""
     gateway = fleet.gateways["g0"]
