Bound incomplete messages of other nodes

Whoever connects to the peer port could send one message without end: the unpacker's buffer of 4 MiB is freed as a message's parts are decoded, so that it did not bound the message. Nor did it bound many connections, nor what a message decodes to. A buffer also kept the size of its largest message for as long as the link was open.

A message may now have 4 MiB and 524,288 values in all; what is not complete is taken from the process's budget of held memory (PEER), and the buffer of a large message is replaced once that has been decoded. A message that ends a link is counted and logged.

--- a/src/coltsfootsail/_held_memory.py
+++ b/src/coltsfootsail/_held_memory.py
@@ -36,6 +36,7 @@
 
 REQUEST = Use("request", total_share=0.9, large_share=0.42)
 ANSWER = Use("answer", total_share=1.0, large_share=0.37)
+PEER = Use("peer", total_share=1.0, large_share=0.1)
 
 
 def budget_bytes(memory_bytes):
--- a/src/coltsfootsail/_mesh.py
+++ b/src/coltsfootsail/_mesh.py
@@ -21,6 +21,7 @@
 
 from coltsfootsail import _early_forms
 from coltsfootsail import _kv
+from coltsfootsail import _logs
 from coltsfootsail import _tasks
 from coltsfootsail import _vocabulary
 from coltsfootsail import _wire
@@ -79,6 +80,8 @@
     :param urgent_status: closure that gets a value whose change is sent to
         all peers at once.
     :param count: ``(counter, reason)``.
+    :param hold_memory: makes a context manager that yields the
+        ``_held_memory.Account`` of a link that this node opens, or None.
     """
 
     on_message: object
@@ -90,6 +93,7 @@
     on_vocabulary: object = lambda node: None
     urgent_status: object = lambda: None
     count: object = lambda counter, reason: None
+    hold_memory: object = contextlib.nullcontext
 
 
 @dataclasses.dataclass(slots=True)
@@ -112,6 +116,16 @@
     is_suspect: bool = False
 
 
+@contextlib.contextmanager
+def _logged_refusal(node, count):
+    """Log and count the message of a node that ends its link."""
+    try:
+        yield
+    except exceptions.WireError as exc:
+        count("peer_messages", exc.code)
+        _logs.state("peer_message_refused", node=node, why=exc.detail)
+
+
 class Mesh:
     """The links of one node to its peers.
 
@@ -251,12 +265,13 @@
         try:
             with contextlib.suppress(OSError):
                 stream = await self._network.open_stream(address)
-                async with stream:
-                    messages = _wire.MessageStream(stream)
-                    await messages.send(self._hello)
-                    await self._run_link(
-                        node, messages, _wire.UNANNOUNCED_PROTOCOL
-                    )
+                with self._callbacks.hold_memory() as account:
+                    async with stream:
+                        messages = _wire.MessageStream(stream, account=account)
+                        await messages.send(self._hello)
+                        await self._run_link(
+                            node, messages, _wire.UNANNOUNCED_PROTOCOL
+                        )
         finally:
             self._dialing.discard(node)
 
@@ -423,7 +438,10 @@
             self._ping(link)
 
     async def _receive_all(self, link):
-        with contextlib.suppress(OSError, exceptions.WireError):
+        with (
+            contextlib.suppress(OSError),
+            _logged_refusal(link.node, self._callbacks.count),
+        ):
             while True:
                 msg = await link.stream.receive()
                 if msg is None:
--- a/src/coltsfootsail/_peers.py
+++ b/src/coltsfootsail/_peers.py
@@ -7,6 +7,7 @@
 
 import trio
 
+from coltsfootsail import _held_memory
 from coltsfootsail import _logs
 from coltsfootsail import _mesh
 from coltsfootsail import _seeds
@@ -45,6 +46,7 @@
             on_vocabulary=self._tell_what_is_known,
             urgent_status=lambda: gateway.readiness() == "ready",
             count=self._count,
+            hold_memory=self._hold_memory,
         )
         self._skipping = set()
         self.mesh = _mesh.Mesh(hello, network, callbacks, MESH_PACE)
@@ -236,7 +238,14 @@
 
     async def serve(self, stream):
         """Serve a connection that a peer opened."""
-        messages = _wire.MessageStream(stream)
+        with self._hold_memory() as account:
+            await self._serve(_wire.MessageStream(stream, account=account))
+
+    def _hold_memory(self):
+        """Hold memory for the incomplete messages of one connection."""
+        return self._gateway.held_memory.hold(_held_memory.PEER)
+
+    async def _serve(self, messages):
         try:
             with trio.fail_after(HELLO_TIMEOUT_S):
                 first = await messages.receive()
@@ -250,6 +259,7 @@
             return
         except exceptions.WireError as exc:
             self._count("peer_messages", exc.code)
+            _logs.state("peer_message_refused", node="", why=exc.detail)
 
     async def run(self):
         """Keep links to all peers until cancelled."""
--- a/src/coltsfootsail/_wire.py
+++ b/src/coltsfootsail/_wire.py
@@ -20,6 +20,7 @@
 from coltsfootsail import exceptions
 
 MESSAGE_BYTES_MAX = 4_194_304
+VALUES_MAX = 524_288  # in the arrays and maps of a message
 RECEIVE_BYTES = 65536
 READ_BYTES = 4096
 PROTOCOL = 5
@@ -688,26 +689,112 @@
     return message_type(*fields)
 
 
+class _Decoder:
+    """Decodes a stream of values with bounded memory.
+
+    A value's bytes are freed as its parts are decoded, so that the buffer
+    alone does not bound it.
+
+    :param account: a ``_held_memory.Account`` from which the bytes of values
+        that are not complete are taken, or None.
+    """
+
+    def __init__(self, account):
+        self._account = account
+        self._unpacker = self._make_unpacker()
+        self._fed_bytes = 0
+        self._decoded_bytes = 0
+        self._values = 0
+        self._buffer_bytes = 0
+
+    def _make_unpacker(self):
+        return msgpack.Unpacker(
+            use_list=False,
+            read_size=READ_BYTES,
+            max_buffer_size=MESSAGE_BYTES_MAX,
+            max_array_len=VALUES_MAX,
+            max_map_len=VALUES_MAX,
+            list_hook=self._count_values,
+            object_hook=self._count_values,
+        )
+
+    def _count_values(self, container):
+        """Count the values of an array or map, and an empty one as one."""
+        self._values += len(container) or 1
+        if self._values > VALUES_MAX:
+            raise exceptions.WireError("message has too many values")
+        return container
+
+    def next(self):
+        """Get the next value.
+
+        :raises StopIteration: if it is not complete.
+        :raises WireError: if it is too large or malformed, or the memory of
+            all peers is used up.
+        """
+        try:
+            value = next(self._unpacker)
+        except StopIteration:
+            self._note_incomplete()
+            raise
+        except (ValueError, msgpack.UnpackException) as exc:
+            raise exceptions.WireError(str(exc)) from exc
+        self._decoded_bytes = self._unpacker.tell()
+        self._values = 0
+        return value
+
+    def feed(self, data):
+        """Add received bytes.
+
+        :raises WireError: if the value is too large.
+        """
+        try:
+            self._unpacker.feed(data)
+        except msgpack.BufferFull as exc:
+            raise exceptions.WireError(
+                "message exceeds the size limit"
+            ) from exc
+        self._fed_bytes += len(data)
+
+    def _note_incomplete(self):
+        """Bound the bytes of the value that is not complete, and take them."""
+        size_bytes = self._fed_bytes - self._decoded_bytes
+        if size_bytes > MESSAGE_BYTES_MAX:
+            raise exceptions.WireError("message exceeds the size limit")
+        if not size_bytes and self._buffer_bytes > RECEIVE_BYTES:
+            self._free_buffer()
+        missing_bytes = size_bytes - self._buffer_bytes
+        if missing_bytes > 0:
+            if self._account and not self._account.take(missing_bytes):
+                raise exceptions.WireError("memory of all peers")
+            self._buffer_bytes = size_bytes
+
+    def _free_buffer(self):
+        """Replace the buffer, which keeps the size of the largest value."""
+        if self._account:
+            self._account.give_back(self._buffer_bytes)
+        self._unpacker = self._make_unpacker()
+        self._fed_bytes = self._decoded_bytes = self._buffer_bytes = 0
+
+
 class MessageStream:
     """Sends and receives messages on a ``trio.abc.Stream``.
 
     :param on_skipped: ``(what)``, called for what is skipped of received
         messages.
+    :param account: a ``_held_memory.Account`` from which the bytes of
+        messages that are not complete are taken, or None.
 
     ``forms``, an ``_early_forms.EarlyForms``, is set while the peer may be of
     a build that knows fewer fields.
     """
 
-    def __init__(self, stream, on_skipped=lambda what: None):
+    def __init__(self, stream, on_skipped=lambda what: None, account=None):
         self._stream = stream
         self.on_skipped = on_skipped
         self.forms = None
         self._lock = trio.Lock()
-        self._unpacker = msgpack.Unpacker(
-            use_list=False,
-            read_size=READ_BYTES,
-            max_buffer_size=MESSAGE_BYTES_MAX,
-        )
+        self._decoder = _Decoder(account)
         self.sent_bytes = 0
         self._unread = None
 
@@ -751,7 +838,7 @@
         """
         while True:
             try:
-                value = next(self._unpacker)
+                value = self._decoder.next()
                 msg = _decode(value, self.on_skipped)
                 if msg is None:
                     continue
@@ -760,22 +847,13 @@
                 return msg
             except StopIteration:
                 pass
-            except exceptions.WireError:
-                raise
-            except (ValueError, msgpack.UnpackException) as exc:
-                raise exceptions.WireError(str(exc)) from exc
             try:
                 data = await self._stream.receive_some(RECEIVE_BYTES)
             except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
                 raise ConnectionError(str(exc)) from exc
             if not data:
                 return None
-            try:
-                self._unpacker.feed(data)
-            except msgpack.BufferFull as exc:
-                raise exceptions.WireError(
-                    "message exceeds the size limit"
-                ) from exc
+            self._decoder.feed(data)
 
     async def aclose(self):
         """Close the stream at once."""
--- /dev/null
+++ b/tests/test_endless_peers.py
@@ -0,0 +1,123 @@
+"""What a node holds for other nodes that send without end or do not read."""
+
+import pytest
+import trio
+import trio.testing
+
+from coltsfootsail import _held_memory
+from coltsfootsail import _wire
+from coltsfootsail import exceptions
+
+PART = b"x" * 65536
+SENT_BYTES_MAX = 1 << 26
+ARRAY = b"\xdd\x00\x3f\x00\x00"  # of 4,128,768 values
+STRING = b"\xdb\x00\x00\xff\xfb" + PART[5:]
+
+
+@pytest.fixture
+def send_without_end(virtual):
+    """Send a node bytes without end until it ends the link.
+
+    :returns: how many bytes were sent.
+    """
+
+    def run(begin, part, account=None):
+        sent = []
+
+        async def main():
+            left, right = trio.testing.memory_stream_pair()
+
+            async def send():
+                await left.send_all(begin)
+                while sum(sent) < SENT_BYTES_MAX:
+                    await left.send_all(part)
+                    sent.append(len(part))
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(send)
+                messages = _wire.MessageStream(right, account=account)
+                with pytest.raises(exceptions.WireError):
+                    await messages.receive()
+                nursery.cancel_scope.cancel()
+
+        virtual(main)
+        return sum(sent)
+
+    return run
+
+
+@pytest.mark.parametrize("begin", [ARRAY, b"\x92\x03" + ARRAY])
+def test_message_of_values_without_end_ends_the_link(send_without_end, begin):
+    sent = send_without_end(begin, STRING)
+    assert sent <= _wire.MESSAGE_BYTES_MAX + 2 * len(PART)
+
+
+@pytest.mark.parametrize("value", [b"\x80", b"\x90", b"\x91\xc0"])
+def test_message_that_decodes_to_many_times_its_size_ends_the_link(
+    send_without_end, value
+):
+    arrays = b"\xdc\x10\x00" + value * 4096
+    sent = send_without_end(b"\xdc\xff\xff", arrays)
+    assert sent <= (_wire.VALUES_MAX + 8192) * len(value) + len(PART)
+
+
+def test_incomplete_messages_of_many_peers_share_one_budget(virtual):
+    budget = _held_memory.HeldMemory(20_000_000)
+    ends = []
+
+    async def main():
+        async def receive():
+            left, right = trio.testing.memory_stream_pair()
+            await left.send_all(b"\x92\x0d\xc6\x00\x3f\x00\x00" + 30 * PART)
+            with budget.hold(_held_memory.PEER) as account:
+                messages = _wire.MessageStream(right, account=account)
+                try:
+                    await messages.receive()
+                except exceptions.WireError as exc:
+                    ends.append(exc.detail)
+
+        async with trio.open_nursery() as nursery:
+            for _ in range(50):
+                nursery.start_soon(receive)
+            await trio.sleep(1.0)
+            large_bytes = _held_memory.PEER.large_share * 20_000_000
+            small_bytes = 50 * _held_memory.SMALL_BYTES
+            assert budget.peak_bytes <= large_bytes + small_bytes
+            nursery.cancel_scope.cancel()
+
+    virtual(main)
+    assert set(ends) == {"memory of all peers"}
+    assert budget.held_bytes == 0
+
+
+def test_link_that_was_sent_a_large_message_holds_nothing_for_it(virtual):
+    budget = _held_memory.HeldMemory(50_000_000)
+    large = _wire.DeploymentUpdate(30 * PART, (("m/a", 1),))
+
+    async def main():
+        left, right = trio.testing.memory_stream_pair()
+        account = _held_memory.Account(budget, _held_memory.PEER)
+        messages = _wire.MessageStream(right, account=account)
+        for _ in range(3):
+            await left.send_all(_wire.encode(large))
+            assert await messages.receive() == large
+            with trio.move_on_after(1.0):
+                await messages.receive()
+            assert budget.held_bytes == 0
+        await left.send_all(_wire.encode(_wire.Ping()))
+        assert await messages.receive() == _wire.Ping()
+
+    virtual(main)
+    assert budget.peak_bytes >= len(large.deployment) - len(PART)
+
+
+def test_versions_of_all_adapters_pass_in_one_message(virtual):
+    versions = tuple((f"model/adapter-{n:05}", n) for n in range(50_000))
+    update = _wire.DeploymentUpdate(b"c" * 1_000_000, versions)
+
+    async def main():
+        left, right = trio.testing.memory_stream_pair()
+        await left.send_all(_wire.encode(update))
+        assert await _wire.MessageStream(right).receive() == update
+
+    virtual(main)
