Count answers until their callers have read them, and keep one copy

What a caller that reads slowly leaves unwritten was held beside the budget: the complete events of a stream (up to 1 MB of each) left it when they were complete, and an engine's error (up to 1 MB) was never in it. Both now stay in it until they are written. A complete answer was held twice for up to 30 s, as it was read and joined with its head; its head and body are now sent one after the other, and a body is read into one buffer, not joined from a list.

--- a/src/coltsfootsail/_held_memory.py
+++ b/src/coltsfootsail/_held_memory.py
@@ -138,6 +138,20 @@
                 retry_after_s=RETRY_AFTER_S,
             )
 
+    @contextlib.contextmanager
+    def hold(self, size_bytes):
+        """Hold further bytes in a block.
+
+        :returns: a context manager, whose value tells whether the budget had
+            as many; if not, none are held.
+        """
+        has_taken = self.take(size_bytes)
+        try:
+            yield has_taken
+        finally:
+            if has_taken:
+                self.give_back(size_bytes)
+
     def give_back(self, size_bytes):
         """Return bytes to the budget."""
         self._change(-size_bytes)
--- a/src/coltsfootsail/_http_client.py
+++ b/src/coltsfootsail/_http_client.py
@@ -206,25 +206,24 @@
     :param limit_bytes: the largest body to accept.
     :param account: a ``_held_memory.Account`` or None.
     """
-    parts = []
+    body = bytearray()
     try:
-        await _read_parts(exchange, parts, limit_bytes, account)
-        return b"".join(parts)
-    finally:
-        # The traceback of an error would keep them.
-        parts.clear()
+        await _read_parts(exchange, body, limit_bytes, account)
+    except BaseException:
+        # The traceback of the error would keep it.
+        body.clear()
+        raise
+    return body
 
 
-async def _read_parts(exchange, parts, limit_bytes, account):
-    size = 0
+async def _read_parts(exchange, body, limit_bytes, account):
     while exchange.phase is not _http_messages.Phase.DONE:
         data = await exchange.read_some()
-        size += len(data)
-        if size > limit_bytes:
+        if len(body) + len(data) > limit_bytes:
             raise _http_messages.AnswerTooLarge("body too large")
         if account is not None and not account.take(len(data)):
             raise _http_messages.AnswerTooLarge("memory of all answers")
-        parts.append(data)
+        body += data
 
 
 def _encode_request(conn, method, target, headers, body):
@@ -518,7 +517,7 @@
                     await exchange.send(*req)
                     status = await exchange.read_head()
                     answer = await exchange.read_body(limit_bytes)
-                    return status, exchange.headers, answer
+                    return status, exchange.headers, bytes(answer)
         except trio.TooSlowError as exc:
             raise TimeoutError(name) from exc
         except OSError:
--- a/src/coltsfootsail/_http_messages.py
+++ b/src/coltsfootsail/_http_messages.py
@@ -114,14 +114,18 @@
 
 
 def join_small(parts):
-    """Join the parts of a message, unless that would copy a large one.
+    """Join the parts of a message, but for large ones, which stay uncopied.
 
     :param parts: list of bytes-like objects.
-    :returns: a list of what to send.
+    :returns: list of what to send.
     """
-    if sum(map(len, parts)) > RECEIVE_BYTES:
-        return parts
-    return [b"".join(parts)]
+    joined = [b""]
+    for part in parts:
+        if len(part) > RECEIVE_BYTES:
+            joined += [part, b""]
+        else:
+            joined[-1] += part
+    return [part for part in joined if part]
 
 
 def find_header(headers, name, default=""):
--- a/src/coltsfootsail/_http_server.py
+++ b/src/coltsfootsail/_http_server.py
@@ -73,34 +73,39 @@
     def _encode(self, *events):
         """Encode parts of an answer.
 
+        :returns: list of what to send.
         :raises h11.LocalProtocolError: if that makes no valid answer; if
             none has begun, another one can be sent in its place.
         """
         try:
-            return b"".join(self._conn.send(event) or b"" for event in events)
+            parts = []
+            for event in events:
+                parts += self._conn.send_with_data_passthrough(event)
+            return _http_messages.join_small(parts)
         except h11.LocalProtocolError:
             if self.status is None:
                 self._conn = _expect_last_answer(self.method)
             raise
 
-    async def _send(self, data):
+    async def _send(self, parts):
         with (
             _caller_errors(),
             trio.fail_after(self._limits.write_timeout_s),
         ):
-            await self._send_bytes(data)
+            await self._send_parts(parts)
 
-    async def _send_bytes(self, data):
-        self._unread.note_sending(len(data))
-        await self.stream.send_all(data)
+    async def _send_parts(self, parts):
+        self._unread.note_sending(sum(map(len, parts)))
+        for part in parts:
+            await self.stream.send_all(part)
 
     async def start(self, status, headers=()):
         """Send the head of an answer whose length is not known yet."""
-        data = self._encode(_make_head(status, headers))
+        parts = self._encode(_make_head(status, headers))
         self.status = status
         with _caller_errors():
             self._set_complete(False)
-        await self._send(data)
+        await self._send(parts)
 
     def _set_complete(self, is_complete):
         """Let the connection end as the answer does.
@@ -118,7 +123,7 @@
     async def write_unbounded(self, data):
         """Send a part of the body without a time limit of its own."""
         with _caller_errors():
-            await self._send_bytes(self._encode(h11.Data(data=data)))
+            await self._send_parts(self._encode(h11.Data(data=data)))
 
     async def end(self):
         """Mark the end of a complete answer."""
@@ -128,20 +133,20 @@
             self._set_complete(True)
 
     async def reply(self, status, body, headers=()):
-        """Send a complete answer in one write.
+        """Send a complete answer.
 
         :param status: HTTP status code.
         :param body: bytes, which are left out of an answer to ``HEAD``.
         :param headers: pairs; the content length is added.
         """
         fields = [*headers, ("content-length", str(len(body)))]
-        data = self._encode(
+        parts = self._encode(
             _make_head(status, fields),
             h11.Data(data=b"" if self.method == "HEAD" else body),
             h11.EndOfMessage(),
         )
         self.status = status
-        await self._send(data)
+        await self._send(parts)
         self.ended = True
 
     async def reply_json(self, value, status=200, headers=()):
--- a/src/coltsfootsail/_stream_sink.py
+++ b/src/coltsfootsail/_stream_sink.py
@@ -22,7 +22,7 @@
     :param resp: the response to the caller.
     :param extra_headers: closure that lists headers to add.
     :param now: closure that reads the clock.
-    :param account: a ``_held_memory.Account`` for incomplete events.
+    :param account: a ``_held_memory.Account`` for the events that are held.
 
     :param contained: closure that makes a context manager which contains
         the errors of notes.
@@ -43,6 +43,7 @@
         self._extra_headers = extra_headers
         self._now = now
         self.contained = contained
+        self.account = account
         self._last_write_s = None
         self.splitter = _upstream.EventSplitter(account)
         self.before_events = _nothing
@@ -74,6 +75,7 @@
 
         :returns: whether any of them has data; comments alone are no sign
             that the stream goes on.
+        :raises AnswerMismatch: if the memory of all answers is used up.
         """
         events = self.splitter.feed(data)
         if not events:
@@ -83,7 +85,10 @@
         data_fields = len(_DATA_FIELD.findall(events))
         with self.contained():
             self._note_time(data_fields)
-        await self._resp.write(events)
+        with self.account.hold(len(events)) as has_room:
+            if not has_room:
+                raise exceptions.AnswerMismatch("memory of all answers")
+            await self._resp.write(events)
         return data_fields > 0
 
     def _note_time(self, data_fields):
--- a/src/coltsfootsail/_streams.py
+++ b/src/coltsfootsail/_streams.py
@@ -494,7 +494,9 @@
     async def _relay_error_response(self, exchange, sink, resp):
         if sink.started:
             raise exceptions.AnswerTruncated("the stream was not resumed")
-        body = await exchange.read_body(_upstream.ERROR_BODY_BYTES_MAX)
+        body = await exchange.read_body(
+            _upstream.ERROR_BODY_BYTES_MAX, sink.account
+        )
         _upstream.check_no_false_promise(exchange.status)
         headers = messages.answer_headers(exchange.headers)
         await resp.reply(
--- a/tests/test_endless_readers.py
+++ b/tests/test_endless_readers.py
@@ -37,8 +37,10 @@
 class _Sender:
     """Writes a stream without end, and counts its bytes."""
 
-    def __init__(self, server, make_part, pause_s):
+    def __init__(self, server, make_part, pause_s, status=200):
         self.sent_bytes = 0
+        self.sent_max = SENT_BYTES_MAX
+        self._status = status
         self._server = server
         self._make_part = make_part
         self._pause_s = pause_s
@@ -49,14 +51,15 @@
             *self._server._base_headers(req),
             gateways.servers.STAMP_HEADER,
         ]
-        await resp.start(200, headers)
+        await resp.start(self._status, headers)
         number = 0
-        while self.sent_bytes < SENT_BYTES_MAX:
+        while self.sent_bytes < self.sent_max:
             part = self._make_part(number)
             await resp.write(part)
             self.sent_bytes += len(part)
             number += 1
             await trio.sleep(self._pause_s)
+        await resp.end()
 
 
 @pytest.mark.parametrize("path", ["/notes/1", "/prints/1"])
@@ -92,6 +95,31 @@
     gateways.run(scenario)
 
 
+@pytest.mark.parametrize("status", [200, 500])
+def test_what_a_caller_does_not_read_stays_in_the_budget(status):
+    async def scenario(fleet):
+        event = b"data: " + 15 * PART + b"\n\n"
+        for engine in fleet.engines:
+            sender = _Sender(engine, lambda number: event, 0.0, status)
+            sender.sent_max = SENT_BYTES_MAX if status == 200 else len(event)
+            engine._stream_events = sender.stream_events
+        held = fleet.gateways["g0"].held_memory
+        stream = await fleet.net.network("caller").open_stream("g0:80")
+        await stream.send_all(
+            b"POST /notes/1 HTTP/1.1\r\nhost: shop.example\r\n"
+            b"coltsfootsail-request-id: r1\r\ncoltsfootsail-model: base/a1\r\n"
+            b"coltsfootsail-tokens: 400,80\r\ncontent-length: 0\r\n"
+            b"coltsfootsail-prompt-prefix: aa:200\r\n\r\n"
+        )
+        await trio.sleep(5.0)
+        assert len(event) <= held.held_bytes <= len(event) + 2 * len(PART)
+        await trio.aclose_forcefully(stream)
+        await trio.testing.wait_all_tasks_blocked()
+        assert held.held_bytes == 0
+
+    gateways.run(scenario)
+
+
 @pytest.fixture
 def endless_server(virtual):
     """Run a client call against a server whose answer has no end."""
