Take a stream up elsewhere after an error of the node that relays it

Callers saw: a resumable stream whose head was out was cut off by an unforeseen error in reading, splitting or writing its events, though its server and others were sound.

Cause: only typed errors, those of servers, led to another run.

Change: such an error ends the run like a break of its server. Its connection is closed, the node waits until the server has dropped the request, and the stream goes on after the last event that was written, within its attempts, time and retry budget. The sink keeps the id of that event: the id of one that was only split could be ahead of it. An error within a write to the caller still cuts the stream, and so does one in a check that may forbid a send, or any in a stream that may not be resumed. The search for a move runs again after an error, which is logged with the request's id.

--- a/src/coltsfootsail/_stream_sink.py
+++ b/src/coltsfootsail/_stream_sink.py
@@ -27,6 +27,8 @@
     :param contained: closure that makes a context manager which contains
         the errors of notes.
 
+    ``last_id`` is the id of the last event that was written.  ``is_broken``
+    is set while a part of the answer may have been written and may not.
     ``before_events`` is called before the first events of each server are
     written.
     """
@@ -47,12 +49,18 @@
         self.splitter = _upstream.EventSplitter(account)
         self.before_events = _nothing
         self.started = False
+        self.is_broken = False
+        self.last_id = None
         self.first_event_s = None
         self.longest_pause_s = 0.0
         self._gaps = _engine_speed.EventGaps()
 
     def begin_run(self):
-        """Note that another server is about to send the events."""
+        """Note that another server is about to send the events.
+
+        What was split and not written comes again.
+        """
+        self.splitter.last_id = self.last_id
         self._gaps = _engine_speed.EventGaps()
 
     def shown_steps(self):
@@ -63,11 +71,11 @@
         """Send the response head, unless that of an earlier server was."""
         if self.started:
             return
-        self.started = True
         headers = messages.answer_headers(exchange.headers)
-        await self._resp.start(
-            exchange.status, [*headers, *self._extra_headers()]
-        )
+        headers = [*headers, *self._extra_headers()]
+        self.started = self.is_broken = True
+        await self._resp.start(exchange.status, headers)
+        self.is_broken = False
 
     async def write(self, data):
         """Write the complete events; keep the rest until it is complete.
@@ -83,7 +91,10 @@
         data_fields = len(_DATA_FIELD.findall(events))
         with self.contained():
             self._note_time(data_fields)
+        self.is_broken = True
         await self._resp.write(events)
+        self.is_broken = False
+        self.last_id = self.splitter.last_id
         return data_fields > 0
 
     def _note_time(self, data_fields):
@@ -104,4 +115,5 @@
         """
         if self.splitter.pending():
             raise exceptions.AnswerTruncated("a part of an event at the end")
+        self.is_broken = True
         await self._resp.end()
--- a/src/coltsfootsail/_streams.py
+++ b/src/coltsfootsail/_streams.py
@@ -391,9 +391,16 @@
             raise
         except exceptions.ColtsfootsailError as exc:
             self._send_policy.check_for_crash(context, server, exc)
-            context.interrupted_by.add(server.name)
-            context.avoided = set(context.interrupted_by)
+            _leave_out(context, server)
             raise
+        except Exception as exc:
+            if sink.is_broken or not context.route.resumable:
+                raise
+            # No server failed, and this one may still run the stream.
+            error = self._send_policy.unexpected(context, server, exc)
+            await self._wait_until_dropped(context, mover, server)
+            _leave_out(context, server)
+            raise error from exc
 
     async def _run_moved(self, context, mover, exchange):
         """Run an exchange while its server may be left for another."""
@@ -402,15 +409,17 @@
             return
         try:
             await _tasks.run_with_background(
-                _tasks.run_contained,
-                exchange,
-                "request",
-                self._count,
-                mover.run,
+                self._move_when_silent, exchange, context, mover
             )
         finally:
             context.target = mover.target
 
+    async def _move_when_silent(self, context, mover):
+        while not mover.scope.cancel_called:
+            with self._send_policy.contained(context):
+                await mover.run()
+            await trio.sleep(_tasks.LOOP_PAUSE_S)
+
     async def _wait_until_dropped(self, context, mover, server):
         if mover.is_unreachable:
             return
@@ -426,7 +435,7 @@
 
     def _build_request(self, context, sink, target):
         """Build the request to an engine, and log that it is sent."""
-        last_event_id = sink.splitter.last_id if sink.started else None
+        last_event_id = sink.last_id if sink.started else None
         server, grant_request = target.server, target.grant_request
         _logs.detail(
             "sent",
@@ -504,6 +513,12 @@
         )
 
 
+def _leave_out(context, server):
+    """Choose a server that has run a stream last for its next run."""
+    context.interrupted_by.add(server.name)
+    context.avoided = set(context.interrupted_by)
+
+
 def _turn_away_reason(exc):
     """Get the reason why an owner granted nothing."""
     return getattr(exc, "reason", exc.code)
