Let an error in a peer's message end no link where it tells nothing again

Callers saw: an error in the handling of one message of a peer ended the link to it, and with it all grants that the two nodes held of each other; requests that waited for one were turned away.

Change: such an error is logged (call_failed, with the node and the kind of message) and counted, and the link goes on.

Measured: ten kinds of messages, one error each: no link ends and one task_errors is counted; all ten tests failed before.

--- a/src/coltsfootsail/_peers.py
+++ b/src/coltsfootsail/_peers.py
@@ -122,7 +122,19 @@
         if handler is None:
             self._count("peer_messages", "unexpected")
             return
-        handler(self, node, msg)
+        if type(msg) in _TOLD_AGAIN:
+            handler(self, node, msg)
+            return
+        _tasks.call_contained(
+            "peer",
+            self._count,
+            handler,
+            self,
+            node,
+            msg,
+            node=node,
+            kind=type(msg).__name__,
+        )
 
     def _on_grant_request(self, node, msg):
         self._gateway.grant_server.handle_request(
@@ -257,6 +269,19 @@
             await self.mesh.run(self._peer_addresses, self._is_registered)
 
 
+# What is told again when a link is up.  An error in the handling of others
+# ends no link, with which all grants would end; what they held is lost.
+_TOLD_AGAIN = frozenset(
+    {
+        _wire.ServerLimit,
+        _wire.ServerBrittle,
+        _wire.ServerSpeed,
+        _wire.ServerLeaving,
+        _wire.Strike,
+        _wire.CrashedRun,
+        _wire.CutOff,
+    }
+)
 _HANDLERS = {
     _wire.GrantRequest: PeerHandler._on_grant_request,
     _wire.WorkspaceGrantRequest: PeerHandler._on_grant_request,
--- a/tests/test_task_errors.py
+++ b/tests/test_task_errors.py
@@ -291,6 +291,43 @@
     gateways.run(scenario)
 
 
+LOST_MESSAGES = {
+    "grant_client.handle_reply": _wire.GrantReply(
+        1, True, 0.0, "", 0.0, "", 0
+    ),
+    "claims.released": _wire.Released("i-e0", 1, 0.0),
+    "states.learn_busy": _wire.ServerBusy("i-e0", 0.1),
+    "stream_origins.learn": _wire.StreamBegun("r1", "engines", "v1"),
+    "stream_origins.answer": _wire.StreamQuery(1, "r1", "engines"),
+    "stream_origins.handle_reply": _wire.StreamReply(1, True, "engines", "v1"),
+    "peer_proofs.answer": _wire.FreshnessQuery(1),
+    "crash_checks.handle_reply": _wire.ServerCheckReply(1, "crashed"),
+    "retry_loans.answer": _wire.RetryRequest(1, "shop"),
+    "retry_loans.handle_reply": _wire.RetryReply(1, False),
+}
+
+
+@pytest.mark.parametrize("step", LOST_MESSAGES)
+def test_error_in_a_message_that_is_not_told_again_ends_no_link(
+    monkeypatch, step
+):
+    # All grants of the peer ended with the link.
+    async def scenario(fleet):
+        gateway = fleet.gateways["g0"]
+        drops = []
+        path, _, name = step.partition(".")
+        with monkeypatch.context() as patch:
+            patch.setattr(getattr(gateway, path), name, _raise)
+            patch.setattr(gateway.grant_client, "drop_node", drops.append)
+            peer = fleet.gateways["g1"].mesh
+            assert peer.send("g0", LOST_MESSAGES[step])
+            await trio.sleep(0.1)
+        assert not drops
+        assert gateway.metrics.counter_total("task_errors", "peer") == 1
+
+    gateways.run(scenario)
+
+
 @pytest.mark.parametrize("end", ["up", "down"])
 def test_error_as_a_link_begins_or_ends_ends_no_node(monkeypatch, end):
     # As above, in the callbacks of a link's begin and end.
