--- a/src/coltsfootsail/_held_memory.py
+++ b/src/coltsfootsail/_held_memory.py
@@ -61,8 +61,13 @@
         self.budget_bytes = budget_bytes
         self.held_bytes = 0
         self.peak_bytes = 0
+        self._use_bytes = collections.Counter()
         self._large_bytes = collections.Counter()
 
+    def bytes_by_use(self):
+        """Get how much is held, by the name of its use."""
+        return {use.name: held for use, held in self._use_bytes.items()}
+
     @contextlib.contextmanager
     def hold(self, use):
         """Yield an ``Account`` whose bytes are given back at the end.
@@ -92,6 +97,7 @@
     def add(self, use, size_bytes, large_bytes):
         """Add bytes to those that are held, or take off negative numbers."""
         self.held_bytes += size_bytes
+        self._use_bytes[use] += size_bytes
         self._large_bytes[use] += large_bytes
         self.peak_bytes = max(self.peak_bytes, self.held_bytes)
 
--- a/src/coltsfootsail/_pages.py
+++ b/src/coltsfootsail/_pages.py
@@ -51,6 +51,10 @@
             "open_requests",
             lambda: {"": gateway.request_handler.active_requests},
         )
+        memory = gateway.held_memory
+        register("held_bytes", memory.bytes_by_use)
+        register("held_bytes_peak", lambda: {"": memory.peak_bytes})
+        register("held_bytes_budget", lambda: {"": memory.budget_bytes})
         register(
             "linked_nodes", lambda: {"": len(gateway.mesh.linked_nodes())}
         )
