Apply the memory that a reload states

A reload of the settings left the budget of what is held for others at the size of the node's start, also where the host has less memory since.

--- a/src/coltsfootsail/_gateway.py
+++ b/src/coltsfootsail/_gateway.py
@@ -83,6 +83,10 @@
     )
 
 
+def _budget_bytes(gateway_settings):
+    return _held_memory.budget_bytes(gateway_settings.memory_mb * 10**6)
+
+
 def _exit_margin_s(grace_s):
     """Get how long before the end of its grace period a node stops."""
     return min(EXIT_MARGIN_S, EXIT_MARGIN_SHARE * grace_s)
@@ -344,7 +348,7 @@
             self.metrics.count,
         )
         self.held_memory = _held_memory.HeldMemory(
-            _held_memory.budget_bytes(gateway_settings.memory_mb * 10**6)
+            _budget_bytes(gateway_settings)
         )
         self.relay_server = _relays.RelayServer(
             self.view,
@@ -681,6 +685,7 @@
         gateway_settings = settings.gateway
         self._retry_share.set_window(gateway_settings.retry_window_s)
         self.retry_budget.set_bounds(_retry_bounds(gateway_settings))
+        self.held_memory.budget_bytes = _budget_bytes(gateway_settings)
         _logs.state("settings_reloaded", node=self._name)
 
     async def _end_requests(self):
--- a/tests/test_large_requests.py
+++ b/tests/test_large_requests.py
@@ -1,5 +1,6 @@
 """Large bodies of requests beside servers that read slowly, or not at all."""
 
+import dataclasses
 import math
 
 import h11
@@ -304,3 +305,16 @@
         assert "r9" not in _ran(fleet)
 
     gateways.run(scenario)
+
+
+def test_budget_follows_the_memory_that_a_reload_states():
+    async def scenario(fleet):
+        gateway = fleet.gateways["g0"]
+        settings = gateways.settings("g0")
+        fields = dataclasses.replace(settings.gateway, memory_mb=160)
+        gateway.reload(dataclasses.replace(settings, gateway=fields))
+        replies, _ = await _send_large(fleet, "/orders/9")
+        assert sum(map(_is_refused, replies.values())) == LARGE - 1
+        assert gateway.held_memory.budget_bytes < 20_000_000
+
+    gateways.run(scenario)
