Divide the process's descriptors among its connections

Callers on new connections got no byte while others held all descriptors open, also by sending nothing; sends that failed for want of a descriptor were answered as endpoint_unreachable, and their servers were checked and could be paused or taken to be cut off, though the fault was this node's.

Cause: nothing bounded the connections of callers, servers, peers and the store together, and an OSError of a connect was the server's in any case.

Change: one budget (docs/design/descriptors.md) from gateway.descriptors and RLIMIT_NOFILE, with a share of each use. Idle connections of callers are closed first, the longest idle one first; then a new connection's first request is answered 503 with Retry-After and closed. Idle connections to servers are closed for new ones; a send beyond is refused as not run. EMFILE and the like concern no server. Accepting without a descriptor closes an idle connection and goes on. Gauge, counters and log lines by use.

Tests: five of the new tests failed before: with the idle flood the request got no room, the refusal took 2 s and was none, codes were endpoint_unreachable, the process without descriptors did not answer within a second, idle connections were kept. The sixth tests the shares alone. 18 test files near it pass; the whole suite was not run.

--- a/src/coltsfootsail/_crash_checks.py
+++ b/src/coltsfootsail/_crash_checks.py
@@ -13,6 +13,7 @@
 
 import trio
 
+from coltsfootsail import _logs
 from coltsfootsail import _wire
 
 CONNECT_TIMEOUT_S = 0.5
@@ -52,7 +53,8 @@
     :param view: a ``DeploymentView``.
     :param mesh: a ``Mesh``.
     :param is_accepting: ``async (address, timeout_s) -> bool``, whether a new
-        connection can be made.
+        connection can be made; raises ``OSError`` if this process lacks a
+        descriptor for it.
     :param may_witness: ``(node, server) -> bool``, whether a node may be
         able to connect to a server.
     :param now: closure that reads the clock.
@@ -109,8 +111,9 @@
         return check.finding
 
     async def _check(self, server):
-        if await self._probe(server) is Finding.REACHED:
-            return Finding.REACHED
+        own = await self._probe(server)
+        if own is not Finding.CRASHED:
+            return own
         witnesses = self._witnesses(server)
         if not witnesses:
             is_connected = await self._is_connected(server)
@@ -122,11 +125,21 @@
         return await self._connect(server) is Finding.REACHED
 
     async def _probe(self, server):
-        """Try to connect to a server."""
+        """Try to connect to a server.
+
+        :returns: ``UNKNOWN`` if this process lacks a descriptor for that.
+        """
         return await self._share(self._probes, server, self._connect)
 
     async def _connect(self, server):
-        if await self._is_accepting(server.address, CONNECT_TIMEOUT_S):
+        try:
+            is_accepting = await self._is_accepting(
+                server.address, CONNECT_TIMEOUT_S
+            )
+        except OSError as exc:
+            _logs.detail("check_failed", server=server.name, reason=repr(exc))
+            return Finding.UNKNOWN
+        if is_accepting:
             self.note_contact(server.name)
             return Finding.REACHED
         return Finding.CRASHED
--- a/src/coltsfootsail/_gateway.py
+++ b/src/coltsfootsail/_gateway.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import functools
 import math
 import random
 import secrets
@@ -17,8 +18,10 @@
 from coltsfootsail import _claims
 from coltsfootsail import _clock_steps
 from coltsfootsail import _connection_limits
+from coltsfootsail import _connections
 from coltsfootsail import _crash_checks
 from coltsfootsail import _crashes
+from coltsfootsail import _descriptors
 from coltsfootsail import _engine_controller
 from coltsfootsail import _engine_selection
 from coltsfootsail import _freshness
@@ -106,15 +109,46 @@
         self._max_nodes_seen = 1
         self._name = settings.node.name
         self._incarnation = secrets.token_hex(6)
+        self._build_shares(settings.gateway)
         self._build_store_and_peers(settings, network)
         self._build_engine_control(settings, network)
         self._build_request_handling(settings, network)
         self._pages = _pages.StatusPages(self)
 
+    def _build_shares(self, gateway_settings):
+        """Divide the process's descriptors among its connections.
+
+        Connections of callers may take as much memory as all that is held
+        for requests and answers.
+        """
+        budget_bytes = _held_memory.budget_bytes(
+            gateway_settings.memory_mb * 10**6
+        )
+        callers_max = budget_bytes // _descriptors.CALLER_BYTES
+        self.descriptors = _descriptors.Descriptors(
+            _descriptors.usable(gateway_settings.descriptors),
+            {_descriptors.CALLERS: callers_max},
+        )
+        share = functools.partial(
+            _descriptors.Share, self.descriptors, count=self.metrics.count
+        )
+        self._store_share = share(_descriptors.STORE)
+        self._server_share = share(_descriptors.SERVERS)
+        self.peer_share = share(_descriptors.PEERS)
+        spare = share(_descriptors.REFUSALS)
+        self._callers = _connections.Connections(
+            share(_descriptors.CALLERS), spare
+        )
+        self._page_readers = _connections.Connections(
+            share(_descriptors.PAGES), spare
+        )
+
     def _build_store_and_peers(self, settings, network):
         """Build the components that talk to the store and to peers."""
         gateway_settings, lease = settings.gateway, settings.lease
-        self._store_client = _http.HttpClient(network, idle_max=4)
+        self._store_client = _http.HttpClient(
+            network, idle_max=4, share=self._store_share
+        )
         self.kv = platform.StoreClient(
             self._store_client,
             settings.platform.kv_addresses[0],
@@ -211,7 +245,9 @@
         self.crash_checks = _crash_checks.CrashChecks(
             self.view,
             self.mesh,
-            _http.HttpClient(network, idle_max=0).is_accepting,
+            _http.HttpClient(
+                network, idle_max=0, share=self._server_share
+            ).is_accepting,
             lambda node, server: not self.reach.is_cut_off(server.name, node),
             self.now,
         )
@@ -247,7 +283,9 @@
         self._popularity = _popularity.Popularity(
             POPULARITY_HALF_LIFE_S, prior_s=2.0
         )
-        self._order_client = _http.HttpClient(network, idle_max=2)
+        self._order_client = _http.HttpClient(
+            network, idle_max=2, share=self._server_share
+        )
         dependencies = _engine_controller.ControllerDependencies(
             self._order_client,
             self._popularity,
@@ -329,12 +367,17 @@
             IDLE_CONNECTIONS_MAX,
             limits.limit,
             SERVER_CONNECT_TIMEOUT_S,
+            self._server_share,
+        )
+        report_client = _http.HttpClient(
+            network, idle_max=0, share=self._server_share
         )
-        report_client = _http.HttpClient(network, idle_max=0)
         self.upstream = _upstream.UpstreamClient(
             self.server_client,
             report_client,
-            _relays.RelayClient(network, self.reach.relay, self.metrics.count),
+            _relays.RelayClient(
+                network, self.reach.relay, self.metrics.count, self.peer_share
+            ),
             self.limits,
             self.refusals,
             self.states,
@@ -450,13 +493,14 @@
             idle_timeout_s=limits.idle_timeout_s + 1.0,
         )
 
-    async def _serve_callers(self, stream):
+    async def _serve_callers(self, stream, place):
         try:
             await _http.serve_connection(
                 stream,
-                self.http_limits,
+                lambda: place.limits(self.http_limits()),
                 self.request_handler.handle,
                 lambda exc: self.metrics.count("refusals", exc.code),
+                place,
             )
         except Exception as exc:
             # A bug ends this one connection only, not the process and the
@@ -609,16 +653,36 @@
     async def run(self, task_status=trio.TASK_STATUS_IGNORED):
         """Run the gateway until it is cancelled or has drained."""
         node, gateway = self.settings.node, self.settings.gateway
+        partial = functools.partial
         listeners = (
             (node.peer_address, "peer", self.peers.serve),
-            (gateway.ready_address, "operator", self._pages.serve_operators),
-            (gateway.directory_address, "caller", self._pages.serve_callers),
-            (node.caller_address, "caller", self._serve_callers),
+            (
+                gateway.ready_address,
+                "operator",
+                partial(self._page_readers.serve, self._pages.serve_operators),
+            ),
+            (
+                gateway.directory_address,
+                "caller",
+                partial(self._page_readers.serve, self._pages.serve_callers),
+            ),
+            (
+                node.caller_address,
+                "caller",
+                partial(self._callers.serve, self._serve_callers),
+            ),
+        )
+        # No listener lacks a descriptor while callers wait for a request.
+        network = dataclasses.replace(
+            self._network,
+            serve=partial(
+                self._network.serve, make_room=self._callers.share.close_idle
+            ),
         )
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             await _tasks.listen_contained(
-                nursery, self._network, listeners, self.metrics.count
+                nursery, network, listeners, self.metrics.count
             )
             loops = [
                 (
--- a/src/coltsfootsail/_http_client.py
+++ b/src/coltsfootsail/_http_client.py
@@ -9,11 +9,11 @@
 import dataclasses
 import json
 import math
-import select
 
 import h11
 import trio
 
+from coltsfootsail import _descriptors
 from coltsfootsail import _http_messages
 from coltsfootsail import _net
 from coltsfootsail import _tasks
@@ -247,21 +247,6 @@
     return b"".join(parts)
 
 
-def _with_input(streams):
-    """Get the streams that received bytes or were closed by the far end.
-
-    :returns: a set of those that are TCP connections.
-    """
-    poll = select.poll()
-    by_descriptor = {}
-    for stream in streams:
-        sock = getattr(stream, "socket", None)
-        if sock is not None:
-            by_descriptor[sock.fileno()] = stream
-            poll.register(sock.fileno(), select.POLLIN | select.POLLHUP)
-    return {by_descriptor[descriptor] for descriptor, _ in poll.poll(0)}
-
-
 @dataclasses.dataclass(slots=True)
 class _IdleConnection:
     stream: object
@@ -291,6 +276,8 @@
         use instead of kept; None for no such limit.
     :param connect_timeout_s: longest wait for a new connection, if it is
         shorter than that of the network.
+    :param share: the ``Share`` of descriptors for its connections; None for
+        no limit.
     """
 
     def __init__(
@@ -300,6 +287,7 @@
         idle_max=POOL_IDLE_MAX,
         total=None,
         connect_timeout_s=math.inf,
+        share=None,
     ):
         self._network = network
         self._wrap = wrap
@@ -308,6 +296,8 @@
         self._connect_timeout_s = connect_timeout_s
         self._idle = {}
         self._in_use = collections.Counter()
+        self._share = share or _descriptors.unlimited()
+        self._share.add_idle(self._close_longest_idle)
 
     async def _connect(self, address, fresh, request_id):
         pooled = None
@@ -323,11 +313,20 @@
         return stream, h11.Connection(h11.CLIENT), history
 
     async def _open_stream(self, address):
+        if not await self._share.take():
+            raise _descriptors.NoDescriptor(f"connect to {address}")
         try:
             with trio.fail_after(self._connect_timeout_s):
                 return await self._network.open_stream(address)
-        except trio.TooSlowError as exc:
-            raise TimeoutError(f"connect to {address}") from exc
+        except BaseException as exc:
+            self._share.give_back()
+            if isinstance(exc, trio.TooSlowError):
+                raise TimeoutError(f"connect to {address}") from exc
+            raise
+
+    async def _close(self, stream):
+        self._share.give_back()
+        await trio.aclose_forcefully(stream)
 
     async def _take_idle(self, address, request_id):
         """Take the connection that was used last and may carry a request.
@@ -342,9 +341,9 @@
                 return None
             self._remove_idle(address, pooled)
             unexpired = self._network.now() < pooled.until_s
-            if unexpired and not _with_input([pooled.stream]):
+            if unexpired and not _net.with_input([pooled.stream]):
                 return pooled
-            await trio.aclose_forcefully(pooled.stream)
+            await self._close(pooled.stream)
 
     def _keep(self, address, exchange):
         if exchange.history.exchanges >= CONNECTION_REQUESTS_MAX:
@@ -374,13 +373,16 @@
         """Tell whether a new connection to an address can be made.
 
         :param timeout_s: longest wait for it.
+        :raises OSError: if this process has no descriptor for it.
         """
         with trio.move_on_after(timeout_s):
             try:
-                stream = await self._network.open_stream(address)
-            except OSError:
+                stream = await self._open_stream(address)
+            except OSError as exc:
+                if _net.is_shortage(exc):
+                    raise
                 return False
-            await trio.aclose_forcefully(stream)
+            await self._close(stream)
             return True
         return False
 
@@ -400,6 +402,14 @@
             await trio.sleep(STALE_CHECK_S)
             await self.close_stale(get_addresses())
 
+    def _all_idle(self):
+        """List all idle connections, each with its address."""
+        return [
+            (address, pooled)
+            for address, connections in self._idle.items()
+            for pooled in connections
+        ]
+
     async def close_stale(self, addresses=None):
         """Close the idle connections that no request is to use any more.
 
@@ -408,12 +418,8 @@
         :param addresses: those of all servers that are left; None for any.
         """
         now_s = self._network.now()
-        idle = [
-            (address, pooled)
-            for address, connections in self._idle.items()
-            for pooled in connections
-        ]
-        ended = _with_input(pooled.stream for _, pooled in idle)
+        idle = self._all_idle()
+        ended = _net.with_input(pooled.stream for _, pooled in idle)
         await self._close_idle(
             [
                 (address, pooled)
@@ -431,9 +437,19 @@
         """
         for address, pooled in idle:
             self._remove_idle(address, pooled)
+            self._share.give_back()
         for _, pooled in idle:
             await trio.aclose_forcefully(pooled.stream)
 
+    async def _close_longest_idle(self):
+        """Close the idle connection whose time ends first, if there is one."""
+        idle = self._all_idle()
+        soonest = min(idle, key=lambda each: each[1].until_s, default=None)
+        if soonest is None:
+            return False
+        await self._close_idle([soonest])
+        return True
+
     @contextlib.asynccontextmanager
     async def exchange(self, address, *, fresh=False, request_id=None):
         """Open an exchange with the server at an address.
@@ -460,7 +476,7 @@
             finally:
                 kept = exchange.reusable() and self._keep(address, exchange)
                 if not kept:
-                    await trio.aclose_forcefully(stream)
+                    await self._close(stream)
         finally:
             self._release(address)
 
--- a/src/coltsfootsail/_http_server.py
+++ b/src/coltsfootsail/_http_server.py
@@ -305,10 +305,11 @@
             await self._stream.send_all(data)
 
 
-async def _read_request(conn, resp, limits):
+async def _read_request(conn, resp, limits, check):
     """Read one request whose first bytes have been received.
 
     :param resp: its ``Responder``, which learns its method.
+    :param check: called with its headers; raises an error to refuse it.
     :returns: an ``HttpRequest``, or None if the caller closed the
         connection.
     """
@@ -321,6 +322,7 @@
         resp.method = event.method.decode("ascii")
         headers = _http_messages.text_headers(event.headers)
         _check_head(event, headers, limits)
+        check(headers)
         body = await _read_body(conn, reader, limits)
     except trio.TooSlowError as exc:
         raise exceptions.RequestTimeout() from exc
@@ -363,7 +365,24 @@
     await resp.reply_json(error_json(exc), exc.status, headers)
 
 
-async def serve_connection(stream, limits, handler, on_error=None):
+class _OwnPlace:
+    """The place of a connection for which there is always room."""
+
+    waiting = contextlib.nullcontext
+
+    async def admit(self):
+        pass
+
+    def check(self, headers):
+        pass
+
+
+_OWN_PLACE = _OwnPlace()
+
+
+async def serve_connection(
+    stream, limits, handler, on_error=None, place=_OWN_PLACE
+):
     """Serve requests on one connection until it ends.
 
     :param stream: a ``trio.abc.Stream``.
@@ -374,6 +393,7 @@
         ends the connection; what is no typed error is raised again.
     :param on_error: called with each typed error that occurs before the
         handler is called.
+    :param place: the ``Connection`` that says whether there is room.
     """
     get_limits = limits if callable(limits) else lambda: limits
 
@@ -396,12 +416,14 @@
         unread = _net.UnreadAllowance(stream)
         while received is not None:
             if not received:
-                received = await _receive_first(stream, get_limits)
+                with place.waiting():
+                    received = await _receive_first(stream, get_limits)
                 # The caller has read the answer before the next request.
                 with _caller_errors():
                     unread.note_read()
             if not received:
                 return
+            await place.admit()
             received = await _serve_one(
                 received,
                 stream,
@@ -409,10 +431,13 @@
                 unread,
                 handle_request,
                 on_error,
+                place.check,
             )
 
 
-async def _serve_one(received, stream, limits, unread, handler, on_error):
+async def _serve_one(
+    received, stream, limits, unread, handler, on_error, check
+):
     """Serve the request that begins with the bytes received.
 
     :returns: the bytes received after it, or None if the connection ends.
@@ -423,7 +448,7 @@
     conn.receive_data(received)
     resp = Responder(conn, stream, limits, unread)
     try:
-        req = await _read_request(conn, resp, limits)
+        req = await _read_request(conn, resp, limits, check)
     except exceptions.CallerGone:
         raise
     except exceptions.ColtsfootsailError as exc:
--- a/src/coltsfootsail/_mesh.py
+++ b/src/coltsfootsail/_mesh.py
@@ -19,6 +19,7 @@
 
 import trio
 
+from coltsfootsail import _descriptors
 from coltsfootsail import _early_forms
 from coltsfootsail import _kv
 from coltsfootsail import _tasks
@@ -119,13 +120,18 @@
     :param network: a ``Network``.
     :param callbacks: ``LinkCallbacks``.
     :param pace: ``MeshPace``.
+    :param share: the ``Share`` of descriptors for links that this node opens;
+        None for no limit.
     """
 
-    def __init__(self, hello, network, callbacks, pace=DEFAULT_PACE):
+    def __init__(
+        self, hello, network, callbacks, pace=DEFAULT_PACE, share=None
+    ):
         self._hello = hello.announcing()
         self._network = network
         self._callbacks = callbacks
         self._pace = pace
+        self._share = share or _descriptors.unlimited()
         self._urgent_status = callbacks.urgent_status()
         self._watched = None
         self._dial_requested = trio.Event()
@@ -250,8 +256,10 @@
     async def _dial(self, node, address):
         try:
             with contextlib.suppress(OSError):
-                stream = await self._network.open_stream(address)
-                async with stream:
+                async with (
+                    self._share.held(),
+                    await self._network.open_stream(address) as stream,
+                ):
                     messages = _wire.MessageStream(stream)
                     await messages.send(self._hello)
                     await self._run_link(
--- a/src/coltsfootsail/_metrics.py
+++ b/src/coltsfootsail/_metrics.py
@@ -15,6 +15,10 @@
     "refusals": "Requests ended by an error, by its code",
     "access": "Requests that need a key or have one, by what was decided",
     "retries": "Further attempts, by the code of the failed one",
+    "connections_refused": "Connections not made or not accepted for want of "
+    "descriptors, by use",
+    "connections_closed": "Idle connections closed for want of descriptors, "
+    "by use",
     "sends": "Sends to servers, by what was concluded at their end",
     "server_limits": "Limits that servers named, changed and ended",
     "clock_steps": "Steps of the host's time of day, forward or back",
@@ -73,6 +77,7 @@
     "claims": "Engines that this node gives orders to",
     "lease_left_seconds": "How long the node may still trust its lease",
     "open_requests": "Requests of callers under way",
+    "descriptors": "Descriptors of connections, by what they serve",
     "linked_nodes": "Nodes of the region with a live link",
     "nodes": "Nodes registered in the store",
     "waiting": "Requests that wait for a start, by engine owned",
--- a/src/coltsfootsail/_net.py
+++ b/src/coltsfootsail/_net.py
@@ -8,6 +8,7 @@
 import contextlib
 import dataclasses
 import errno
+import select
 import socket
 import struct
 import time
@@ -24,7 +25,7 @@
 BACKLOG = 1024
 # When resources are exhausted, accepting pauses instead of failing.
 ACCEPT_PAUSE_S = 0.1
-ACCEPT_PAUSE_ERRNOS = {
+SHORTAGE_ERRNOS = {
     errno.EMFILE,
     errno.ENFILE,
     errno.ENOMEM,
@@ -51,8 +52,10 @@
 
     :param open_stream: ``async (address) -> trio.abc.Stream``; raises
         ``OSError``.
-    :param serve: ``async (address, handler, task_status)``; runs
-        ``handler(stream)`` for each connection until cancelled.
+    :param serve: ``async (address, handler, task_status, make_room)``; runs
+        ``handler(stream)`` for each connection until cancelled.  The closure
+        ``async make_room()`` closes an idle connection when none can be
+        accepted, and tells whether there was one.
     :param now: seconds on a clock that keeps counting while the host is
         suspended.
     :param wall: seconds by the time of day, which may jump.
@@ -176,26 +179,57 @@
     return exc
 
 
-async def _accept_connections(listener, handler, unacked_timeout_ms, nursery):
+def is_shortage(exc):
+    """Tell whether an ``OSError`` shows that this host lacks resources.
+
+    It then says nothing about the far end.
+    """
+    return exc.errno in SHORTAGE_ERRNOS
+
+
+def with_input(streams):
+    """Get the streams that received bytes or were closed by the far end.
+
+    :returns: a set of those that are TCP connections.
+    """
+    poll = select.poll()
+    by_descriptor = {}
+    for stream in streams:
+        sock = getattr(stream, "socket", None)
+        if sock is not None:
+            by_descriptor[sock.fileno()] = stream
+            poll.register(sock.fileno(), select.POLLIN | select.POLLHUP)
+    return {by_descriptor[descriptor] for descriptor, _ in poll.poll(0)}
+
+
+async def _no_room():
+    """Close no connection."""
+    return False
+
+
+async def _accept_connections(
+    listener, handler, unacked_timeout_ms, make_room, nursery
+):
     """Serve new connections until cancelled, and refuse them from then on."""
     async with listener:
         while True:
-            stream = await _accept(listener)
+            stream = await _accept(listener, make_room)
             if stream is not None:
                 _set_user_timeout(stream, unacked_timeout_ms)
                 nursery.start_soon(_handle_and_close, handler, stream)
 
 
-async def _accept(listener):
+async def _accept(listener, make_room):
     """Accept a connection; None after an error that concerns it alone."""
     try:
         return await listener.accept()
     except OSError as exc:
-        if exc.errno in ACCEPT_PAUSE_ERRNOS:
-            await trio.sleep(ACCEPT_PAUSE_S)
-        elif exc.errno not in ACCEPT_SKIP_ERRNOS:
+        if not is_shortage(exc) and exc.errno not in ACCEPT_SKIP_ERRNOS:
             raise
-        _logs.detail("accept_failed", reason=repr(exc))
+        has_closed = is_shortage(exc) and await make_room()
+        _logs.detail("accept_failed", reason=repr(exc), closed_idle=has_closed)
+        if is_shortage(exc):
+            await trio.sleep(0.0 if has_closed else ACCEPT_PAUSE_S)
         return None
 
 
@@ -205,7 +239,11 @@
 
 
 async def _serve_tcp(
-    address, handler, unacked_timeout_ms, task_status=trio.TASK_STATUS_IGNORED
+    address,
+    handler,
+    unacked_timeout_ms,
+    make_room,
+    task_status=trio.TASK_STATUS_IGNORED,
 ):
     host, port = split_address(address)
     listeners = await trio.open_tcp_listeners(port, host=host, backlog=BACKLOG)
@@ -217,6 +255,7 @@
                 listener,
                 handler,
                 unacked_timeout_ms,
+                make_room,
                 nursery,
             )
         task_status.started(f"{bound[0]}:{bound[1]}")
@@ -236,7 +275,14 @@
     async def open_stream(address):
         return await _open_tcp(address, connect_timeout_s, unacked_timeout_ms)
 
-    async def serve(address, handler, task_status=trio.TASK_STATUS_IGNORED):
-        await _serve_tcp(address, handler, unacked_timeout_ms, task_status)
+    async def serve(
+        address,
+        handler,
+        task_status=trio.TASK_STATUS_IGNORED,
+        make_room=_no_room,
+    ):
+        await _serve_tcp(
+            address, handler, unacked_timeout_ms, make_room, task_status
+        )
 
     return Network(open_stream=open_stream, serve=serve, now=boottime_s)
--- a/src/coltsfootsail/_pages.py
+++ b/src/coltsfootsail/_pages.py
@@ -43,6 +43,7 @@
             "configuration_proof_age_seconds",
             lambda: _finite_gauge(gateway.freshness.age_s()),
         )
+        register("descriptors", gateway.descriptors.gauge)
         register("servers", view.service_counts)
         register("engine_speeds", gateway.speeds.gauge)
         register("claims", lambda: {"": len(gateway.claims.held)})
@@ -64,22 +65,29 @@
             lambda: {n: len(c.queue.running) for n, c in controllers.items()},
         )
 
-    async def serve_operators(self, stream):
-        """Serve a connection of the platform or of operators."""
-        await self._serve(stream, _OPERATOR_PAGES)
+    async def serve_operators(self, stream, place):
+        """Serve a connection of the platform or of operators.
 
-    async def serve_callers(self, stream):
-        """Serve a connection of callers, who may only ask for addresses."""
-        await self._serve(stream, _CALLER_PAGES)
+        :param place: its ``Connection``.
+        """
+        await self._serve(stream, _OPERATOR_PAGES, place)
+
+    async def serve_callers(self, stream, place):
+        """Serve a connection of callers, who may only ask for addresses.
+
+        :param place: its ``Connection``.
+        """
+        await self._serve(stream, _CALLER_PAGES, place)
 
-    async def _serve(self, stream, pages):
+    async def _serve(self, stream, pages, place):
         async def answer(req, resp):
             page = pages.get(req.path)
             if page is None:
                 raise exceptions.NotFound()
             await page(self, req, resp)
 
-        await _http.serve_connection(stream, _http.HttpLimits(), answer)
+        limits = place.limits(_http.HttpLimits())
+        await _http.serve_connection(stream, limits, answer, place=place)
 
     async def _ready(self, req, resp):
         state = self._gateway.readiness()
--- a/src/coltsfootsail/_peers.py
+++ b/src/coltsfootsail/_peers.py
@@ -47,7 +47,9 @@
             count=self._count,
         )
         self._skipping = set()
-        self.mesh = _mesh.Mesh(hello, network, callbacks, MESH_PACE)
+        self.mesh = _mesh.Mesh(
+            hello, network, callbacks, MESH_PACE, gateway.peer_share
+        )
         self._catch_up_from_s = 0.0
         self._tasks = _tasks.TaskGroup("peer", self._count)
 
@@ -238,19 +240,23 @@
         """Serve a connection that a peer opened."""
         messages = _wire.MessageStream(stream)
         try:
-            with trio.fail_after(HELLO_TIMEOUT_S):
-                first = await messages.receive()
-            if isinstance(first, _wire.Hello):
-                await self.mesh.serve(messages, first)
-            elif isinstance(first, _wire.ConfigRequest):
-                await _seeds.serve_entries(messages, self._gateway.view)
-            elif isinstance(first, _wire.RelayRequest):
-                await self._gateway.relay_server.serve(messages, first)
+            async with self._gateway.peer_share.held():
+                await self._serve(messages)
         except (OSError, trio.TooSlowError):
             return
         except exceptions.WireError as exc:
             self._count("peer_messages", exc.code)
 
+    async def _serve(self, messages):
+        with trio.fail_after(HELLO_TIMEOUT_S):
+            first = await messages.receive()
+        if isinstance(first, _wire.Hello):
+            await self.mesh.serve(messages, first)
+        elif isinstance(first, _wire.ConfigRequest):
+            await _seeds.serve_entries(messages, self._gateway.view)
+        elif isinstance(first, _wire.RelayRequest):
+            await self._gateway.relay_server.serve(messages, first)
+
     async def run(self):
         """Keep links to all peers until cancelled."""
         async with self._tasks.opened():
--- a/src/coltsfootsail/_plain.py
+++ b/src/coltsfootsail/_plain.py
@@ -29,6 +29,7 @@
     exceptions.NoEndpoint,
     exceptions.Poisoned,
     exceptions.PoisonedPart,
+    exceptions.TooManyConnections,
 )
 
 
@@ -327,6 +328,9 @@
                 balancer.unreachable(server)
                 failed = True
             raise
+        except exceptions.TooManyConnections:
+            self._send_policy.refund(context, attempt.paid)
+            raise
         except exceptions.EndpointNotRun:
             raise
         except exceptions.ColtsfootsailError as exc:
--- a/src/coltsfootsail/_relays.py
+++ b/src/coltsfootsail/_relays.py
@@ -12,6 +12,7 @@
 
 import trio
 
+from coltsfootsail import _descriptors
 from coltsfootsail import _forward
 from coltsfootsail import _http
 from coltsfootsail import _http_client
@@ -120,10 +121,13 @@
     :param choose: ``(server name)``, the name and the peer address of a node
         to send through, None if there is none or none is needed.
     :param count: ``(counter, reason)``.
+    :param share: the ``Share`` of descriptors for its connections; None for
+        no limit.
     """
 
-    def __init__(self, network, choose, count):
+    def __init__(self, network, choose, count, share=None):
         self._network = network
+        self._share = share or _descriptors.unlimited()
         self._count = count
         self.choose = choose
 
@@ -135,13 +139,14 @@
         :raises TooSlowError: if that takes too long.
         """
         self._count("relays", "sent")
-        with trio.fail_after(CONNECT_TIMEOUT_S):
-            stream = await self._network.open_stream(address)
-        history = _http_client.ConnectionHistory(self._network.now(), 1)
-        try:
-            yield RelayedExchange(stream, history)
-        finally:
-            await trio.aclose_forcefully(stream)
+        async with self._share.held():
+            with trio.fail_after(CONNECT_TIMEOUT_S):
+                stream = await self._network.open_stream(address)
+            history = _http_client.ConnectionHistory(self._network.now(), 1)
+            try:
+                yield RelayedExchange(stream, history)
+            finally:
+                await trio.aclose_forcefully(stream)
 
 
 class RelayServer:
--- a/src/coltsfootsail/_settings.py
+++ b/src/coltsfootsail/_settings.py
@@ -185,7 +185,9 @@
         300,
     )
     descriptors: int = _setting(
-        "File descriptors that the host gives the process.", 4100
+        "File descriptors that the host gives the process, 200 of them for "
+        "files; a lower limit of the process itself counts instead.",
+        4100,
     )
     quota_window_s: float = _setting(
         "Time window over which a workspace's quota is judged.", 8.0
--- a/src/coltsfootsail/_streams.py
+++ b/src/coltsfootsail/_streams.py
@@ -368,6 +368,9 @@
             if await gateway.reach.find(server) in _reach.PAUSING:
                 gateway.engine_selector.unreachable(server)
             raise
+        except exceptions.TooManyConnections:
+            self._send_policy.refund(context, paid)
+            raise
         except exceptions.EndpointNotRun:
             raise
         except exceptions.ColtsfootsailError as exc:
--- a/src/coltsfootsail/_upstream.py
+++ b/src/coltsfootsail/_upstream.py
@@ -13,6 +13,7 @@
 from coltsfootsail import _dropped_runs
 from coltsfootsail import _http
 from coltsfootsail import _logs
+from coltsfootsail import _net
 from coltsfootsail import exceptions
 from coltsfootsail.platform import messages
 
@@ -247,6 +248,8 @@
         :raises EndpointNotRun: if the server states that it did not run the
             request.
         :raises EndpointUnreachable: if nothing was sent.
+        :raises TooManyConnections: if nothing was sent, since this process
+            had no descriptor for a connection.
         :raises EndpointSilent: if the time ran out after it was sent.
         :raises OutcomeUnknown: if the connection failed before an answer.
         :raises AnswerTruncated: if the connection failed within the answer.
@@ -397,6 +400,8 @@
 def _to_typed_error(phase, exc):
     text = f"{type(exc).__name__}: {exc}"
     if phase is _http.Phase.CONNECTING:
+        if isinstance(exc, OSError) and _net.is_shortage(exc):
+            return exceptions.TooManyConnections(text)
         return exceptions.EndpointUnreachable(text)
     if isinstance(exc, trio.TooSlowError):
         return exceptions.EndpointSilent(text)
--- a/src/coltsfootsail/standins/network.py
+++ b/src/coltsfootsail/standins/network.py
@@ -301,7 +301,11 @@
             await handler(stream)
 
     async def _serve(
-        self, address, handler, task_status=trio.TASK_STATUS_IGNORED
+        self,
+        address,
+        handler,
+        task_status=trio.TASK_STATUS_IGNORED,
+        make_room=None,
     ):
         async with trio.open_nursery() as nursery:
             entry = self._handlers[address] = (handler, nursery)
