Test that heads that come byte by byte hold their places for a time

The timeout for a head ends such connections (408), and a connection whose head has begun does not count as idle. A weaker assertion of the same, which the end of other requests could satisfy, gives way to it.

--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -164,10 +164,30 @@
         assert reply.headers["connection"] == "close"
         await trio.sleep(3.0)
         assert statuses == [200] * 4
+        assert len(kept) == 60
+
+    gateways.run(scenario, nodes=1, make_fleet=SmallFleet)
+
+
+def test_heads_that_come_byte_by_byte_hold_their_places_for_a_time():
+    async def scenario(fleet):
+        async def trickle(stream):
+            with contextlib.suppress(trio.BrokenResourceError):
+                while True:
+                    await stream.send_all(b"x")
+                    await trio.sleep(0.5)
+
+        kept = [await fleet.connect(HALF_HEAD) for _ in range(44)]
+        for stream in kept:
+            fleet.nursery.start_soon(trickle, stream)
+        await trio.sleep(1.0)
+        assert (await fleet.call("/orders/9")).status == 503
         limits = fleet.gateways["g0"].http_limits()
         await trio.sleep(limits.read_timeout_s)
+        for stream in kept:
+            assert (await stream.receive_some()).startswith(b"HTTP/1.1 408 ")
+        await trio.sleep(1.0)  # for which refused callers are read
         assert (await fleet.call("/orders/9")).status == 200
-        assert len(kept) == 60
 
     gateways.run(scenario, nodes=1, make_fleet=SmallFleet)
 
