--- a/src/coltsfootsail/_http_server.py
+++ b/src/coltsfootsail/_http_server.py
@@ -333,11 +333,13 @@
             await self._stream.send_all(data)
 
 
-async def _read_request(conn, resp, limits, account):
+async def _read_request(conn, resp, limits, account, check):
     """Read one request whose first bytes have been received.
 
     :param resp: its ``Responder``, which learns its method and headers.
     :param account: a ``_held_memory.Account`` for its body.
+    :param check: called once its head was read; raises an error to refuse
+        it.
     :returns: an ``HttpRequest``, or None if the caller closed the
         connection.
     """
@@ -351,6 +353,7 @@
         headers = _http_messages.text_headers(event.headers)
         resp.request_headers = headers
         _check_head(event, headers, limits)
+        check()
         body = await _read_body(conn, reader, headers, limits, account)
     except trio.TooSlowError as exc:
         raise exceptions.RequestTimeout() from exc
@@ -393,8 +396,23 @@
     await resp.reply_json(error_json(exc), exc.status, headers)
 
 
+class _OwnPlace:
+    """The place of a connection for which there is always room."""
+
+    waiting = contextlib.nullcontext
+
+    async def admit(self):
+        pass
+
+    def check(self):
+        pass
+
+
+_OWN_PLACE = _OwnPlace()
+
+
 async def serve_connection(
-    stream, limits, handler, on_error=None, memory=None
+    stream, limits, handler, on_error=None, memory=None, place=_OWN_PLACE
 ):
     """Serve requests on one connection until it ends.
 
@@ -409,6 +427,7 @@
     :param memory: the ``HeldMemory`` from which the bodies of requests are
         taken until they are answered; None bounds each body alone, for
         servers whose callers are the operators or this program.
+    :param place: the ``Connection`` that says whether there is room.
     """
     get_limits = limits if callable(limits) else lambda: limits
     on_error = on_error or (lambda exc, headers: None)
@@ -433,12 +452,14 @@
         unread = _net.UnreadAllowance(stream)
         while received is not None:
             if not received:
-                received = await _receive_first(stream, get_limits)
+                with place.waiting():
+                    received = await _receive_first(stream, get_limits)
                 # The caller has read the answer before the next request.
                 with _caller_errors():
                     unread.note_read()
             if not received:
                 return
+            await place.admit()
             account = _held_memory.Account(memory, _held_memory.REQUEST)
             try:
                 received = await _serve_one(
@@ -449,13 +470,14 @@
                     handle_request,
                     on_error,
                     account,
+                    place.check,
                 )
             finally:
                 account.give_back_all()
 
 
 async def _serve_one(
-    received, stream, limits, unread, handler, on_error, account
+    received, stream, limits, unread, handler, on_error, account, check
 ):
     """Serve the request that begins with the bytes received.
 
@@ -467,7 +489,7 @@
     conn.receive_data(received)
     resp = Responder(conn, stream, limits, unread)
     try:
-        req = await _read_request(conn, resp, limits, account)
+        req = await _read_request(conn, resp, limits, account, check)
     except exceptions.CallerGone:
         raise
     except exceptions.ColtsfootsailError as exc:
--- a/src/coltsfootsail/_peers.py
+++ b/src/coltsfootsail/_peers.py
@@ -49,7 +49,9 @@
             hold_memory=self._hold_memory,
         )
         self._skipping = set()
-        self.mesh = _mesh.Mesh(hello, network, callbacks, MESH_PACE)
+        self.mesh = _mesh.Mesh(
+            hello, network, callbacks, MESH_PACE, gateway.peer_share
+        )
         self._catch_up_from_s = 0.0
         self._tasks = _tasks.TaskGroup("peer", self._count)
 
@@ -250,29 +252,32 @@
 
     async def serve(self, stream):
         """Serve a connection that a peer opened."""
-        with self._hold_memory() as account:
-            await self._serve(_wire.MessageStream(stream, account=account))
-
-    def _hold_memory(self):
-        """Hold memory for the incomplete messages of one connection."""
-        return self._gateway.held_memory.hold(_held_memory.PEER)
-
-    async def _serve(self, messages):
         try:
-            with trio.fail_after(HELLO_TIMEOUT_S):
-                first = await messages.receive()
-            if isinstance(first, _wire.Hello):
-                await self.mesh.serve(messages, first)
-            elif isinstance(first, _wire.ConfigRequest):
-                await _seeds.serve_entries(messages, self._gateway.view)
-            elif isinstance(first, _wire.RelayRequest):
-                await self._gateway.relay_server.serve(messages, first)
+            async with self._gateway.peer_share.held():
+                with self._hold_memory() as account:
+                    await self._serve(
+                        _wire.MessageStream(stream, account=account)
+                    )
         except (OSError, trio.TooSlowError):
             return
         except exceptions.WireError as exc:
             self._count("peer_messages", exc.code)
             _logs.state("peer_message_refused", node="", why=exc.detail)
 
+    def _hold_memory(self):
+        """Hold memory for the incomplete messages of one connection."""
+        return self._gateway.held_memory.hold(_held_memory.PEER)
+
+    async def _serve(self, messages):
+        with trio.fail_after(HELLO_TIMEOUT_S):
+            first = await messages.receive()
+        if isinstance(first, _wire.Hello):
+            await self.mesh.serve(messages, first)
+        elif isinstance(first, _wire.ConfigRequest):
+            await _seeds.serve_entries(messages, self._gateway.view)
+        elif isinstance(first, _wire.RelayRequest):
+            await self._gateway.relay_server.serve(messages, first)
+
     async def run(self):
         """Keep links to all peers until cancelled."""
         async with self._tasks.opened():
--- a/src/coltsfootsail/_plain.py
+++ b/src/coltsfootsail/_plain.py
@@ -29,6 +29,7 @@
     exceptions.NoEndpoint,
     exceptions.Poisoned,
     exceptions.PoisonedPart,
+    exceptions.TooManyConnections,
 )
 # After which a server has not failed.
 _BLAMELESS_ERRORS = (
@@ -340,6 +341,9 @@
                 balancer.unreachable(server)
                 failed = True
             raise
+        except exceptions.TooManyConnections:
+            self._send_policy.refund(context, attempt.paid)
+            raise
         except _BLAMELESS_ERRORS:
             raise
         except exceptions.ColtsfootsailError as exc:
