Bound what a node reads of the store

A store whose list never ends, page after page, was read until memory was used up. Every other answer was read up to 16 MiB, also those of writes, of which many run at once, and JSON decodes to many times its size.

A list ends with an error at 64 MiB of entries or after 120 s. A page may have 4 MiB, the answer to a write 64 KiB, and JSON of any call 524,288 values.

Trial in own processes, peak resident memory before and after (80 MB are the trial's own data): pages without end 247 MB after 6 s, growing, and 130 MB; 16 MB of empty arrays 491 and 96 MB, of empty maps 490 and 96 MB; 20 writes with an endless answer 324 and 80 MB.

The new tests failed before, those of lists for want of their constants too. The limits that the test of endless answers expects are stricter now.

--- a/src/coltsfootsail/_http_client.py
+++ b/src/coltsfootsail/_http_client.py
@@ -23,6 +23,7 @@
 INFORMATIONAL_MAX = 16  # informational answers before the answer
 FOREIGN_ANSWERS_MAX = 4  # answers to other requests before the answer
 FOREIGN_BYTES_MAX = 1_048_576  # of their bodies
+JSON_VALUES_MAX = 524_288
 CONNECTION_REQUESTS_MAX = 100  # bounds the ids that a connection remembers
 
 
@@ -246,6 +247,18 @@
     return b"".join(parts)
 
 
+def _decode_json(data):
+    """Decode JSON.
+
+    An empty array takes many times the bytes of its text.
+
+    :raises ValueError: if it is not JSON, or may have too many values.
+    """
+    if sum(map(data.count, (b",", b"[", b"{"))) > JSON_VALUES_MAX:
+        raise ValueError("too many values")
+    return json.loads(data)
+
+
 def _has_input(stream):
     """Tell whether an idle connection received bytes or was closed."""
     sock = getattr(stream, "socket", None)
@@ -490,6 +503,6 @@
             address, method, target, body=body, **kwargs
         )
         try:
-            return status, headers, json.loads(answer) if answer else None
+            return status, headers, _decode_json(answer) if answer else None
         except (ValueError, RecursionError) as exc:
             raise ConnectionError(f"{target}: answer is not JSON") from exc
--- a/src/coltsfootsail/platform/store.py
+++ b/src/coltsfootsail/platform/store.py
@@ -3,16 +3,29 @@
 import base64
 import urllib.parse
 
+import trio
+
 from coltsfootsail import _eras
 from coltsfootsail import _kv
 from coltsfootsail import exceptions
 
 CALL_TIMEOUT_S = 1.0
-ANSWER_BYTES_MAX = 16_777_216
+# A page has about 500 items or 1 MB, but for the last item's value.
+PAGE_BYTES_MAX = 4_194_304
+CHANGES_BYTES_MAX = 16_777_216
+WRITE_ANSWER_BYTES_MAX = 65_536
+ENTRIES_BYTES_MAX = 67_108_864  # of all pages of a list
+ENTRY_BYTES = 256  # of an entry without its key and value
+LIST_TIMEOUT_S = 120.0  # for all pages
 WATCH_SLACK_S = 0.7  # added to the time that the store may hold a watch
 NO_REVISION = 0  # of a transaction that wrote nothing
 ERA = "store-era"  # header of all answers
 _READS = frozenset({"range", "get"})  # their answers hold in any era
+_LIMITS_BYTES = {
+    "range": PAGE_BYTES_MAX,
+    "get": PAGE_BYTES_MAX,
+    "watch": CHANGES_BYTES_MAX,
+}
 
 
 def _stated_era(headers):
@@ -33,6 +46,11 @@
     )
 
 
+def _size_bytes(entry):
+    """Get about how much memory an entry takes."""
+    return ENTRY_BYTES + len(entry.key) + len(entry.value)
+
+
 def _decode_event(raw):
     return _kv.Event(_decode_entry(raw), bool(raw.get("deleted")))
 
@@ -81,7 +99,9 @@
     async def _call(self, operation, method, target, value=None, **kwargs):
         self._count(operation)
         kwargs.setdefault("timeout_s", CALL_TIMEOUT_S)
-        kwargs["limit_bytes"] = ANSWER_BYTES_MAX
+        kwargs["limit_bytes"] = _LIMITS_BYTES.get(
+            operation, WRITE_ANSWER_BYTES_MAX
+        )
         sent_under = self._eras.sent_under()
         try:
             call = self._client.call_json_with_headers
@@ -113,10 +133,19 @@
         from there also reports changes made while pages were read.
 
         :returns: a ``Snapshot``.
-        :raises KvError: if the store did not answer.
+        :raises KvError: if the store did not answer, or its pages do not
+            end.
         :raises KvEraChanged: if the pages are of different eras.
         """
+        try:
+            with trio.fail_after(LIST_TIMEOUT_S):
+                return await self._read_pages(prefix)
+        except trio.TooSlowError as exc:
+            raise exceptions.KvError("range: the pages do not end") from exc
+
+    async def _read_pages(self, prefix):
         entries = []
+        size_bytes = 0
         revision = None
         query = {"prefix": prefix}
         _, answer = await self._get("range", "/v1/kv-range", query)
@@ -128,6 +157,9 @@
             except (KeyError, TypeError, ValueError) as exc:
                 raise exceptions.KvError(f"range: {exc!r}") from exc
             entries += page
+            size_bytes += sum(map(_size_bytes, page))
+            if size_bytes > ENTRIES_BYTES_MAX:
+                raise exceptions.KvError("range: too many entries")
             revision = page_revision if revision is None else revision
             if not answer.get("hasMore") or not page:
                 return _kv.Snapshot(tuple(entries), revision, era)
--- a/tests/test_endless_readers.py
+++ b/tests/test_endless_readers.py
@@ -1,5 +1,6 @@
 """What is read without end of engines, the store and other nodes."""
 
+import json
 import types
 
 import msgpack
@@ -168,8 +169,69 @@
     async def call(client):
         await calls[what](platform.StoreClient(client, "s:1"))
 
+    limit_bytes = {
+        "range": platform.store.PAGE_BYTES_MAX,
+        "changes": platform.store.CHANGES_BYTES_MAX,
+    }.get(what, platform.store.WRITE_ANSWER_BYTES_MAX)
     sent = endless_server(call, HEADS[head])
-    assert sent <= 2 * (platform.store.ANSWER_BYTES_MAX + BUFFERED_BYTES)
+    assert sent <= 2 * (limit_bytes + BUFFERED_BYTES)
+
+
+@pytest.fixture
+def answering_server(virtual):
+    """Run a client call against a server that gives one answer to all."""
+
+    def run(call, body, pause_s=0.0):
+        head = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % len(body)
+        asked = []
+
+        async def serve(stream):
+            while await stream.receive_some(65536):
+                asked.append(1)
+                await trio.sleep(pause_s)
+                await stream.send_all(head + body)
+
+        async def main():
+            net = memory.MemoryNetwork()
+            async with trio.open_nursery() as nursery:
+                await nursery.start(net.network("s").serve, "s:1", serve)
+                await call(_http.HttpClient(net.network("c")))
+                nursery.cancel_scope.cancel()
+
+        virtual(main)
+        return len(asked)
+
+    return run
+
+
+def _page(items):
+    row = {"key": "k", "value": "AAAA" * 25_000}
+    value = {"items": items * [row], "hasMore": True, "storeRevision": 1}
+    return json.dumps(value).encode()
+
+
+@pytest.mark.parametrize("pause_s", [0.0, 0.9])
+@pytest.mark.parametrize("items", [1, 20])
+def test_list_of_pages_without_end_is_left(answering_server, items, pause_s):
+    async def call(client):
+        with trio.fail_after(2 * platform.store.LIST_TIMEOUT_S):
+            with pytest.raises(exceptions.KvError):
+                await platform.StoreClient(client, "s:1").range("")
+
+    asked = answering_server(call, _page(items), pause_s)
+    read_bytes = (asked - 1) * items * 75_000
+    assert read_bytes <= platform.store.ENTRIES_BYTES_MAX
+    assert (asked - 1) * pause_s <= platform.store.LIST_TIMEOUT_S
+
+
+def test_json_that_decodes_to_many_times_its_size_is_an_error(
+    answering_server,
+):
+    async def call(client):
+        with pytest.raises(ConnectionError):
+            await client.call_json("s:1", "GET", "/")
+
+    answering_server(call, b"[" + b"[]," * 600_000 + b"1]")
 
 
 def test_nested_answer_of_the_store_is_an_error(virtual):
