Queue one configuration at a time for a peer

Each heartbeat of a peer with an older configuration queued a DeploymentUpdate, with a copy of all adapter versions, whether or not the peer read: up to 2,000 of some megabytes on one link. A peer that only sends was never found silent.

A large message is queued for a node once at a time, and for four nodes at a time; the others follow as these are sent. A link whose write takes 10 s is closed.

test_peer_that_never_reads_is_queued_one_update failed before; the test that all peers get an update is a control.

--- a/src/coltsfootsail/_mesh.py
+++ b/src/coltsfootsail/_mesh.py
@@ -34,6 +34,8 @@
 REDIAL_S = 1.0
 PING_AFTER_S = 0.5  # silence after which a peer is pinged before use
 QUEUE_MAX = 2000
+LARGE_QUEUED_MAX = 4  # large messages in the queues of all links
+SEND_TIMEOUT_S = 10.0
 BATCH_MAX = 50  # messages per write, about 8 KB
 # Heartbeats without news that may be missing before a peer is pinged.
 IDLE_INTERVALS_MAX = 2.0
@@ -114,6 +116,7 @@
     idle_until_s: float = 0.0
     sent_status: tuple = ()
     is_suspect: bool = False
+    large: object = None  # message in its queue
 
 
 @contextlib.contextmanager
@@ -146,6 +149,7 @@
         self._links = {}
         self._dialing = set()
         self._forms = {}
+        self._large_wanted = {}
         self.sent = 0
 
     def linked_nodes(self):
@@ -215,6 +219,32 @@
             return False
         return self._queue(self._links[node], msg)
 
+    def send_large(self, node, make):
+        """Send a message of up to megabytes once few others are queued.
+
+        It is sent once, however often that is asked for meanwhile.
+
+        :param make: ``()``, makes the message when it is queued.
+        """
+        link = self._links.get(node)
+        if link is not None and link.large is None:
+            self._large_wanted[node] = make
+            self._queue_large()
+
+    def _queue_large(self):
+        """Queue the large messages for which there is room."""
+        links = self._links.values()
+        room = LARGE_QUEUED_MAX - sum(link.large is not None for link in links)
+        for node in list(self._large_wanted)[:room]:
+            msg = self._large_wanted.pop(node)()
+            if self.send(node, msg):
+                self._links[node].large = msg
+
+    def _note_sent(self, link, batch):
+        if any(msg is link.large for msg in batch):
+            link.large = None
+            self._queue_large()
+
     def _queue(self, link, msg):
         try:
             link.outbox.send_nowait(msg)
@@ -332,19 +362,24 @@
                 if self._links.get(node) is link:
                     del self._links[node]
                     self._watched = None
+                    self._large_wanted.pop(node, None)
+                    self._queue_large()
                     self._callbacks.on_link_down(node)
         with trio.CancelScope(shield=True):
             await messages.aclose()
 
     async def _send_all(self, link, outbox):
         """Send queued messages, up to ``BATCH_MAX`` of them per write."""
-        with contextlib.suppress(OSError):
+        with contextlib.suppress(OSError, trio.TooSlowError):
             async for msg in outbox:
                 batch = [msg]
                 with contextlib.suppress(trio.WouldBlock, trio.EndOfChannel):
                     while len(batch) < BATCH_MAX:
                         batch.append(outbox.receive_nowait())
-                await link.stream.send_many(batch)
+                with trio.fail_after(SEND_TIMEOUT_S):
+                    await link.stream.send_many(batch)
+                if link.large is not None:
+                    self._note_sent(link, batch)
         link.cancel_scope.cancel()
 
     def _heartbeat_interval_s(self):
--- a/src/coltsfootsail/_peers.py
+++ b/src/coltsfootsail/_peers.py
@@ -71,13 +71,16 @@
         self._gateway.owned_engines.record_peer_backlogs(msg.loads)
         view = self._gateway.view
         if msg.revision < view.deployment.version:
-            update = _wire.DeploymentUpdate(
-                view.raw_deployment, tuple(view.versions.items())
-            )
-            self.mesh.send(node, update)
+            self.mesh.send_large(node, self._make_update)
         elif msg.revision > view.deployment.version:
             self._catch_up(node)
 
+    def _make_update(self):
+        view = self._gateway.view
+        return _wire.DeploymentUpdate(
+            view.raw_deployment, tuple(view.versions.items())
+        )
+
     def _catch_up(self, node):
         """Show a node that its configuration is newer, to be sent it."""
         now_s = self._network.now()
--- a/tests/test_endless_peers.py
+++ b/tests/test_endless_peers.py
@@ -1,12 +1,16 @@
 """What a node holds for other nodes that send without end or do not read."""
 
+import contextlib
+
 import pytest
 import trio
 import trio.testing
 
 from coltsfootsail import _held_memory
+from coltsfootsail import _mesh
 from coltsfootsail import _wire
 from coltsfootsail import exceptions
+from tests import gateways
 
 PART = b"x" * 65536
 SENT_BYTES_MAX = 1 << 26
@@ -121,3 +125,64 @@
         assert await _wire.MessageStream(right).receive() == update
 
     virtual(main)
+
+
+async def _link_to(net, address, name):
+    """Open a link to a node from a peer of another name.
+
+    :returns: the peer's ``MessageStream``.
+    """
+    messages = _wire.MessageStream(
+        await net.network(name).open_stream(address)
+    )
+    await messages.send(_wire.Hello(name, "here", "1").announcing())
+    return messages
+
+
+async def _receive_updates(messages, updates):
+    with contextlib.suppress(OSError):
+        while (msg := await messages.receive()) is not None:
+            if isinstance(msg, _wire.DeploymentUpdate):
+                updates.append(msg)
+
+
+def _enlarge_configuration(gateway):
+    """Let a gateway hold a configuration of a megabyte."""
+    gateway.view.raw_deployment += b" " * 1_000_000
+
+
+def test_peer_that_never_reads_is_queued_one_update():
+    async def scenario(fleet):
+        gateway = fleet.gateways["g0"]
+        _enlarge_configuration(gateway)
+        made = []
+        make_update = gateway.peers._make_update
+        gateway.peers._make_update = lambda: made.append(1) or make_update()
+        messages = await _link_to(fleet.net, "g0:81", "h0")
+        for _ in range(500):
+            await messages.send(_wire.Heartbeat(0, True))
+        await trio.sleep(2.0)
+        assert len(made) == 1
+        assert "h0" in gateway.mesh.linked_nodes()
+        await trio.sleep(_mesh.SEND_TIMEOUT_S)
+        assert "h0" not in gateway.mesh.linked_nodes()
+
+    gateways.run(scenario)
+
+
+def test_all_peers_that_are_behind_get_an_update():
+    async def scenario(fleet):
+        gateway = fleet.gateways["g0"]
+        _enlarge_configuration(gateway)
+        updates = []
+        async with trio.open_nursery() as nursery:
+            for number in range(30):
+                messages = await _link_to(fleet.net, "g0:81", f"h{number}")
+                await messages.send(_wire.Heartbeat(0, True))
+                if number >= 2:  # the first ones do not read
+                    nursery.start_soon(_receive_updates, messages, updates)
+            await trio.sleep(2.0)
+            assert len(updates) == 28
+            nursery.cancel_scope.cancel()
+
+    gateways.run(scenario)
