Send entries to starting nodes in parts

A node joined all entries of the store into one write for each node that asked, up to 33 MB each, and held them until it had read them. A node that asks counted the values only, not the keys.

Entries are now encoded 64 KiB at a time, for eight nodes at a time and for 1 s each, after which a node asks another one. Keys are counted.

--- a/src/coltsfootsail/_peers.py
+++ b/src/coltsfootsail/_peers.py
@@ -51,6 +51,7 @@
         self._skipping = set()
         self.mesh = _mesh.Mesh(hello, network, callbacks, MESH_PACE)
         self._catch_up_from_s = 0.0
+        self._askers = trio.CapacityLimiter(_seeds.ASKERS_MAX)
         self._tasks = _tasks.TaskGroup("peer", self._count)
 
     def _make_heartbeat(self, sent_backlogs):
@@ -255,7 +256,9 @@
             if isinstance(first, _wire.Hello):
                 await self.mesh.serve(messages, first)
             elif isinstance(first, _wire.ConfigRequest):
-                await _seeds.serve_entries(messages, self._gateway.view)
+                await _seeds.serve_entries(
+                    messages, self._gateway.view, self._askers
+                )
             elif isinstance(first, _wire.RelayRequest):
                 await self._gateway.relay_server.serve(messages, first)
         except (OSError, trio.TooSlowError):
--- a/src/coltsfootsail/_seeds.py
+++ b/src/coltsfootsail/_seeds.py
@@ -15,20 +15,44 @@
 STORE_WAIT_S = 0.3  # for the store, which usually answers sooner
 RETRY_INTERVAL_S = 0.5
 ANSWER_TIMEOUT_S = 1.0
-ENTRIES_BYTES_MAX = 33_554_432  # of all entries of a node
+ENTRIES_BYTES_MAX = 67_108_864  # of all entries of a node
+ENTRY_BYTES = 256  # of an entry without its key and value
+BATCH_BYTES = 65_536  # of the entries of a write, but for the last one
+ASKERS_MAX = 8  # that are answered at a time
 
 
-async def serve_entries(messages, view):
+async def serve_entries(messages, view, limiter):
     """Answer a ``ConfigRequest`` with all store entries as last seen.
 
+    A node that has not read them in time has asked another one.
+
     :param messages: a ``MessageStream``.
     :param view: a ``DeploymentView``.
+    :param limiter: a ``trio.CapacityLimiter`` of ``ASKERS_MAX``.
+    :raises TooSlowError: if the node does not read.
     """
-    entries = [
-        _wire.ViewEntry(entry.key, entry.value, entry.mod_revision)
-        for entry in view.entries()
-    ]
-    await messages.send_many((*entries, _wire.ConfigEnd(b"")))
+    async with limiter:
+        with trio.fail_after(ANSWER_TIMEOUT_S):
+            for batch in _batches(view.entries()):
+                await messages.send_many(map(_to_message, batch))
+            await messages.send(_wire.ConfigEnd(b""))
+
+
+def _batches(entries):
+    batch = []
+    size_bytes = 0
+    for entry in entries:
+        batch.append(entry)
+        size_bytes += len(entry.key) + len(entry.value)
+        if size_bytes >= BATCH_BYTES:
+            yield batch
+            batch = []
+            size_bytes = 0
+    yield batch
+
+
+def _to_message(entry):
+    return _wire.ViewEntry(entry.key, entry.value, entry.mod_revision)
 
 
 async def fetch_entries(network, address):
@@ -51,7 +75,7 @@
                 return entries
             if not isinstance(msg, _wire.ViewEntry):
                 raise exceptions.WireError("expected a store entry")
-            size_bytes += len(msg.value)
+            size_bytes += ENTRY_BYTES + len(msg.key) + len(msg.value)
             if size_bytes > ENTRIES_BYTES_MAX:
                 raise exceptions.WireError("too many store entries")
             entries.append(
--- a/tests/test_endless_peers.py
+++ b/tests/test_endless_peers.py
@@ -1,15 +1,19 @@
 """What a node holds for other nodes that send without end or do not read."""
 
 import contextlib
+import types
 
 import pytest
 import trio
 import trio.testing
 
 from coltsfootsail import _held_memory
+from coltsfootsail import _kv
 from coltsfootsail import _mesh
+from coltsfootsail import _seeds
 from coltsfootsail import _wire
 from coltsfootsail import exceptions
+from coltsfootsail.standins import network as memory
 from tests import gateways
 
 PART = b"x" * 65536
@@ -186,3 +190,69 @@
             nursery.cancel_scope.cancel()
 
     gateways.run(scenario)
+
+
+class _Writes:
+    """A peer that reads nothing; keeps the size of each write to it."""
+
+    def __init__(self):
+        self.sizes = []
+
+    async def send_all(self, data):
+        """Write to a peer that reads the first part only."""
+        self.sizes.append(len(data))
+        if len(self.sizes) > 1:
+            await trio.sleep_forever()
+
+
+def test_entries_for_peers_that_never_read_are_made_part_by_part(virtual):
+    entries = [
+        _kv.Entry(f"k{n:05}", PART[:1000], n, n, 0) for n in range(9999)
+    ]
+    view = types.SimpleNamespace(entries=lambda: list(entries))
+
+    async def main():
+        limiter = trio.CapacityLimiter(_seeds.ASKERS_MAX)
+        peers = [_Writes() for _ in range(100)]
+
+        async def serve(peer):
+            messages = _wire.MessageStream(peer)
+            with contextlib.suppress(trio.TooSlowError):
+                await _seeds.serve_entries(messages, view, limiter)
+
+        async with trio.open_nursery() as nursery:
+            for peer in peers:
+                nursery.start_soon(serve, peer)
+            await trio.sleep(_seeds.ANSWER_TIMEOUT_S / 2)
+            sizes = [size for peer in peers for size in peer.sizes]
+            assert 0 < len(sizes) <= 2 * _seeds.ASKERS_MAX
+            assert max(sizes) <= 2 * _seeds.BATCH_BYTES
+        # Each of them was left in time for the next ones.
+        after_s = trio.current_time()
+        turns = -(-len(peers) // _seeds.ASKERS_MAX)
+        assert after_s <= turns * _seeds.ANSWER_TIMEOUT_S + 0.5
+
+    virtual(main)
+
+
+def test_keys_of_a_seed_without_end_are_left(virtual):
+    entry = _wire.encode(_wire.ViewEntry("k" * 1_000_000, b"", 1))
+    sent = []
+
+    async def serve(stream):
+        await stream.receive_some(65536)
+        with contextlib.suppress(trio.BrokenResourceError):
+            while len(sent) < 200:
+                await stream.send_all(entry)
+                sent.append(len(entry))
+
+    async def main():
+        net = memory.MemoryNetwork()
+        async with trio.open_nursery() as nursery:
+            await nursery.start(net.network("s").serve, "s:1", serve)
+            with pytest.raises(exceptions.WireError):
+                await _seeds.fetch_entries(net.network("c"), "s:1")
+            nursery.cancel_scope.cancel()
+
+    virtual(main)
+    assert sum(sent) <= _seeds.ENTRIES_BYTES_MAX + 2_000_000
