Bound what readers of pages make a node hold

The pages of operators and callers took bodies of 1 MiB, though they are asked for without one, and kept each answer for up to 30 s until it was read, on any number of connections.

A body may have 4 KiB, reading and writing may take 5 s, and /metrics and /status take their bytes from the budget of all answers; without room they are refused with 503. /v1/readyz takes nothing from it.

--- a/src/coltsfootsail/_pages.py
+++ b/src/coltsfootsail/_pages.py
@@ -1,8 +1,11 @@
 """HTTP pages of a gateway: readiness, addresses, metrics and status."""
 
+import json
 import math
 
+from coltsfootsail import _held_memory
 from coltsfootsail import _http
+from coltsfootsail import _logs
 from coltsfootsail import _records
 from coltsfootsail import exceptions
 from coltsfootsail.platform import messages
@@ -14,8 +17,13 @@
 START_RETRY_S = 0.5  # retry time stated until the deployment is known
 METRICS_PATH = "/metrics"
 STATUS_PATH = "/status"
+STATUS_CONTENT_TYPE = ("content-type", "application/json")
 METRICS_CONTENT_TYPE = ("content-type", "text/plain; version=0.0.4")
 STATUS_QUANTILE = 0.95
+# Pages are asked for without a body.
+LIMITS = _http.HttpLimits(
+    body_bytes=4096, read_timeout_s=5.0, write_timeout_s=5.0
+)
 
 
 class StatusPages:
@@ -79,7 +87,7 @@
                 raise exceptions.NotFound()
             await page(self, req, resp)
 
-        await _http.serve_connection(stream, _http.HttpLimits(), answer)
+        await _http.serve_connection(stream, LIMITS, answer)
 
     async def _ready(self, req, resp):
         state = self._gateway.readiness()
@@ -95,10 +103,25 @@
 
     async def _metrics(self, req, resp):
         text = self._gateway.metrics.render()
-        await resp.reply(200, text, [METRICS_CONTENT_TYPE])
+        await self._reply(req, resp, text, METRICS_CONTENT_TYPE)
 
     async def _status(self, req, resp):
-        await resp.reply_json(self.status())
+        text = json.dumps(self.status(), ensure_ascii=False).encode()
+        await self._reply(req, resp, text, STATUS_CONTENT_TYPE)
+
+    async def _reply(self, req, resp, text, content_type):
+        """Send a large page, which readers may read slowly.
+
+        :raises Refusal: if the memory of all answers is used up.
+        """
+        memory = self._gateway.held_memory
+        with memory.hold(_held_memory.ANSWER) as account:
+            if not account.take(len(text)):
+                _logs.detail("page_refused", path=req.path, size=len(text))
+                raise exceptions.Refusal(
+                    "memory of all answers", retry_after_s=1.0
+                )
+            await resp.reply(200, text, [content_type])
 
     def addresses(self, data_centre):
         """List the addresses that a caller should use.
--- a/tests/test_endless_peers.py
+++ b/tests/test_endless_peers.py
@@ -256,3 +256,49 @@
 
     virtual(main)
     assert sum(sent) <= _seeds.ENTRIES_BYTES_MAX + 2_000_000
+
+
+async def _ask_page(fleet, answers, request, body=b""):
+    """Ask for a page and read the first part of the answer only."""
+    stream = await fleet.net.network("h").open_stream("g0:82")
+    await stream.send_all(request + b"\r\n\r\n")
+    with contextlib.suppress(trio.BrokenResourceError):
+        await stream.send_all(body)
+    with trio.move_on_after(4.0):
+        answers.append(await stream.receive_some(1000))
+    await trio.sleep(4.0)
+
+
+def test_pages_that_are_not_read_share_the_budget_of_answers():
+    async def scenario(fleet):
+        gateway = fleet.gateways["g0"]
+        gateway.metrics.render = lambda: b"x" * 1_000_000
+        held = gateway.held_memory
+        limit_bytes = _held_memory.ANSWER.large_share * held.budget_bytes
+        answers = []
+        request = b"GET /metrics HTTP/1.1\r\nhost: g0"
+        async with trio.open_nursery() as nursery:
+            for _ in range(60):
+                nursery.start_soon(_ask_page, fleet, answers, request)
+            await trio.sleep(1.0)
+            ready = []
+            request = b"GET /v1/readyz HTTP/1.1\r\nhost: g0"
+            nursery.start_soon(_ask_page, fleet, ready, request)
+        assert held.peak_bytes <= limit_bytes + 60 * _held_memory.SMALL_BYTES
+        served = sum(each.startswith(b"HTTP/1.1 200") for each in answers)
+        refused = sum(each.startswith(b"HTTP/1.1 503") for each in answers)
+        assert served > 3 and refused > 3 and served + refused == 60
+        assert ready[0].startswith(b"HTTP/1.1 200")
+        assert held.held_bytes == 0
+
+    gateways.run(scenario)
+
+
+def test_body_of_a_request_for_a_page_is_not_kept():
+    async def scenario(fleet):
+        answers = []
+        request = b"GET /status HTTP/1.1\r\nhost: g0\r\ncontent-length: 99999"
+        await _ask_page(fleet, answers, request, b"x" * 99999)
+        assert answers[0].startswith(b"HTTP/1.1 413")
+
+    gateways.run(scenario)
