--- a/src/coltsfootsail/_peers.py
+++ b/src/coltsfootsail/_peers.py
@@ -53,6 +53,7 @@
             hello, network, callbacks, MESH_PACE, gateway.peer_share
         )
         self._catch_up_from_s = 0.0
+        self._askers = trio.CapacityLimiter(_seeds.ASKERS_MAX)
         self._tasks = _tasks.TaskGroup("peer", self._count)
 
     def _make_heartbeat(self, sent_backlogs):
@@ -73,13 +74,16 @@
         self._gateway.owned_engines.record_peer_backlogs(msg.loads)
         view = self._gateway.view
         if msg.revision < view.deployment.version:
-            update = _wire.DeploymentUpdate(
-                view.raw_deployment, tuple(view.versions.items())
-            )
-            self.mesh.send(node, update)
+            self.mesh.send_large(node, self._make_update)
         elif msg.revision > view.deployment.version:
             self._catch_up(node)
 
+    def _make_update(self):
+        view = self._gateway.view
+        return _wire.DeploymentUpdate(
+            view.raw_deployment, tuple(view.versions.items())
+        )
+
     def _catch_up(self, node):
         """Show a node that its configuration is newer, to be sent it."""
         now_s = self._network.now()
@@ -274,7 +278,9 @@
         if isinstance(first, _wire.Hello):
             await self.mesh.serve(messages, first)
         elif isinstance(first, _wire.ConfigRequest):
-            await _seeds.serve_entries(messages, self._gateway.view)
+            await _seeds.serve_entries(
+                messages, self._gateway.view, self._askers
+            )
         elif isinstance(first, _wire.RelayRequest):
             await self._gateway.relay_server.serve(messages, first)
 
--- a/tests/test_endless_peers.py
+++ b/tests/test_endless_peers.py
@@ -1,12 +1,20 @@
 """What a node holds for other nodes that send without end or do not read."""
 
+import contextlib
+import types
+
 import pytest
 import trio
 import trio.testing
 
 from coltsfootsail import _held_memory
+from coltsfootsail import _kv
+from coltsfootsail import _mesh
+from coltsfootsail import _seeds
 from coltsfootsail import _wire
 from coltsfootsail import exceptions
+from coltsfootsail.standins import network as memory
+from tests import gateways
 
 PART = b"x" * 65536
 SENT_BYTES_MAX = 1 << 26
@@ -121,3 +129,176 @@
         assert await _wire.MessageStream(right).receive() == update
 
     virtual(main)
+
+
+async def _link_to(net, address, name):
+    """Open a link to a node from a peer of another name.
+
+    :returns: the peer's ``MessageStream``.
+    """
+    messages = _wire.MessageStream(
+        await net.network(name).open_stream(address)
+    )
+    await messages.send(_wire.Hello(name, "here", "1").announcing())
+    return messages
+
+
+async def _receive_updates(messages, updates):
+    with contextlib.suppress(OSError):
+        while (msg := await messages.receive()) is not None:
+            if isinstance(msg, _wire.DeploymentUpdate):
+                updates.append(msg)
+
+
+def _enlarge_configuration(gateway):
+    """Let a gateway hold a configuration of a megabyte."""
+    gateway.view.raw_deployment += b" " * 1_000_000
+
+
+def test_peer_that_never_reads_is_queued_one_update():
+    async def scenario(fleet):
+        gateway = fleet.gateways["g0"]
+        _enlarge_configuration(gateway)
+        made = []
+        make_update = gateway.peers._make_update
+        gateway.peers._make_update = lambda: made.append(1) or make_update()
+        messages = await _link_to(fleet.net, "g0:81", "h0")
+        for _ in range(500):
+            await messages.send(_wire.Heartbeat(0, True))
+        await trio.sleep(2.0)
+        assert len(made) == 1
+        assert "h0" in gateway.mesh.linked_nodes()
+        await trio.sleep(_mesh.SEND_TIMEOUT_S)
+        assert "h0" not in gateway.mesh.linked_nodes()
+
+    gateways.run(scenario)
+
+
+def test_all_peers_that_are_behind_get_an_update():
+    async def scenario(fleet):
+        gateway = fleet.gateways["g0"]
+        _enlarge_configuration(gateway)
+        updates = []
+        async with trio.open_nursery() as nursery:
+            for number in range(30):
+                messages = await _link_to(fleet.net, "g0:81", f"h{number}")
+                await messages.send(_wire.Heartbeat(0, True))
+                if number >= 2:  # the first ones do not read
+                    nursery.start_soon(_receive_updates, messages, updates)
+            await trio.sleep(2.0)
+            assert len(updates) == 28
+            nursery.cancel_scope.cancel()
+
+    gateways.run(scenario)
+
+
+class _Writes:
+    """A peer that reads nothing; keeps the size of each write to it."""
+
+    def __init__(self):
+        self.sizes = []
+
+    async def send_all(self, data):
+        """Write to a peer that reads the first part only."""
+        self.sizes.append(len(data))
+        if len(self.sizes) > 1:
+            await trio.sleep_forever()
+
+
+def test_entries_for_peers_that_never_read_are_made_part_by_part(virtual):
+    entries = [
+        _kv.Entry(f"k{n:05}", PART[:1000], n, n, 0) for n in range(9999)
+    ]
+    view = types.SimpleNamespace(entries=lambda: list(entries))
+
+    async def main():
+        limiter = trio.CapacityLimiter(_seeds.ASKERS_MAX)
+        peers = [_Writes() for _ in range(100)]
+
+        async def serve(peer):
+            messages = _wire.MessageStream(peer)
+            with contextlib.suppress(trio.TooSlowError):
+                await _seeds.serve_entries(messages, view, limiter)
+
+        async with trio.open_nursery() as nursery:
+            for peer in peers:
+                nursery.start_soon(serve, peer)
+            await trio.sleep(_seeds.ANSWER_TIMEOUT_S / 2)
+            sizes = [size for peer in peers for size in peer.sizes]
+            assert 0 < len(sizes) <= 2 * _seeds.ASKERS_MAX
+            assert max(sizes) <= 2 * _seeds.BATCH_BYTES
+        # Each of them was left in time for the next ones.
+        after_s = trio.current_time()
+        turns = -(-len(peers) // _seeds.ASKERS_MAX)
+        assert after_s <= turns * _seeds.ANSWER_TIMEOUT_S + 0.5
+
+    virtual(main)
+
+
+def test_keys_of_a_seed_without_end_are_left(virtual):
+    entry = _wire.encode(_wire.ViewEntry("k" * 1_000_000, b"", 1))
+    sent = []
+
+    async def serve(stream):
+        await stream.receive_some(65536)
+        with contextlib.suppress(trio.BrokenResourceError):
+            while len(sent) < 200:
+                await stream.send_all(entry)
+                sent.append(len(entry))
+
+    async def main():
+        net = memory.MemoryNetwork()
+        async with trio.open_nursery() as nursery:
+            await nursery.start(net.network("s").serve, "s:1", serve)
+            with pytest.raises(exceptions.WireError):
+                await _seeds.fetch_entries(net.network("c"), "s:1")
+            nursery.cancel_scope.cancel()
+
+    virtual(main)
+    assert sum(sent) <= _seeds.ENTRIES_BYTES_MAX + 2_000_000
+
+
+async def _ask_page(fleet, answers, request, body=b""):
+    """Ask for a page and read the first part of the answer only."""
+    stream = await fleet.net.network("h").open_stream("g0:82")
+    await stream.send_all(request + b"\r\n\r\n")
+    with contextlib.suppress(trio.BrokenResourceError):
+        await stream.send_all(body)
+    with trio.move_on_after(4.0):
+        answers.append(await stream.receive_some(1000))
+    await trio.sleep(4.0)
+
+
+def test_pages_that_are_not_read_share_the_budget_of_answers():
+    async def scenario(fleet):
+        gateway = fleet.gateways["g0"]
+        gateway.metrics.render = lambda: b"x" * 1_000_000
+        held = gateway.held_memory
+        limit_bytes = _held_memory.ANSWER.large_share * held.budget_bytes
+        answers = []
+        request = b"GET /metrics HTTP/1.1\r\nhost: g0"
+        async with trio.open_nursery() as nursery:
+            for _ in range(60):
+                nursery.start_soon(_ask_page, fleet, answers, request)
+            await trio.sleep(1.0)
+            ready = []
+            request = b"GET /v1/readyz HTTP/1.1\r\nhost: g0"
+            nursery.start_soon(_ask_page, fleet, ready, request)
+        assert held.peak_bytes <= limit_bytes + 60 * _held_memory.SMALL_BYTES
+        served = sum(each.startswith(b"HTTP/1.1 200") for each in answers)
+        refused = sum(each.startswith(b"HTTP/1.1 503") for each in answers)
+        assert served > 3 and refused > 3 and served + refused == 60
+        assert ready[0].startswith(b"HTTP/1.1 200")
+        assert held.held_bytes == 0
+
+    gateways.run(scenario)
+
+
+def test_body_of_a_request_for_a_page_is_not_kept():
+    async def scenario(fleet):
+        answers = []
+        request = b"GET /status HTTP/1.1\r\nhost: g0\r\ncontent-length: 99999"
+        await _ask_page(fleet, answers, request, b"x" * 99999)
+        assert answers[0].startswith(b"HTTP/1.1 413")
+
+    gateways.run(scenario)
