--- a/tests/test_stream_errors.py
+++ b/tests/test_stream_errors.py
@@ -79,6 +79,7 @@
         "Account.give_back",
         "Account.give_back_all",
         "Account.has_room",
+        "Account.hold",
         "Account.take",
         "EventSplitter._record_last_id",
         "EventSplitter._take_memory",
@@ -97,6 +98,7 @@
 GIVES_BACK = frozenset(
     {
         "Account.give_back",
+        "Account.give_back_all",
         "LoadBalancer._state",
         "LoadBalancer.end",
         "Target.aclose",
