Let large messages of peers pass on hosts with little memory

Incomplete messages of all peers shared a tenth of the budget, 1.7 MB of the smallest one: a configuration with 50,000 adapter versions is larger, so that links to a host with 160 MB would have ended at each update, and on larger hosts at the third update at a time. The share is 8 MiB at least.

--- a/src/coltsfootsail/_held_memory.py
+++ b/src/coltsfootsail/_held_memory.py
@@ -30,16 +30,23 @@
         hold bytes when more are taken for this one.
     :param large_share: share that all holders of this use together may take
         beyond the first ``SMALL_BYTES`` of each.
+    :param large_min_bytes: the least that this share amounts to.
     """
 
     name: str
     total_share: float
     large_share: float
+    large_min_bytes: int = 0
+
+    def large_max_bytes(self, budget_bytes):
+        """Get how much of a budget large holders may take."""
+        return max(self.large_share * budget_bytes, self.large_min_bytes)
 
 
 REQUEST = Use("request", total_share=0.9, large_share=0.42)
 ANSWER = Use("answer", total_share=1.0, large_share=0.37)
-PEER = Use("peer", total_share=1.0, large_share=0.1)
+# Two messages of the largest size pass in any budget.
+PEER = Use("peer", total_share=1.0, large_share=0.1, large_min_bytes=8_388_608)
 
 
 def budget_bytes(memory_bytes):
@@ -90,9 +97,8 @@
         if total_bytes > use.total_share * self.budget_bytes:
             return False
         all_large_bytes = self._large_bytes[use] + large_bytes
-        return not large_bytes or (
-            all_large_bytes <= use.large_share * self.budget_bytes
-        )
+        most_bytes = use.large_max_bytes(self.budget_bytes)
+        return not large_bytes or all_large_bytes <= most_bytes
 
     def add(self, use, size_bytes, large_bytes):
         """Add bytes to those that are held, or take off negative numbers."""
