Count what a busy server refused, and orders by the node that sends them

test_busy_server_gets_nothing_until_the_time_that_it_states took each order that arrived at a busy engine for a refused one, though the stand-in accepts orders, and counted the orders of all nodes as those of one. In the case [0.9-all-engine] the node of the four orders had been refused 1.75 s before them, for 0.9 s; the pause in force was another node's. A pause binds the node that read it (docs/PLATFORM.md).

The test now counts refused requests only, each by its node, finds the node of an order in it, and allows no order or report at all within a pause, where two were allowed.

--- a/tests/test_server_states.py
+++ b/tests/test_server_states.py
@@ -1,5 +1,7 @@
 """What servers say of leaving and of being busy, and who heeds it."""
 
+import functools
+import json
 import logging
 import math
 import types
@@ -8,6 +10,7 @@
 import trio
 
 from coltsfootsail import _server_states
+from coltsfootsail.platform import engines
 from coltsfootsail.platform import messages
 from coltsfootsail.standins import users
 from tests import gateways
@@ -181,14 +184,17 @@
 
     :param server: a ``PlainServer``.
     :param nodes: dict of request id to the node that it was sent to.
+    :param owner: ``() -> str``, the node that sends it orders and reports.
     """
 
-    def __init__(self, server, nodes, busy_s):
+    def __init__(self, server, nodes, owner, busy_s):
         self._server = server
+        self._owner = owner
         self._nodes = nodes
         self._busy_s = busy_s
         self._refused_s = {}
         self.counts = {}
+        self.orders = {}
         handle = server._handle
 
         async def watch(req, resp):
@@ -198,17 +204,26 @@
         server._handle = watch
 
     def _note(self, req):
-        node = self._nodes.get(req.header(messages.REQUEST_ID))
-        if node is None:  # an order or a report
-            node = req.header("x-node") or "order"
+        node = self._node(req)
+        is_request = req.header(messages.REQUEST_ID) in self._nodes
         now_s = trio.current_time()
         for refused_s in self._refused_s.get(node, ()):
             if refused_s + BUSY_FROM_S < now_s < refused_s + self._busy_s:
+                counts = self.counts if is_request else self.orders
                 key = node, refused_s
-                self.counts[key] = self.counts.get(key, 0) + 1
-        if self._server.busy is not None:
+                counts[key] = counts.get(key, 0) + 1
+        # The server answers orders and reports also while it is busy.
+        if is_request and self._server.busy is not None:
             self._refused_s.setdefault(node, []).append(now_s)
 
+    def _node(self, req):
+        """Get the node that sends a request, an order or a report."""
+        if req.path == engines.ORDER_PATH:
+            return json.loads(req.body)["holder"]
+        if req.path == engines.REPORT_PATH:
+            return self._owner()
+        return self._nodes[req.header(messages.REQUEST_ID)]
+
 
 @KINDS
 @pytest.mark.parametrize("whole_service", [False, True], ids=["one", "all"])
@@ -223,7 +238,13 @@
             await _send_calls(fleet, path, is_engine, 2.0)
         nodes = {}
         watches = [
-            _BusyWatch(server, nodes, float(retry_after)) for server in busy
+            _BusyWatch(
+                server,
+                nodes,
+                functools.partial(fleet.owner, server),
+                float(retry_after),
+            )
+            for server in busy
         ]
         for server in busy:
             server.busy = retry_after
@@ -234,6 +255,7 @@
             assert all(
                 n <= BUSY_REQUESTS_MAX for n in watch.counts.values()
             ), watch.counts
+            assert not watch.orders
         if not whole_service:
             assert _served_share(replies) >= 0.97
             return
