--- a/src/coltsfootsail/_held_memory.py
+++ b/src/coltsfootsail/_held_memory.py
@@ -37,7 +37,7 @@
     large_share: float
 
 
-REQUEST = Use("request", total_share=0.9, large_share=0.42)
+REQUEST = Use("request", total_share=0.9, large_share=0.6)
 ANSWER = Use("answer", total_share=1.0, large_share=0.37)
 PEER = Use("peer", total_share=1.0, large_share=0.1)
 
