--- a/src/coltsfootsail/_held_memory.py
+++ b/src/coltsfootsail/_held_memory.py
@@ -43,7 +43,7 @@
         return max(self.large_share * budget_bytes, self.large_min_bytes)
 
 
-REQUEST = Use("request", total_share=0.9, large_share=0.42)
+REQUEST = Use("request", total_share=0.9, large_share=0.6)
 ANSWER = Use("answer", total_share=1.0, large_share=0.37)
 # Two messages of the largest size pass in any budget.
 PEER = Use("peer", total_share=1.0, large_share=0.1, large_min_bytes=8_388_608)
