Do not keep answers to other requests

An answer to another request on a kept connection is discarded, but was kept until its end, up to 1 MiB for each request under way and beside the budget of all answers. It is now dropped as it is read.

test_answers_to_other_requests_are_not_kept failed before: 40 of them.

--- a/src/coltsfootsail/_http_client.py
+++ b/src/coltsfootsail/_http_client.py
@@ -119,7 +119,11 @@
         A new protocol state then expects the answer to this request; bytes
         that were already received for it are kept.
         """
-        await self.read_body(FOREIGN_BYTES_MAX)
+        size_bytes = 0
+        while self.phase is not _http_messages.Phase.DONE:
+            size_bytes += len(await self.read_some())
+            if size_bytes > FOREIGN_BYTES_MAX:
+                raise _http_messages.AnswerTooLarge("body too large")
         received = self._conn.trailing_data[0]
         self._conn = h11.Connection(h11.CLIENT)
         _encode_request(self._conn, method, target, headers, body)
--- a/tests/test_endless_readers.py
+++ b/tests/test_endless_readers.py
@@ -1,6 +1,7 @@
 """What is read without end of engines, the store and other nodes."""
 
 import json
+import tracemalloc
 import types
 
 import msgpack
@@ -340,3 +341,41 @@
     second.feed(b"data: " + 3 * PART)
     second.discard_partial_event()
     assert budget.held_bytes == 0
+
+
+def test_answers_to_other_requests_are_not_kept(virtual):
+    begun = []
+
+    async def serve(stream):
+        await stream.receive_some(65536)
+        await stream.send_all(HEADS["length"])
+        for _ in range(15):
+            await stream.send_all(PART[:])
+        begun.append(1)
+        await trio.sleep_forever()
+
+    async def ask(network):
+        client = _http.HttpClient(network)
+        async with client.exchange("s:1") as exchange:
+            await exchange.request("GET", "/", (("host", "s"),), b"", _refuse)
+
+    def _refuse(exchange):
+        return False
+
+    async def main():
+        net = memory.MemoryNetwork()
+        async with trio.open_nursery() as nursery:
+            await nursery.start(net.network("s").serve, "s:1", serve)
+            for _ in range(40):
+                nursery.start_soon(ask, net.network("c"))
+            await trio.sleep(5.0)
+            held_bytes, _ = tracemalloc.get_traced_memory()
+            assert len(begun) == 40
+            assert held_bytes < 40 * 3 * len(PART)
+            nursery.cancel_scope.cancel()
+
+    tracemalloc.start()
+    try:
+        virtual(main)
+    finally:
+        tracemalloc.stop()
