Bound the checks of servers that peers ask for

Each ServerCheck started a task, which connects to the server or waits for one that does: a peer that sends them without end fills the process with tasks. 256 are answered at a time; a further one is counted, logged and left without a reply, as by a node that is silent.

The test failed before: 1,000 checks at a time.

--- a/src/coltsfootsail/_peers.py
+++ b/src/coltsfootsail/_peers.py
@@ -20,6 +20,7 @@
 MESH_PACE = _mesh.MeshPace(
     silence_s=2.5, redial_s=0.4, idle_per_link_s=0.1, watched_max=4
 )
+CHECKS_MAX = 256  # of servers for peers, at a time
 CATCH_UP_PAUSE_S = 0.5  # between requests for a newer configuration
 
 
@@ -51,6 +52,7 @@
         self._skipping = set()
         self.mesh = _mesh.Mesh(hello, network, callbacks, MESH_PACE)
         self._catch_up_from_s = 0.0
+        self._open_checks = 0
         self._askers = trio.CapacityLimiter(_seeds.ASKERS_MAX)
         self._tasks = _tasks.TaskGroup("peer", self._count)
 
@@ -209,10 +211,20 @@
         self._gateway.reach.learn(msg, node)
 
     def _on_server_check(self, node, msg):
+        if self._open_checks >= CHECKS_MAX:
+            # Without a reply the peer asks another node.
+            self._count("peer_messages", "too_many")
+            _logs.detail("check_dropped", node=node, server=msg.server)
+            return
+        self._open_checks += 1
         self._tasks.start_soon(self._answer_check, node, msg)
 
     async def _answer_check(self, node, msg):
-        self.mesh.send(node, await self._gateway.crash_checks.answer(msg))
+        try:
+            reply = await self._gateway.crash_checks.answer(msg)
+        finally:
+            self._open_checks -= 1
+        self.mesh.send(node, reply)
 
     def _on_server_check_reply(self, node, msg):
         self._gateway.crash_checks.handle_reply(msg)
--- a/tests/test_endless_peers.py
+++ b/tests/test_endless_peers.py
@@ -10,6 +10,7 @@
 from coltsfootsail import _held_memory
 from coltsfootsail import _kv
 from coltsfootsail import _mesh
+from coltsfootsail import _peers
 from coltsfootsail import _seeds
 from coltsfootsail import _wire
 from coltsfootsail import exceptions
@@ -302,3 +303,33 @@
         assert answers[0].startswith(b"HTTP/1.1 413")
 
     gateways.run(scenario)
+
+
+def test_checks_that_a_peer_asks_for_without_end_are_dropped():
+    async def scenario(fleet):
+        gateway = fleet.gateways["g0"]
+        fleet.net.cut("g0", "s0")
+        open_checks = []
+        answer = gateway.crash_checks.answer
+
+        async def count(msg):
+            open_checks.append(msg)
+            try:
+                return await answer(msg)
+            finally:
+                open_checks.remove(msg)
+
+        gateway.crash_checks.answer = count
+        messages = await _link_to(fleet.net, "g0:81", "h0")
+        for number in range(1000):
+            await messages.send(_wire.ServerCheck(number, "i-s0"))
+        await trio.sleep(0.1)
+        assert 0 < len(open_checks) <= _peers.CHECKS_MAX
+        await trio.sleep(3.0)
+        messages = await _link_to(fleet.net, "g0:81", "h0")
+        await messages.send(_wire.ServerCheck(1000, "i-s1"))
+        reply = _wire.ServerCheckReply(1000, "reached")
+        while await messages.receive() != reply:
+            pass
+
+    gateways.run(scenario)
