Take a body's bytes as they arrive, not as they are stated

The stated length was taken from the account before a byte of the body had arrived. Now a request is still refused at once, before a continue, if there is no room for its stated length, but bytes are taken as they arrive. If others have taken the room meanwhile, the request is refused as not run within its body, as one with chunks already was. The buffer grows with what arrives, so that memory follows the account.

--- a/src/coltsfootsail/_held_memory.py
+++ b/src/coltsfootsail/_held_memory.py
@@ -143,7 +143,15 @@
 
         :raises MemoryFull: if the budget does not have as many.
         """
-        if not self.take(size_bytes):
+        self.require_room(size_bytes)
+        self._change(size_bytes)
+
+    def require_room(self, size_bytes):
+        """Refuse a request that has not run if bytes can't be taken now.
+
+        :raises MemoryFull: if the budget does not have as many.
+        """
+        if not self.has_room(size_bytes):
             memory = self._memory
             raise exceptions.MemoryFull(
                 f"{size_bytes} bytes wanted, {memory.held_bytes} held of "
--- a/src/coltsfootsail/_http_server.py
+++ b/src/coltsfootsail/_http_server.py
@@ -227,13 +227,14 @@
 async def _read_body(conn, stream, headers, limits, account):
     """Read a body into one buffer.
 
-    :param account: a ``_held_memory.Account``, from which a stated length
-        is taken before anything is read, and other bytes as they arrive.
-    :raises MemoryFull: if it has not as many.
+    :param account: a ``_held_memory.Account``, from which bytes are taken as
+        they arrive: a caller that only states a length holds none.
+    :raises MemoryFull: if it has no room for a stated length before anything
+        is read, or for what arrives.
     """
     size = int(_http_messages.find_header(headers, "content-length", "0"))
-    account.require(size)
-    body = bytearray(size)
+    account.require_room(size)
+    body = bytearray()
     try:
         await _fill_body(body, conn, stream, limits, account)
     except BaseException:
@@ -251,12 +252,11 @@
             return
         if not isinstance(event, h11.Data):
             raise exceptions.BadHttp("connection ended inside the body")
-        begin, end = end, end + len(event.data)
+        end += len(event.data)
         if end > limits.body_bytes:
             raise exceptions.BodyTooLarge(f"limit {limits.body_bytes} bytes")
-        if end > len(body):
-            account.require(end - len(body))
-        body[begin:end] = event.data
+        account.require(len(event.data))
+        body += event.data
 
 
 def _check_head(event, headers, limits):
