Bound small chunks and give way while reading them

A caller that sent its body in chunks of one byte, or a server its answer, held up all other requests of a node: one read of 64 KiB is 10,922 events of h11, which were handled without giving way to other tasks.

A caller's body has 256 chunks of any size; beyond that, chunks that are shorter than 256 bytes on average are refused as bad HTTP. Bodies are read 64 events at a time, answers too; a stream of small events in chunks of its own is read as before.

--- a/src/coltsfootsail/_http_client.py
+++ b/src/coltsfootsail/_http_client.py
@@ -61,6 +61,7 @@
         self._stream = stream
         self._conn = conn
         self._needs_data = False
+        self._may_have_more = False
         self._request_incomplete = False
 
     def header(self, name, default=""):
@@ -156,11 +157,15 @@
     async def read_some(self):
         """Read a part of the body.
 
-        :returns: the bytes received by one read; empty at the end.
+        :returns: the bytes received by one read, or some of them; empty at
+            the end.
         :raises h11.RemoteProtocolError: if the connection ends inside the
             body.
         """
         conn = self._conn
+        if self._may_have_more:
+            await trio.lowlevel.checkpoint()
+            self._may_have_more = False
         if self._needs_data:
             conn.receive_data(
                 await self._stream.receive_some(_http_messages.RECEIVE_BYTES)
@@ -169,6 +174,10 @@
         parts = []
         while isinstance(event, h11.Data):
             parts.append(event.data)
+            if len(parts) == _http_messages.EVENTS_PER_TURN:
+                self._may_have_more = True
+                self._needs_data = False
+                return b"".join(parts)
             event = conn.next_event()
         self._needs_data = event is h11.NEED_DATA
         if isinstance(event, h11.EndOfMessage):
--- a/src/coltsfootsail/_http_messages.py
+++ b/src/coltsfootsail/_http_messages.py
@@ -10,6 +10,7 @@
 from coltsfootsail import exceptions
 
 RECEIVE_BYTES = 65536
+EVENTS_PER_TURN = 64  # parts of a body read before other tasks run
 STREAM_ERRORS = (
     OSError,
     trio.BrokenResourceError,
--- a/src/coltsfootsail/_http_server.py
+++ b/src/coltsfootsail/_http_server.py
@@ -1,6 +1,7 @@
 """The server side of HTTP/1.1 on trio streams, using h11."""
 
 import contextlib
+import itertools
 import json
 import math
 
@@ -17,6 +18,9 @@
 # the connection before it has read the answer.
 LINGER_S = 1.0
 LINGER_BYTES = 4_194_304
+# A body has this many chunks of any size; more are of a mean size.
+SMALL_CHUNKS_MAX = 256
+CHUNK_MEAN_BYTES = 256
 # A timer that runs out this late shows that the process was paused.
 PAUSE_MIN_S = 0.1
 AFTER_PAUSE_S = 0.5  # in which bytes that arrived during a pause are read
@@ -245,7 +249,10 @@
 
 async def _fill_body(body, conn, stream, limits, account):
     end = 0
-    while True:
+    chunks = 0
+    for events in itertools.count(1):
+        if events % _http_messages.EVENTS_PER_TURN == 0:
+            await trio.lowlevel.checkpoint()
         event = await _http_messages.next_event(conn, stream)
         if isinstance(event, h11.EndOfMessage):
             return
@@ -254,6 +261,9 @@
         begin, end = end, end + len(event.data)
         if end > limits.body_bytes:
             raise exceptions.BodyTooLarge(f"limit {limits.body_bytes} bytes")
+        chunks += event.chunk_end
+        if (chunks - SMALL_CHUNKS_MAX) * CHUNK_MEAN_BYTES > end:
+            raise exceptions.BadHttp("body in too many small chunks")
         if end > len(body):
             account.require(end - len(body))
         body[begin:end] = event.data
--- /dev/null
+++ b/tests/test_heads.py
@@ -0,0 +1,110 @@
+"""Messages of many small parts, and what one of them may cost."""
+
+import trio
+import trio.testing
+
+from coltsfootsail import _http
+from coltsfootsail import _http_client
+from coltsfootsail import _http_messages
+
+POST = b"POST / HTTP/1.1\r\nhost: n\r\n"
+CHUNKED = b"transfer-encoding: chunked\r\n\r\n"
+
+
+def _serve(data, limits=None):
+    """Serve what one caller sends at once.
+
+    :returns: the answers, and how many turns another task had meanwhile.
+    """
+
+    async def handle(req, resp):
+        await resp.reply(200, b"%d" % len(req.body))
+
+    async def talk(stream):
+        await stream.send_all(data)
+        await stream.send_eof()
+        received = b""
+        while part := await stream.receive_some(65536):
+            received += part
+        return received
+
+    return _count_turns(
+        lambda stream: _http.serve_connection(
+            stream, limits or _http.HttpLimits(), handle
+        ),
+        talk,
+    )
+
+
+def _count_turns(serve, talk):
+    async def main():
+        ours, theirs = trio.testing.memory_stream_pair()
+        turns = 0
+
+        async def count():
+            nonlocal turns
+            while True:
+                await trio.lowlevel.checkpoint()
+                turns += 1
+
+        async def serve_to_the_end():
+            async with theirs:
+                await serve(theirs)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(count)
+            nursery.start_soon(serve_to_the_end)
+            result = await talk(ours)
+            nursery.cancel_scope.cancel()
+        return result, turns
+
+    return trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+def test_body_in_chunks_of_one_byte_is_refused():
+    chunks = b"1\r\nx\r\n" * 10_000 + b"0\r\n\r\n"
+    answers, _ = _serve(POST + CHUNKED + chunks)
+    assert answers.startswith(b"HTTP/1.1 400 ")
+
+
+def test_body_in_few_small_or_many_large_chunks_is_served():
+    for size, count in ((1, 256), (1024, 900)):
+        chunk = b"%x\r\n%s\r\n" % (size, b"x" * size)
+        answers, _ = _serve(POST + CHUNKED + chunk * count + b"0\r\n\r\n")
+        assert answers.endswith(b"\r\n\r\n%d" % (size * count))
+
+
+def test_body_in_small_chunks_lets_other_tasks_run():
+    chunks = (b"100\r\n" + b"x" * 256 + b"\r\n") * 4000
+    answers, turns = _serve(POST + CHUNKED + chunks + b"0\r\n\r\n")
+    assert answers.startswith(b"HTTP/1.1 200 ")
+    assert turns >= 100  # 56 of the stream alone
+
+
+def _read_answer(answer):
+    async def serve(stream):
+        await stream.receive_some(65536)
+        await stream.send_all(answer)
+        await trio.sleep_forever()
+
+    async def talk(stream):
+        class _Network:
+            now = staticmethod(trio.current_time)
+
+            async def open_stream(self, address):
+                return stream
+
+        client = _http_client.HttpClient(_Network())
+        async with client.exchange("a:1") as exchange:
+            await exchange.send("GET", "/", [("host", "n")], b"")
+            await exchange.read_head()
+            return bytes(await exchange.read_body(1_000_000))
+
+    return _count_turns(serve, talk)
+
+
+def test_answer_in_chunks_of_one_byte_lets_other_tasks_run():
+    chunks = b"1\r\nx\r\n" * 10_000 + b"0\r\n\r\n"
+    body, turns = _read_answer(b"HTTP/1.1 200 OK\r\n" + CHUNKED + chunks)
+    assert body == b"x" * 10_000
+    assert turns >= 10_000 / _http_messages.EVENTS_PER_TURN
