Refuse heads of many headers before decoding them

A head within maxHeaderBytes can have thousands of headers.

A request has at most 128 headers; more are refused with 431 before they are decoded. A refused caller is waited for only once nothing refers to the request: h11 raises its errors from a frame that refers to the error, so the traceback of such an error is dropped.

--- a/src/coltsfootsail/_http_messages.py
+++ b/src/coltsfootsail/_http_messages.py
@@ -10,6 +10,7 @@
 from coltsfootsail import exceptions
 
 RECEIVE_BYTES = 65536
+HEADERS_MAX = 128  # of a request or an answer
 EVENTS_PER_TURN = 64  # parts of a body read before other tasks run
 STREAM_ERRORS = (
     OSError,
--- a/src/coltsfootsail/_http_server.py
+++ b/src/coltsfootsail/_http_server.py
@@ -360,6 +360,8 @@
         if not isinstance(event, h11.Request):
             return None
         resp.method = event.method.decode("ascii")
+        if len(event.headers) > _http_messages.HEADERS_MAX:
+            raise exceptions.HeaderTooLarge()
         headers = _http_messages.text_headers(event.headers)
         resp.request_headers = headers
         _check_head(event, headers, limits)
@@ -368,6 +370,8 @@
     except trio.TooSlowError as exc:
         raise exceptions.RequestTimeout() from exc
     except h11.RemoteProtocolError as exc:
+        # h11 raises it from a frame that refers to it, and so to the request.
+        exc.__traceback__ = None
         if exc.error_status_hint == 431:
             raise exceptions.HeaderTooLarge() from exc
         raise exceptions.BadHttp(_without_bytes(exc)) from exc
@@ -421,6 +425,10 @@
 _OWN_PLACE = _OwnPlace()
 
 
+class _Refused(Exception):
+    """A request was refused; its caller may still be sending."""
+
+
 async def serve_connection(
     stream, limits, handler, on_error=None, memory=None, place=_OWN_PLACE
 ):
@@ -471,6 +479,7 @@
                 return
             await place.admit()
             account = _held_memory.Account(memory, _held_memory.REQUEST)
+            is_refused = False
             try:
                 received = await _serve_one(
                     received,
@@ -482,8 +491,14 @@
                     account,
                     place.check,
                 )
+            except _Refused:
+                received = None
+                is_refused = True
             finally:
                 account.give_back_all()
+            if is_refused:
+                # What was read of the request is no longer referred to.
+                await _linger(stream)
 
 
 async def _serve_one(
@@ -492,6 +507,7 @@
     """Serve the request that begins with the bytes received.
 
     :returns: the bytes received after it, or None if the connection ends.
+    :raises _Refused: if an error was answered.
     """
     conn = h11.Connection(
         h11.SERVER, max_incomplete_event_size=limits.header_bytes
@@ -506,8 +522,7 @@
         account.give_back_all()
         on_error(exc, resp.request_headers)
         await _answer_last(resp, exc)
-        await _linger(stream)
-        return None
+        raise _Refused from None
     except Exception:
         account.give_back_all()
         error = exceptions.ReadFailed()
--- a/tests/test_heads.py
+++ b/tests/test_heads.py
@@ -1,11 +1,15 @@
 """Messages of many small parts, and what one of them may cost."""
 
+import gc
+
+import h11
 import trio
 import trio.testing
 
 from coltsfootsail import _http
 from coltsfootsail import _http_client
 from coltsfootsail import _http_messages
+from coltsfootsail import _http_server
 
 POST = b"POST / HTTP/1.1\r\nhost: n\r\n"
 CHUNKED = b"transfer-encoding: chunked\r\n\r\n"
@@ -81,6 +85,52 @@
     assert turns >= 100  # 56 of the stream alone
 
 
+def test_head_of_many_headers_is_refused_before_it_is_decoded(monkeypatch):
+    decoded = _count_decoded(monkeypatch)
+    answers, _ = _serve(POST + b"a:\r\n" * 2700 + b"\r\n")
+    assert answers.startswith(b"HTTP/1.1 431 ")
+    assert not decoded
+
+
+def test_head_of_as_many_headers_as_allowed_is_served():
+    count = _http_messages.HEADERS_MAX - 1
+    answers, _ = _serve(POST + b"a:\r\n" * count + b"\r\n")
+    assert answers.startswith(b"HTTP/1.1 200 ")
+
+
+def test_refused_head_is_not_kept_while_its_caller_is_left(monkeypatch):
+    held = []
+
+    async def linger(stream):
+        held.extend(
+            each
+            for each in gc.get_objects()
+            if isinstance(each, h11.Request | h11.Connection)
+            or (isinstance(each, tuple) and each[:1] == (("x-held", "y"),))
+        )
+
+    monkeypatch.setattr(_http_server, "_linger", linger)
+    head = b"POST / HTTP/1.1\r\nx-held: y\r\nhost: n\r\n"
+    # The second is refused for its chunks, long after its head was read.
+    for rest in (b"a:\r\n" * 2700 + b"\r\n", CHUNKED + b"z\r\n"):
+        gc.collect()
+        answers, _ = _serve(head + rest)
+        assert answers.startswith((b"HTTP/1.1 431 ", b"HTTP/1.1 400 "))
+        assert not held
+
+
+def _count_decoded(monkeypatch):
+    decoded = []
+    text_headers = _http_messages.text_headers
+
+    def count(headers):
+        decoded.append(len(headers))
+        return text_headers(headers)
+
+    monkeypatch.setattr(_http_messages, "text_headers", count)
+    return decoded
+
+
 def _read_answer(answer):
     async def serve(stream):
         await stream.receive_some(65536)
