--- a/src/coltsfootsail/_held_memory.py
+++ b/src/coltsfootsail/_held_memory.py
@@ -38,10 +38,6 @@
     large_share: float
     large_min_bytes: int = 0
 
-    def large_max_bytes(self, budget_bytes):
-        """Get how much of a budget large holders may take."""
-        return max(self.large_share * budget_bytes, self.large_min_bytes)
-
 
 REQUEST = Use("request", total_share=0.9, large_share=0.6)
 ANSWER = Use("answer", total_share=1.0, large_share=0.37)
@@ -97,7 +93,8 @@
         if total_bytes > use.total_share * self.budget_bytes:
             return False
         all_large_bytes = self._large_bytes[use] + large_bytes
-        most_bytes = use.large_max_bytes(self.budget_bytes)
+        share_bytes = use.large_share * self.budget_bytes
+        most_bytes = max(share_bytes, use.large_min_bytes)
         return not large_bytes or all_large_bytes <= most_bytes
 
     def add(self, use, size_bytes, large_bytes):
