Bound the head of a server's answer

h11 bounds a head only while it is incomplete, so that a server's head of 60 KB that arrives at once was decoded, kept and passed on, as was one of thousands of headers, whose text takes many times its bytes.

An answer, informational ones included, has at most 128 headers and 32 KiB of them; a larger head is too large an answer, before it is decoded.

The tests failed before: answers with 2,700 headers and with one header of 60,000 bytes were read, and such informational ones were passed over.

--- a/src/coltsfootsail/_http_client.py
+++ b/src/coltsfootsail/_http_client.py
@@ -20,6 +20,7 @@
 
 POOL_IDLE_MAX = 64
 POOL_IDLE_S = 20.0
+ANSWER_HEADER_BYTES = 32768
 INFORMATIONAL_MAX = 16  # informational answers before the answer
 FOREIGN_ANSWERS_MAX = 4  # answers to other requests before the answer
 FOREIGN_BYTES_MAX = 1_048_576  # of their bodies
@@ -140,13 +141,13 @@
         :returns: the status code.
         :raises h11.RemoteProtocolError: if the connection ends first.
         """
-        event = await _http_messages.next_event(self._conn, self._stream)
+        event = await self._next_head()
         informational = 0
         while isinstance(event, h11.InformationalResponse):
             informational += 1
             if informational > INFORMATIONAL_MAX:
                 raise _http_messages.AnswerTooLarge("informational answers")
-            event = await _http_messages.next_event(self._conn, self._stream)
+            event = await self._next_head()
         if not isinstance(event, h11.Response):
             raise h11.RemoteProtocolError("no answer")
         self.phase = _http_messages.Phase.ANSWERING
@@ -154,6 +155,17 @@
         self.headers = _http_messages.text_headers(event.headers)
         return self.status
 
+    async def _next_head(self):
+        """Wait for a head; h11 bounds only those that are incomplete."""
+        event = await _http_messages.next_event(self._conn, self._stream)
+        headers = getattr(event, "headers", ())
+        if len(headers) > _http_messages.HEADERS_MAX:
+            raise _http_messages.AnswerTooLarge("too many headers")
+        size_bytes = sum(len(name) + len(value) + 4 for name, value in headers)
+        if size_bytes > ANSWER_HEADER_BYTES:
+            raise _http_messages.AnswerTooLarge("headers too large")
+        return event
+
     async def read_some(self):
         """Read a part of the body.
 
--- a/tests/test_heads.py
+++ b/tests/test_heads.py
@@ -3,6 +3,7 @@
 import gc
 
 import h11
+import pytest
 import trio
 import trio.testing
 
@@ -135,7 +136,6 @@
     async def serve(stream):
         await stream.receive_some(65536)
         await stream.send_all(answer)
-        await trio.sleep_forever()
 
     async def talk(stream):
         class _Network:
@@ -153,6 +153,19 @@
     return _count_turns(serve, talk)
 
 
+@pytest.mark.parametrize(
+    "head",
+    [b"a:\r\n" * 2700, b"a: " + b"x" * 60_000 + b"\r\n"],
+    ids=["many headers", "long header"],
+)
+@pytest.mark.parametrize("status", [b"200 OK", b"103 Early"])
+def test_head_of_an_answer_is_bounded(monkeypatch, head, status):
+    decoded = _count_decoded(monkeypatch)
+    with pytest.RaisesGroup(_http_messages.AnswerTooLarge):
+        _read_answer(b"HTTP/1.1 " + status + b"\r\n" + head + b"\r\n")
+    assert not decoded
+
+
 def test_answer_in_chunks_of_one_byte_lets_other_tasks_run():
     chunks = b"1\r\nx\r\n" * 10_000 + b"0\r\n\r\n"
     body, turns = _read_answer(b"HTTP/1.1 200 OK\r\n" + CHUNKED + chunks)
