Keep the bound of heads whatever is configured

limits.maxHeaderBytes may be any positive number, so that a configuration could let each caller's incomplete head take as many bytes. The limit in force is at most 64 KiB.

The test failed before: with 1,000,000,000 configured, a head of 140,000 bytes that was not complete got no answer; now it is refused with 431.

--- a/src/coltsfootsail/_gateway.py
+++ b/src/coltsfootsail/_gateway.py
@@ -63,6 +63,7 @@
 # Limits on connections are divided by the number of nodes.
 NODE_COUNT_RESERVE = 3  # nodes that may have been added but are not seen yet
 NODE_COUNT_DEFAULT = 40  # assumed until the deployment is known
+HEADER_BYTES_MAX = 65_536  # of a caller, whatever is configured
 SWEEP_INTERVAL_S = 60.0
 POPULARITY_HALF_LIFE_S = 20.0
 IDLE_CONNECTIONS_MAX = 12  # to one server
@@ -493,7 +494,7 @@
         """Get the current limits on callers' connections and requests."""
         limits = self.view.deployment.limits
         return _http.HttpLimits(
-            header_bytes=limits.header_bytes,
+            header_bytes=min(limits.header_bytes, HEADER_BYTES_MAX),
             body_bytes=limits.body_bytes,
             read_timeout_s=limits.header_timeout_s + 2.0,
             idle_timeout_s=limits.idle_timeout_s + 1.0,
--- a/tests/test_heads.py
+++ b/tests/test_heads.py
@@ -1,5 +1,6 @@
 """Messages of many small parts, and what one of them may cost."""
 
+import dataclasses
 import gc
 
 import h11
@@ -11,6 +12,7 @@
 from coltsfootsail import _http_client
 from coltsfootsail import _http_messages
 from coltsfootsail import _http_server
+from tests import gateways
 
 POST = b"POST / HTTP/1.1\r\nhost: n\r\n"
 CHUNKED = b"transfer-encoding: chunked\r\n\r\n"
@@ -120,6 +122,22 @@
         assert not held
 
 
+def test_configuration_does_not_undo_the_bound_of_heads():
+    async def scenario(fleet):
+        view = fleet.gateways["g0"].view
+        limits = dataclasses.replace(
+            view.deployment.limits, header_bytes=1_000_000_000
+        )
+        view.deployment = dataclasses.replace(view.deployment, limits=limits)
+        stream = await fleet.net.network("caller").open_stream("g0:80")
+        await stream.send_all(POST + b"x: " + b"y" * 140_000)
+        with trio.fail_after(1.0):
+            answer = await stream.receive_some()
+        assert answer.startswith(b"HTTP/1.1 431 ")
+
+    gateways.run(scenario, nodes=1)
+
+
 def _count_decoded(monkeypatch):
     decoded = []
     text_headers = _http_messages.text_headers
