--- a/tests/test_heads.py
+++ b/tests/test_heads.py
@@ -1,8 +1,10 @@
 """Messages of many small parts, and what one of them may cost."""
 
+import dataclasses
 import gc
 
 import h11
+import pytest
 import trio
 import trio.testing
 
@@ -10,6 +12,7 @@
 from coltsfootsail import _http_client
 from coltsfootsail import _http_messages
 from coltsfootsail import _http_server
+from tests import gateways
 
 POST = b"POST / HTTP/1.1\r\nhost: n\r\n"
 CHUNKED = b"transfer-encoding: chunked\r\n\r\n"
@@ -119,6 +122,22 @@
         assert not held
 
 
+def test_configuration_does_not_undo_the_bound_of_heads():
+    async def scenario(fleet):
+        view = fleet.gateways["g0"].view
+        limits = dataclasses.replace(
+            view.deployment.limits, header_bytes=1_000_000_000
+        )
+        view.deployment = dataclasses.replace(view.deployment, limits=limits)
+        stream = await fleet.net.network("caller").open_stream("g0:80")
+        await stream.send_all(POST + b"x: " + b"y" * 140_000)
+        with trio.fail_after(1.0):
+            answer = await stream.receive_some()
+        assert answer.startswith(b"HTTP/1.1 431 ")
+
+    gateways.run(scenario, nodes=1)
+
+
 def _count_decoded(monkeypatch):
     decoded = []
     text_headers = _http_messages.text_headers
@@ -135,7 +154,6 @@
     async def serve(stream):
         await stream.receive_some(65536)
         await stream.send_all(answer)
-        await trio.sleep_forever()
 
     async def talk(stream):
         class _Network:
@@ -153,6 +171,19 @@
     return _count_turns(serve, talk)
 
 
+@pytest.mark.parametrize(
+    "head",
+    [b"a:\r\n" * 2700, b"a: " + b"x" * 60_000 + b"\r\n"],
+    ids=["many headers", "long header"],
+)
+@pytest.mark.parametrize("status", [b"200 OK", b"103 Early"])
+def test_head_of_an_answer_is_bounded(monkeypatch, head, status):
+    decoded = _count_decoded(monkeypatch)
+    with pytest.RaisesGroup(_http_messages.AnswerTooLarge):
+        _read_answer(b"HTTP/1.1 " + status + b"\r\n" + head + b"\r\n")
+    assert not decoded
+
+
 def test_answer_in_chunks_of_one_byte_lets_other_tasks_run():
     chunks = b"1\r\nx\r\n" * 10_000 + b"0\r\n\r\n"
     body, turns = _read_answer(b"HTTP/1.1 200 OK\r\n" + CHUNKED + chunks)
