Bound the adapters whose requests are counted, and their names

Each name of an adapter that a caller states is counted in a table before anything is known of it; the table was swept each 60 s only.

An adapter that no server names yet may be a sound one, so that unknown ones can't be left out.

The new test failed before: no name was left out, and the table grew with each name.

--- a/src/coltsfootsail/_popularity.py
+++ b/src/coltsfootsail/_popularity.py
@@ -1,15 +1,23 @@
 """Request rates of adapters, from exponentially decayed counts."""
 
+import itertools
 import math
 
 HALF_LIFE_S = 900.0
+ADAPTERS_MAX = 65_536
+# Dropped together, because the first entry of a table whose first ones were
+# deleted takes long to find.
+DROPPED_AT_ONCE = 4096
+NAME_MAX_CHARS = 256
 
 
 class Popularity:
     """Estimates the request rates of many adapters.
 
     An adapter takes one table entry until a sweep finds its rate below
-    ``forget_below``.
+    ``forget_below``.  Callers choose the names: of more than
+    ``ADAPTERS_MAX`` those that were not counted for longest are forgotten,
+    and longer names than ``NAME_MAX_CHARS`` are not counted.
 
     The rate is the decayed count divided by the sum of the decayed time
     since the first request and ``prior_s``, so that a single request does
@@ -36,9 +44,17 @@
 
     def add(self, adapter, now_s, weight=1.0):
         """Count a request, which may weigh less or more than one."""
-        count, last_s, first_s = self._counts.get(adapter, (0.0, now_s, now_s))
+        if len(adapter) > NAME_MAX_CHARS:
+            return
+        # The table is in the order of the last requests.
+        entry = self._counts.pop(adapter, (0.0, now_s, now_s))
+        count, last_s, first_s = entry
         decayed = count * math.exp(-self._decay * (now_s - last_s))
         self._counts[adapter] = (decayed + weight, now_s, first_s)
+        if len(self._counts) > ADAPTERS_MAX:
+            oldest = itertools.islice(self._counts, DROPPED_AT_ONCE)
+            for name in list(oldest):
+                del self._counts[name]
 
     def rate(self, adapter, now_s):
         """Estimate an adapter's request rate.
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -96,3 +96,22 @@
     ranked = _placement.rank_endpoints("a@v1", names, describe, names[:2])
     assert ranked
     assert len(described) <= 2 * _placement.PREFERRED_ENDPOINTS
+
+
+def test_names_that_callers_invent_do_not_stay_in_the_table():
+    popularity = _popularity.Popularity()
+    alone = _popularity.Popularity()
+    most = 65_536
+    for number in range(2 * most):
+        now_s = number / 1000
+        popularity.add(f"base/{number}", now_s)
+        long_name = "base/" + "a" * 8000 + str(number)
+        popularity.add(long_name, now_s)
+        assert long_name not in popularity
+        if not number % 10_000:
+            popularity.add("base/known", now_s)
+            alone.add("base/known", now_s)
+        assert len(popularity) <= most
+    assert len(popularity) >= 0.9 * most
+    rate = alone.rate("base/known", now_s)
+    assert popularity.rate("base/known", now_s) == rate > 0.0
