Read little behind a request under way

While a request ran, each connection buffered up to the limit of headers and 64 KiB more of what its caller sent behind it. It reads 4 KiB at a time and stops once it has more than these; a close behind a pipelined request is seen as before.

The test failed before: 65,536 bytes of 100,000 sent at once were read, and 16,400 of 1,000 parts of 100 bytes; now at most 8,192.

--- a/src/coltsfootsail/_http_server.py
+++ b/src/coltsfootsail/_http_server.py
@@ -18,6 +18,7 @@
 # the connection before it has read the answer.
 LINGER_S = 1.0
 LINGER_BYTES = 4_194_304
+NEXT_BYTES = 4096  # read behind a request under way
 # A body has this many chunks of any size; more are of a mean size.
 SMALL_CHUNKS_MAX = 256
 CHUNK_MEAN_BYTES = 256
@@ -170,21 +171,19 @@
     async def wait_hangup(self):
         """Wait until the caller closes its side of the stream.
 
-        If the caller sends more than ``header_bytes`` meanwhile, this stops
+        If the caller sends more than ``NEXT_BYTES`` meanwhile, this stops
         reading, to bound the buffer, and no longer detects the close.
         """
         while True:
             try:
-                data = await self.stream.receive_some(
-                    _http_messages.RECEIVE_BYTES
-                )
+                data = await self.stream.receive_some(NEXT_BYTES)
             except _http_messages.STREAM_ERRORS:
                 return
             if not data:
                 self.has_hung_up = True
                 return
             self._conn.receive_data(data)
-            if len(self._conn.trailing_data[0]) > self._limits.header_bytes:
+            if len(self._conn.trailing_data[0]) > NEXT_BYTES:
                 await trio.sleep_forever()
 
 
--- a/tests/test_heads.py
+++ b/tests/test_heads.py
@@ -43,14 +43,14 @@
     )
 
 
-def _count_turns(serve, talk):
+def _count_turns(serve, talk, is_counting=True):
     async def main():
         ours, theirs = trio.testing.memory_stream_pair()
         turns = 0
 
         async def count():
             nonlocal turns
-            while True:
+            while is_counting:  # which keeps time from passing
                 await trio.lowlevel.checkpoint()
                 turns += 1
 
@@ -138,6 +138,65 @@
     gateways.run(scenario, nodes=1)
 
 
+@pytest.mark.parametrize("is_at_once", [True, False])
+def test_little_is_read_behind_a_request_under_way(is_at_once):
+    received = []
+
+    async def handle(req, resp):
+        receive = resp.stream.receive_some
+
+        async def receive_some(max_bytes):
+            received.append(await receive(max_bytes))
+            return received[-1]
+
+        resp.stream.receive_some = receive_some
+        with trio.move_on_after(60.0):
+            await resp.wait_hangup()
+        await resp.reply(200, b"")
+
+    async def talk(stream):
+        await stream.send_all(POST + b"content-length: 0\r\n\r\n")
+        for part in [b"x" * 100_000] if is_at_once else [b"x" * 100] * 1000:
+            await trio.sleep(0.01)
+            await stream.send_all(part)
+        return await stream.receive_some(65536)
+
+    answer, _ = _count_turns(
+        lambda stream: _http.serve_connection(
+            stream, _http.HttpLimits(), handle
+        ),
+        talk,
+        is_counting=False,
+    )
+    assert answer.startswith(b"HTTP/1.1 200 ")
+    assert 0 < sum(map(len, received)) <= 8192
+
+
+def test_close_behind_a_pipelined_request_is_seen():
+    seen = []
+
+    async def handle(req, resp):
+        await resp.wait_hangup()
+        seen.append(resp.has_hung_up)
+
+    async def talk(stream):
+        await stream.send_all(POST + b"content-length: 0\r\n\r\n")
+        await trio.sleep(0.01)
+        await stream.send_all(POST + b"content-length: 0\r\n\r\n")
+        await trio.sleep(0.01)
+        await stream.send_eof()
+        await trio.sleep(0.01)
+
+    _count_turns(
+        lambda stream: _http.serve_connection(
+            stream, _http.HttpLimits(), handle
+        ),
+        talk,
+        is_counting=False,
+    )
+    assert seen == [True]
+
+
 def _count_decoded(monkeypatch):
     decoded = []
     text_headers = _http_messages.text_headers
