Keep no long names of adapters in the cache of rankings

With its table of rates bounded, a node that was sent invented names of 14 KB still grew from 36 to 171 MB: the ranking of engines is cached by the name, 8,192 of any length.

A digest stands for a name of more than 256 characters, in which only equality and the hash matter. Shorter names rank as before.

The new test failed before with 10,053,590 bytes kept.

--- a/src/coltsfootsail/_engine_selection.py
+++ b/src/coltsfootsail/_engine_selection.py
@@ -251,7 +251,10 @@
                 + len(self._down_until_s)
             )
             addresses = _placement.weighted_ranking(
-                request.adapter, addresses, levels, count
+                _placement.short_key(request.adapter),
+                addresses,
+                levels,
+                count,
             )
         else:
             addresses = sorted(
--- a/src/coltsfootsail/_placement.py
+++ b/src/coltsfootsail/_placement.py
@@ -11,6 +11,7 @@
 import math
 
 RANK_CACHE_SIZE = 8192
+KEY_MAX_CHARS = 256  # of an item that a caller names
 HASH_RANGE = 2.0**64
 PREFERRED_ENDPOINTS = 3  # first endpoints of an adapter's ranking
 RANK_COST = 0.1  # per rank, so that an adapter stays on few endpoints
@@ -62,6 +63,16 @@
     return tuple(ranked[:count])
 
 
+def short_key(key):
+    """Get a key that the caches can keep in place of one of any length.
+
+    :returns: the key, or a digest of a long one.
+    """
+    if len(key) <= KEY_MAX_CHARS:
+        return key
+    return hashlib.sha256(key.encode("utf-8", "replace")).hexdigest()
+
+
 @functools.lru_cache(maxsize=RANK_CACHE_SIZE)
 def weighted_ranking(key, names, weights, count=PREFERRED_ENDPOINTS):
     """Rank names for a key by weighted rendezvous hash.
--- a/tests/test_engine_selection.py
+++ b/tests/test_engine_selection.py
@@ -1,5 +1,6 @@
 """Selection of an engine by the adapter's engine order and by backlogs."""
 
+import tracemalloc
 import types
 
 import pytest
@@ -188,3 +189,15 @@
     assert harness.choose("base/a1") == first
     harness.limited = {first}
     assert harness.choose("base/a1") == second
+
+
+def test_long_names_that_callers_invent_are_not_kept(harness):
+    harness.choose("base/warm")
+    tracemalloc.start()
+    try:
+        for number in range(100):
+            harness.choose(f"base/{number}" + "a" * 100_000)
+        held_bytes, _ = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert held_bytes < 1_000_000
