Tell a refused request apart from those of earlier tests

test_refused_head_is_not_kept_while_its_caller_is_left failed in a worker that had run gateway tests before, as it also found connections of those tests that are not collected yet. It now leaves out what there was before its own request. It is as strict for that request: without the change of the traceback it fails.

--- a/tests/test_heads.py
+++ b/tests/test_heads.py
@@ -101,15 +101,22 @@
     assert answers.startswith(b"HTTP/1.1 200 ")
 
 
+def _all_of_requests():
+    return [
+        each
+        for each in gc.get_objects()
+        if isinstance(each, h11.Request | h11.Connection)
+        or (isinstance(each, tuple) and each[:1] == (("x-held", "y"),))
+    ]
+
+
 def test_refused_head_is_not_kept_while_its_caller_is_left(monkeypatch):
     held = []
+    earlier = {id(each): each for each in _all_of_requests()}
 
     async def linger(stream):
         held.extend(
-            each
-            for each in gc.get_objects()
-            if isinstance(each, h11.Request | h11.Connection)
-            or (isinstance(each, tuple) and each[:1] == (("x-held", "y"),))
+            each for each in _all_of_requests() if id(each) not in earlier
         )
 
     monkeypatch.setattr(_http_server, "_linger", linger)
