--- a/src/coltsfootsail/_http_server.py
+++ b/src/coltsfootsail/_http_server.py
@@ -518,6 +518,8 @@
     except exceptions.CallerGone:
         raise
     except exceptions.ColtsfootsailError as exc:
+        # Its frames refer to what was read, and the answer may take time.
+        exc.__traceback__ = None
         account.give_back_all()
         on_error(exc, resp.request_headers)
         await _answer_last(resp, exc)
--- a/tests/test_heads.py
+++ b/tests/test_heads.py
@@ -110,6 +110,10 @@
     ]
 
 
+def _heads():
+    return [each for each in gc.get_objects() if type(each) is h11.Request]
+
+
 def test_refused_head_is_not_kept_while_its_caller_is_left(monkeypatch):
     held = []
     earlier = {id(each): each for each in _all_of_requests()}
@@ -129,6 +133,22 @@
         assert not held
 
 
+def test_refused_head_is_not_kept_while_it_is_answered(monkeypatch):
+    held = []
+    earlier = {id(each) for each in _heads()}
+    answer_last = _http_server._answer_last
+
+    async def answer(resp, exc):
+        held.extend(each for each in _heads() if id(each) not in earlier)
+        await answer_last(resp, exc)
+
+    monkeypatch.setattr(_http_server, "_answer_last", answer)
+    head = b"POST / HTTP/1.1\r\nhost: n\r\n" + b"a:\r\n" * 2700
+    answers, _ = _serve(head + b"\r\n")
+    assert answers.startswith(b"HTTP/1.1 431 ")
+    assert not held
+
+
 def test_configuration_does_not_undo_the_bound_of_heads():
     async def scenario(fleet):
         view = fleet.gateways["g0"].view
