Give back the bytes of a body that is not whole where it is read

_upstream wrapped the reader of answers only to give back what the reader had taken. The reader does that itself, for all who read with an account.

--- a/src/coltsfootsail/_http_client.py
+++ b/src/coltsfootsail/_http_client.py
@@ -230,12 +230,15 @@
 
     :param exchange: an ``Exchange``, or what is used as one.
     :param limit_bytes: the largest body to accept.
-    :param account: a ``_held_memory.Account`` or None.
+    :param account: a ``_held_memory.Account`` from which the bytes of a whole
+        body are taken, or None.
     """
     body = bytearray()
     try:
         await _read_parts(exchange, body, limit_bytes, account)
     except BaseException:
+        if account is not None:
+            account.give_back(len(body))
         # The traceback of the error would keep it.
         body.clear()
         raise
--- a/src/coltsfootsail/_stream_sink.py
+++ b/src/coltsfootsail/_stream_sink.py
@@ -23,7 +23,6 @@
     :param extra_headers: closure that lists headers to add.
     :param now: closure that reads the clock.
     :param account: a ``_held_memory.Account`` for the events that are held.
-
     :param contained: closure that makes a context manager which contains
         the errors of notes.
 
--- a/src/coltsfootsail/_upstream.py
+++ b/src/coltsfootsail/_upstream.py
@@ -163,16 +163,6 @@
             raise _to_typed_error(_http.Phase.ANSWERING, exc) from exc
 
 
-async def _read_body(answer, account):
-    """Read a body; give back what it took if it is not whole."""
-    held_bytes = account.held_bytes
-    try:
-        return await answer.read_body(BODY_BYTES_MAX, account)
-    except BaseException:
-        account.give_back(account.held_bytes - held_bytes)
-        raise
-
-
 def _set_keep_alive(exchange):
     stated_s = messages.keep_alive_s(exchange)
     if stated_s is None:
@@ -289,7 +279,7 @@
         responses = []
 
         async def on_response(answer):
-            body = await _read_body(answer, account)
+            body = await answer.read_body(BODY_BYTES_MAX, account)
             headers = messages.answer_headers(answer.headers)
             responses.append(
                 UpstreamResponse(answer.status, tuple(headers), body)
