--- a/src/coltsfootsail/_gateway.py
+++ b/src/coltsfootsail/_gateway.py
@@ -121,14 +121,15 @@
         self._pages = _pages.StatusPages(self)
 
     def _build_shares(self, gateway_settings):
-        """Divide the process's descriptors among its connections.
+        """Divide the process's memory and descriptors among what it serves.
 
         Connections of callers may take as much memory as all that is held
         for requests and answers.
         """
-        budget_bytes = _held_memory.budget_bytes(
-            gateway_settings.memory_mb * 10**6
+        self.held_memory = _held_memory.HeldMemory(
+            _budget_bytes(gateway_settings)
         )
+        budget_bytes = self.held_memory.budget_bytes
         callers_max = budget_bytes // _descriptors.CALLER_BYTES
         self.descriptors = _descriptors.Descriptors(
             _descriptors.usable(gateway_settings.descriptors),
@@ -391,9 +392,6 @@
             self.now,
             self.metrics.count,
         )
-        self.held_memory = _held_memory.HeldMemory(
-            _budget_bytes(gateway_settings)
-        )
         self.relay_server = _relays.RelayServer(
             self.view,
             self.states,
