Look for stale connections of all pools in one loop

Each of three pools had a task that woke twice a second. One loop of the gateway looks at all three.

--- a/src/coltsfootsail/_gateway.py
+++ b/src/coltsfootsail/_gateway.py
@@ -65,6 +65,7 @@
 NODE_COUNT_DEFAULT = 40  # assumed until the deployment is known
 HEADER_BYTES_MAX = 65_536  # of a caller, whatever is configured
 SWEEP_INTERVAL_S = 60.0
+STALE_CHECK_S = 0.5  # between looks for idle connections of no more use
 POPULARITY_HALF_LIFE_S = 20.0
 IDLE_CONNECTIONS_MAX = 12  # to one server
 SERVER_CONNECT_TIMEOUT_S = 0.5  # leaves a request time for another server
@@ -639,6 +640,15 @@
             self.engine_selector.sweep()
             self.states.sweep()
 
+    async def _run_connections(self):
+        """Close idle connections that no request is to use any more."""
+        while True:
+            await trio.sleep(STALE_CHECK_S)
+            addresses = self._connection_limits.addresses()
+            await self.server_client.close_stale(addresses)
+            await self._order_client.close_stale(addresses)
+            await self._store_client.close_stale()
+
     async def _watch_clock(self):
         """Log and count the steps of the host's time of day."""
         detector = _clock_steps.StepDetector(self._network.wall, self.now)
@@ -706,12 +716,7 @@
                 ("retries", self._retry_share.run),
                 ("sweep", self._run_sweep),
                 ("clock", self._watch_clock),
-            ]
-            addresses = self._connection_limits.addresses
-            loops += [
-                ("connections", self.server_client.tend, addresses),
-                ("connections", self._order_client.tend, addresses),
-                ("connections", self._store_client.tend),
+                ("connections", self._run_connections),
             ]
             if self.freshness.is_needed:
                 loops.append(("proofs", self.peer_proofs.run))
--- a/src/coltsfootsail/_http_client.py
+++ b/src/coltsfootsail/_http_client.py
@@ -26,7 +26,6 @@
 FOREIGN_BYTES_MAX = 1_048_576  # of their bodies
 JSON_VALUES_MAX = 524_288
 CONNECTION_REQUESTS_MAX = 100  # bounds the ids that a connection remembers
-STALE_CHECK_S = 0.5  # between looks for idle connections of no more use
 
 
 @dataclasses.dataclass(slots=True)
@@ -434,16 +433,6 @@
             [(address, pooled) for pooled in self._idle.get(address, ())]
         )
 
-    async def tend(self, get_addresses=lambda: None):
-        """Close idle connections of no more use until cancelled.
-
-        :param get_addresses: closure that returns the addresses of all
-            servers that are left; None if they don't change.
-        """
-        while True:
-            await trio.sleep(STALE_CHECK_S)
-            await self.close_stale(get_addresses())
-
     def _all_idle(self):
         """List all idle connections, each with its address."""
         return [
