Let the stand-in store skip no change at the end of a watch's wait

Traced: the stand-in listed the events, waited, and stated the revision of the time after the wait. A change in the moment at which the wait ended was in no answer, and its node never learned that the engine left. The revision is now that of the events. The product is not changed.

--- a/src/coltsfootsail/standins/store.py
+++ b/src/coltsfootsail/standins/store.py
@@ -269,6 +269,7 @@
             while True:
                 if not self._history_start <= after <= self.revision:
                     return 410, {}
+                revision = self.revision
                 events = [
                     event
                     for event in self._events
@@ -277,7 +278,7 @@
                 if events:
                     break
                 await self._changed.wait()
-        return 200, {"events": events, "storeRevision": self.revision}
+        return 200, {"events": events, "storeRevision": revision}
 
     async def _txn(self, query, req):
         value = req.json()
--- a/tests/test_contract_users.py
+++ b/tests/test_contract_users.py
@@ -319,6 +319,23 @@
     run_with_store(scenario)
 
 
+def test_store_watch_skips_no_change_at_the_end_of_its_wait():
+    async def scenario(client, stand_in):
+        for _ in range(20):
+            at = stand_in.revision
+
+            async def put():
+                await trio.sleep(1.0)
+                stand_in.put("a", b"1")
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(put)
+                events, after = await client.changes("", at, 1.0)
+            assert events or after == at
+
+    run_with_store(scenario)
+
+
 def test_expired_store_lease_deletes_its_keys():
     async def scenario(client, stand_in):
         lease = await client.lease_grant(3)
