--- a/src/coltsfootsail/_streams.py
+++ b/src/coltsfootsail/_streams.py
@@ -483,19 +483,23 @@
         await sink.end()
 
     def _note_events(self, context, server):
+        """Note that a server sends events, before the caller has them."""
+        context.is_moving = False
+        self._note_origin(context, server)
+
+    def _note_origin(self, context, server):
         """Bind a stream to the software version that begins it.
 
         Other nodes are told before the caller has the first event.
         """
-        context.is_moving = False
         if context.origin_noted:
             return
         context.origin_noted = True
         context.software = server.software
         with self._send_policy.contained(context):
-            self._note_origin(context, server)
+            self._tell_origin(context, server)
 
-    def _note_origin(self, context, server):
+    def _tell_origin(self, context, server):
         origin = _stream_origins.Origin(context.service, server.software)
         meta = context.meta
         for request_id in {meta.request_id, meta.resumes} - {""}:
