Let enough streams begin in the test of nodes that are out of step

Two engines refuse for want of room and two of another version take the streams that come on to them. How many got there hung on the order of tasks: requests went to and fro between the full engines until the retries of the fleet (8.29 of a node) were spent, and one or four of twelve began, where three are due for the check. With ten orders of tasks fewer than three began in 18 of 30 cases on, and in all three with the order that the loop of stale connections made; no two versions were joined in any. All assertions are as before, and a node that goes on at any version fails the check ('v1' among the servers), where the old form ended at its count before it looked.

--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -14,6 +14,7 @@
 from coltsfootsail.platform import messages
 from coltsfootsail.standins import store as stores
 from tests import gateways
+from tests import test_retry_budget
 
 
 STREAMS = 40
@@ -422,6 +423,12 @@
     return lambda: fleet.net.resume(node)
 
 
+class ManyRetriesFleet(test_retry_budget.WindowFleet):
+    """A fleet whose requests may go on until an engine has room for them."""
+
+    retry_extra = 1000.0
+
+
 @pytest.mark.parametrize(
     ("put_out_of_step", "is_back"),
     [(_cut_off, False), (_cut_off, True), (_suspend, True)],
@@ -470,7 +477,7 @@
             engines = runs[f"first{number}"] + runs.get(f"second{number}", [])
             assert {engine.software for engine in engines} == {"v2"}
 
-    gateways.run(scenario, nodes=4, engines=4)
+    gateways.run(scenario, nodes=4, engines=4, make_fleet=ManyRetriesFleet)
 
 
 def test_node_that_has_not_yet_seen_a_new_version_asks_for_origins(virtual):
