--- a/tests/builds/test_mixes.py
+++ b/tests/builds/test_mixes.py
@@ -13,7 +13,7 @@
 
 TODAY = fleets.TODAY
 COMMITS = ["8079aa1", "7eab665", "a1198f1", "6342f7f"]
-LATEST = ["772602a", "7584d23"]  # with the records of today
+LATEST = ["772602a", "7584d23", "c674b13"]  # with the records of today
 CALLS_PER_S = 10.0
 OLD_AND_NEW = pytest.mark.parametrize("commit", [*COMMITS, *LATEST])
 
