--- a/review/lib2/bed.py
+++ b/review/lib2/bed.py
@@ -10,6 +10,7 @@
 import json
 import os
 import pathlib
+import random
 import re
 import shutil
 import signal
@@ -39,11 +40,23 @@
 }
 
 
+_taken_ports = set()
+_port_rng = random.SystemRandom()
+
+
 def free_address(host="127.0.0.1"):
-    """Find a free port."""
-    with socket.socket() as sock:
-        sock.bind((host, 0))
-        return f"{host}:{sock.getsockname()[1]}"
+    """Find a free port, below those that connections get by themselves."""
+    while True:
+        port = _port_rng.randrange(15000, 32000)
+        if port in _taken_ports:
+            continue
+        with socket.socket() as sock:
+            try:
+                sock.bind((host, port))
+            except OSError:
+                continue
+        _taken_ports.add(port)
+        return f"{host}:{port}"
 
 
 def _lookup(scope, path):
