--- a/review/lib2/bed.py
+++ b/review/lib2/bed.py
@@ -302,6 +302,12 @@
         shutil.rmtree(self.dir, ignore_errors=True)
 
 
+async def _end_on_signal(scope):
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for _ in signals:
+            scope.cancel()
+
+
 def main(case, case_dir, **kwargs):
     """Run a case and exit with its result.
 
@@ -315,6 +321,7 @@
         try:
             with trio.move_on_after(115):
                 async with trio.open_nursery() as nursery:
+                    nursery.start_soon(_end_on_signal, nursery.cancel_scope)
                     await bed.start(nursery)
                     broken = await case(bed, nursery)
                     result = 1 if broken else 0
