Move the site on loopback of a test into a module of its own

Tests of answers without a length need real sockets as well: the network in memory has no resets.

Measured: the 19 tests of test_faulty_servers.py pass.

--- a/tests/test_faulty_servers.py
+++ b/tests/test_faulty_servers.py
@@ -1,157 +1,20 @@
 """Answers of faulty servers on real sockets, and what callers are told."""
 
-import dataclasses
-import itertools
 import subprocess
 import sys
 
-import h11
 import pytest
 import trio
 
-from coltsfootsail import _embedded
-from coltsfootsail import _gateway
 from coltsfootsail import _net
 from coltsfootsail.platform import messages
 from coltsfootsail.standins import servers
-from coltsfootsail.standins import store
-from coltsfootsail.standins import users
-from tests import gateways
+from tests import loopback
 
-LIMIT_S = 60.0
 STAMP = "server-stamp-of-a-success"
 ERROR_TEXT = b"the model server is out of memory\n\nsee its log\n\n"
 EVENTS = [f"id: {n}\ndata: @1 {n}\n\n".encode() for n in range(5)]
 BEGUN = b"".join(EVENTS[:3])  # of a stream that breaks off
-_numbers = itertools.count(1)
-
-
-class Site:
-    """A gateway, a store and servers on loopback.
-
-    :param nursery: runs them.
-    :param shops: plain servers.
-    :param make_engine: ``(name, store, address)``, makes a model server.
-    """
-
-    def __init__(self, nursery, shops, make_engine):
-        names = [f"s{n}" for n in range(len(shops))]
-        names += ["e0", "e1", "store", "caller", "peer", "ready", "directory"]
-        self.at = _embedded.loopback_addresses(names)
-        self.store = store.StoreStandIn()
-        self.shops = shops
-        self.engines = [
-            make_engine(f"i-e{n}", self.store, self.at[f"e{n}"])
-            for n in range(2)
-        ]
-        self._nursery = nursery
-        self.gateway = None
-
-    async def start(self):
-        """Start everything, and wait until streams are served."""
-        network = _net.tcp_network()
-
-        async def listen(address, serve):
-            await self._nursery.start(
-                network.serve, address, _without_stream_errors(serve)
-            )
-
-        self.store.put("op/config", users.configuration(1))
-        await listen(self.at["store"], self.store.connection_handler("store"))
-        for number, shop in enumerate(self.shops):
-            address = self.at[f"s{number}"]
-            await listen(address, shop.serve)
-            entry = users.plain_entry(address)
-            self.store.put(f"servers/{shop.name}", entry)
-        for engine in self.engines:
-            await listen(engine.address, engine.serve)
-            engine.register()
-        self.gateway = _gateway.Gateway(self._settings(), network)
-        await self._nursery.start(self.gateway.run)
-        with trio.fail_after(LIMIT_S):
-            while not self._is_ready():
-                await trio.sleep(0.05)
-
-    def _is_ready(self):
-        controllers = self.gateway.owned_engines.controllers
-        return len(controllers) == len(self.engines) and all(
-            controller.can_order() for controller in controllers.values()
-        )
-
-    def _settings(self):
-        settings = gateways.settings("g0")
-        node = dataclasses.replace(
-            settings.node,
-            caller_address=self.at["caller"],
-            peer_address=self.at["peer"],
-            admin_address=self.at["ready"],
-            seed_addresses=(),
-        )
-        return dataclasses.replace(
-            settings,
-            node=node,
-            platform=dataclasses.replace(
-                settings.platform, kv_addresses=(self.at["store"],)
-            ),
-            gateway=dataclasses.replace(
-                settings.gateway,
-                ready_address=self.at["ready"],
-                directory_address=self.at["directory"],
-            ),
-        )
-
-    async def call(self, path, version="1.1"):
-        """Send one request as a caller on a connection of its own.
-
-        :param version: of HTTP, that the caller speaks.
-        :returns: the request's id and a ``Reply``.
-        """
-        request_id = f"r{next(_numbers)}"
-        head = (
-            f"POST {path} HTTP/{version}\r\nhost: {users.HOST}\r\n"
-            f"{messages.REQUEST_ID}: {request_id}\r\n"
-            f"{messages.DEADLINE}: 3000\r\n{messages.MODEL}: base\r\n"
-            f"{messages.TOKENS}: 40,8\r\ncontent-length: 1\r\n\r\nx"
-        )
-        conn = h11.Connection(h11.CLIENT)
-        # The protocol state of a request; the bytes sent are those above.
-        request = h11.Request(
-            method="POST", target="/", headers=[("host", "x")]
-        )
-        conn.send(request)
-        conn.send(h11.EndOfMessage())
-        stream = await _net.tcp_network().open_stream(self.at["caller"])
-        async with stream:
-            await stream.send_all(head.encode())
-            with trio.fail_after(LIMIT_S):
-                return request_id, await gateways.read_reply(stream, conn)
-
-
-def _without_stream_errors(serve):
-    async def serve_quietly(stream):
-        try:
-            await serve(stream)
-        except (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
-            return
-
-    return serve_quietly
-
-
-@pytest.fixture
-def with_site():
-    """Run ``async (site)`` against a gateway on real sockets."""
-
-    def run(scenario, shops=(), make_engine=servers.ModelServer):
-        async def main():
-            async with trio.open_nursery() as nursery:
-                site = Site(nursery, shops, make_engine)
-                await site.start()
-                await scenario(site)
-                nursery.cancel_scope.cancel()
-
-        trio.run(main)
-
-    return run
 
 
 def _head(status, request_id, fields=()):
@@ -228,9 +91,7 @@
 @pytest.mark.parametrize(
     "when", ["at once", "before", "with", "after", "late"]
 )
-def test_refusal_that_is_written_again_answers_no_later_request(
-    with_site, when
-):
+def test_refusal_that_is_written_again_answers_no_later_request(when):
     # A refusal of an earlier request on a kept connection was taken for the
     # answer to one that the server ran: REFUSED, or TWICE after a retry.
     shops = [EchoingShop(f"i-s{n}", when) for n in range(2)]
@@ -249,7 +110,7 @@
         if when != "at once":
             assert sum(shop.repeated for shop in shops) > 3
 
-    with_site(scenario, shops)
+    loopback.run(scenario, shops)
 
 
 class EchoingEngine(servers.ModelServer):
@@ -283,7 +144,7 @@
 @pytest.mark.parametrize("when", ["before", "after"])
 @pytest.mark.parametrize("path", ["/notes/9", "/prints/9"])
 def test_refusal_that_is_written_again_answers_no_later_stream(
-    with_site, monkeypatch, when, path
+    monkeypatch, when, path
 ):
     # As above, for streams: a stream that an engine ran was told as not run.
     monkeypatch.setattr(EchoingEngine, "when", when)
@@ -300,7 +161,7 @@
         assert sum(answer.status == 200 for _, answer in answers) > 5
         assert sum(engine.repeated for engine in site.engines) > 2
 
-    with_site(scenario, make_engine=EchoingEngine)
+    loopback.run(scenario, make_engine=EchoingEngine)
 
 
 class FailingEngine(servers.ModelServer):
@@ -393,7 +254,7 @@
 @pytest.mark.parametrize("version", ["1.1", "1.0"])
 @pytest.mark.parametrize("path", ["/notes/9", "/prints/9"])
 def test_error_after_a_stream_that_broke_off_is_no_part_of_the_stream(
-    with_site, monkeypatch, path, version
+    monkeypatch, path, version
 ):
     # The text or the head of the next server's error stood in the stream, or
     # the stream ended as if it were complete: ORDER, MIXED.
@@ -412,11 +273,11 @@
             assert not answer.whole, name
         assert len(streams) > 5
 
-    with_site(scenario, make_engine=FailingEngine)
+    loopback.run(scenario, make_engine=FailingEngine)
 
 
 @pytest.mark.parametrize("version", ["1.1", "1.0"])
-def test_stream_of_a_gateway_that_ends_is_not_whole(with_site, version):
+def test_stream_of_a_gateway_that_ends_is_not_whole(version):
     # As above, where no other server can be tried.
     async def scenario(site):
         for engine in site.engines:
@@ -425,7 +286,7 @@
         assert answer.body == BEGUN
         assert not answer.whole
 
-    with_site(scenario)
+    loopback.run(scenario)
 
 
 SERVER = """
@@ -459,7 +320,7 @@
             [sys.executable, "-c", SERVER], stdout=subprocess.PIPE
         )
         try:
-            with trio.fail_after(LIMIT_S):
+            with trio.fail_after(loopback.LIMIT_S):
                 address = (await process.stdout.receive_some(100)).decode()
                 network = _net.tcp_network()
                 stream = await network.open_stream(address.strip())
@@ -536,7 +397,7 @@
 
 
 @pytest.mark.parametrize("version", ["1.1", "1.0"])
-def test_answer_that_ends_within_its_head_is_no_success(with_site, version):
+def test_answer_that_ends_within_its_head_is_no_success(version):
     # The head as far as it came was passed on as a whole answer: callers got
     # a 200 with an empty or a short body: MIXED, ORDER.
     shops = [HeadlessShop(f"i-s{n}", 0) for n in range(2)]
@@ -556,4 +417,4 @@
                 if path == "/orders/9":
                     assert sends <= 1
 
-    with_site(scenario, shops, make_engine=HeadlessEngine)
+    loopback.run(scenario, shops, make_engine=HeadlessEngine)
