Treat an answer as broken off if its connection was lost while sending

What callers saw: a server answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection while the upload was still being written.

Cause: the kernel reports the loss of a connection once, to the next call that sends or receives. The task that writes the body got ECONNRESET, and since a server may answer before it has read the body, ignored it. The task that reads got the bytes received before the reset and then the end of the stream, which ends an answer that has neither a length nor chunks.

Change: the exchange remembers the error number of a failed send and raises it at the end of the stream. EPIPE is left out: Linux reports it for a reset that follows the server's FIN, and the answer had ended with that. The other errors (ECONNRESET, ETIMEDOUT, EHOSTUNREACH) come without one. When the head was read, the task that sends has ended, so that its error is known before the body is read. All readers of answers use this exchange; those that send the whole request first already raise the error of the send.

A refusal that states that the request was not run holds without its body, so that one that breaks off is still a refusal, as it was for an early reset.

--- a/src/coltsfootsail/_http_client.py
+++ b/src/coltsfootsail/_http_client.py
@@ -9,6 +9,7 @@
 import dataclasses
 import json
 import math
+import os
 
 import h11
 import trio
@@ -63,6 +64,7 @@
         self._needs_data = False
         self._may_have_more = False
         self._request_incomplete = False
+        self._lost_errno = None
 
     def header(self, name, default=""):
         """Get a header of the answer by its lower-case name."""
@@ -109,8 +111,9 @@
         try:
             for part in parts:
                 await self._stream.send_all(part)
-        except _http_messages.STREAM_ERRORS:
+        except _http_messages.STREAM_ERRORS as exc:
             # The server may have answered before it closed the connection.
+            self._lost_errno = _net.lost_errno(exc)
             return
         self._request_incomplete = False
         self.phase = max(self.phase, _http_messages.Phase.SENT)
@@ -154,9 +157,28 @@
         self.headers = _http_messages.text_headers(event.headers)
         return self.status
 
+    async def _receive(self):
+        """Receive bytes of the answer.
+
+        :raises BrokenResourceError: if the connection was lost.
+        """
+        data = await self._stream.receive_some(_http_messages.RECEIVE_BYTES)
+        if not data and self._lost_errno is not None:
+            lost = OSError(self._lost_errno, os.strerror(self._lost_errno))
+            raise trio.BrokenResourceError(str(lost)) from lost
+        self._conn.receive_data(data)
+
+    async def _next_event(self):
+        """Get the next h11 event, receiving bytes as needed."""
+        event = self._conn.next_event()
+        while event is h11.NEED_DATA:
+            await self._receive()
+            event = self._conn.next_event()
+        return event
+
     async def _next_head(self):
         """Wait for a head; h11 bounds only those that are incomplete."""
-        event = await _http_messages.next_event(self._conn, self._stream)
+        event = await self._next_event()
         headers = getattr(event, "headers", ())
         if len(headers) > _http_messages.HEADERS_MAX:
             raise _http_messages.AnswerTooLarge("too many headers")
@@ -178,10 +200,8 @@
             await trio.lowlevel.checkpoint()
             self._may_have_more = False
         if self._needs_data:
-            conn.receive_data(
-                await self._stream.receive_some(_http_messages.RECEIVE_BYTES)
-            )
-        event = await _http_messages.next_event(conn, self._stream)
+            await self._receive()
+        event = await self._next_event()
         parts = []
         while isinstance(event, h11.Data):
             parts.append(event.data)
--- a/src/coltsfootsail/_net.py
+++ b/src/coltsfootsail/_net.py
@@ -106,6 +106,23 @@
         stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
 
 
+def lost_errno(exc):
+    """Get the error number of a connection that was lost while sending.
+
+    The kernel tells the loss of a connection once; whoever reads next gets
+    the end of the stream instead.  EPIPE is told where the far end had ended
+    what it sends before, so that reading gets that end in any case.
+
+    :param exc: an error of a stream.
+    :returns: None if the far end has ended in order, or if the stream is no
+        TCP connection, and tells a loss to the reader too.
+    """
+    cause = exc.__cause__
+    if not isinstance(cause, OSError) or cause.errno == errno.EPIPE:
+        return None
+    return cause.errno
+
+
 class UnreadAllowance:
     """Waits longer for a far end that may leave a part of a message unread.
 
--- a/src/coltsfootsail/_upstream.py
+++ b/src/coltsfootsail/_upstream.py
@@ -21,7 +21,7 @@
 
 BODY_BYTES_MAX = 16_777_216
 ERROR_BODY_BYTES_MAX = 1_048_576  # where a stream was asked for
-NOT_RUN_BODY_BYTES_MAX = 65_536  # more is not read: the head says all
+NOT_RUN_BODY_BYTES_MAX = 65_536  # more is not read
 KEEP_ALIVE_SHARE = 0.6  # of the keep-alive time that a server states
 KEEP_ALIVE_DEFAULT_S = 0.5  # where the server states none
 EVENT_BYTES_MAX = 1_048_576
@@ -352,7 +352,10 @@
                 self._note_statements(server, exchange, sent_s, trace)
             answer = ServerAnswer(exchange)
             if messages.was_not_run(exchange):
-                with contextlib.suppress(_http.AnswerTooLarge):
+                # The head says all, whether or not the rest arrives.
+                with contextlib.suppress(
+                    _http.AnswerTooLarge, exceptions.AnswerTruncated
+                ):
                     await _http_client.read_body(
                         answer, NOT_RUN_BODY_BYTES_MAX, None
                     )
--- a/tests/test_unframed_answers.py
+++ b/tests/test_unframed_answers.py
@@ -3,12 +3,17 @@
 The protocol: RFC 9112, section 6.3, item 8.
 """
 
+import socket
+import struct
+
 import pytest
 import trio
+import trio.testing
 
 from coltsfootsail.platform import messages
 from coltsfootsail.standins import servers
 from tests import gateways
+from tests import loopback
 
 EVENTS = [f"id: {n}\ndata: a7@1 {n}\n\n".encode() for n in range(5)]
 
@@ -124,3 +129,151 @@
         assert runs > 1 if may_repeat else runs == 1
 
     gateways.run(scenario)
+
+
+LONG_BODY = b"x" * 3_000_000  # more than the buffers of a connection hold
+EARLY_BODY = b"id: 0\ndata: @1 0\n\n"
+SUCCESS = "HTTP/1.1 200 OK\r\n{}: {}\r\n".format(*servers.STAMP_HEADER)
+REFUSAL = f"HTTP/1.1 503 x\r\n{messages.NOT_RUN}: 1\r\n"
+
+
+def _reset(sock):
+    sock.setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+    )
+    sock.close()
+
+
+def _end_and_reset(sock):
+    sock.shutdown(socket.SHUT_WR)
+    _reset(sock)
+
+
+class _EarlyShop:
+    """Answers before it has read a long body, and ends the connection.
+
+    :param end: ``(socket)``, ends the connection.
+    :param begin: of the head of its answers.
+    """
+
+    def __init__(self, name, end, begin=SUCCESS):
+        self.name = name
+        self.end = end
+        self.begin = begin
+        self.received = []
+
+    async def serve(self, stream):
+        """Serve one connection."""
+        await _answer_early(stream, self)
+
+
+class _EarlyEngine(servers.ModelServer):
+    """As an ``_EarlyShop``, for streams."""
+
+    end = None
+    begin = SUCCESS
+
+    def __init__(self, *args):
+        super().__init__(*args)
+        self.received = []
+
+    async def serve(self, stream):
+        """Serve one connection; those of orders carry no streams."""
+        begin = await stream.socket.recv(100, socket.MSG_PEEK)
+        if begin.startswith((b"POST /notes", b"POST /prints")):
+            await _answer_early(stream, self)
+        else:
+            await super().serve(stream)
+
+
+async def _answer_early(stream, server):
+    data = b""
+    while b"\r\n\r\n" not in data:
+        data += await stream.receive_some(4096)
+    text = data.partition(b"\r\n\r\n")[0].decode().lower()
+    request_id = text.partition(f"{messages.REQUEST_ID}: ")[2]
+    request_id = request_id.partition("\r\n")[0]
+    server.received.append(request_id)
+    # The sender waits for room by then.
+    await trio.testing.wait_all_tasks_blocked(0.05)
+    head = f"{server.begin}{messages.REQUEST_ID}: {request_id}\r\n\r\n"
+    # Both are there before the far end runs again.
+    with socket.socket(fileno=stream.socket.detach()) as sock:
+        sock.sendall(head.encode() + EARLY_BODY)
+        server.end(sock)
+
+
+async def _call_early_servers(site, path, version):
+    """Send a long request to servers that answer it early.
+
+    :returns: the ``Reply`` and the number of sends.
+    """
+    request_id, reply = await site.call(path, version, LONG_BODY)
+    received = [
+        each
+        for server in (*site.shops, *site.engines)
+        for each in server.received
+    ]
+    return reply, received.count(request_id)
+
+
+@pytest.mark.parametrize("version", ["1.1", "1.0"])
+@pytest.mark.parametrize(
+    ("path", "may_repeat"),
+    [
+        ("/orders/9", False),
+        ("/stock/9", True),
+        ("/notes/9", False),
+        ("/prints/9", True),
+    ],
+)
+def test_early_answer_that_is_reset_is_not_whole(
+    monkeypatch, path, may_repeat, version
+):
+    # Callers got what had arrived as the whole answer: MIXED.
+    monkeypatch.setattr(_EarlyEngine, "end", staticmethod(_reset))
+    shops = [_EarlyShop(f"i-s{n}", _reset) for n in range(2)]
+
+    async def scenario(site):
+        reply, sends = await _call_early_servers(site, path, version)
+        if path in ("/orders/9", "/stock/9"):
+            assert reply.status == 502
+        assert not (reply.status == 200 and reply.whole)
+        assert reply.status not in messages.PROMISE_STATUSES
+        assert sends == 1 or may_repeat
+
+    loopback.run(scenario, shops, make_engine=_EarlyEngine)
+
+
+@pytest.mark.parametrize("version", ["1.1", "1.0"])
+@pytest.mark.parametrize(
+    "path", ["/orders/9", "/stock/9", "/notes/9", "/prints/9"]
+)
+def test_early_answer_that_ends_before_the_reset_is_whole(
+    monkeypatch, path, version
+):
+    monkeypatch.setattr(_EarlyEngine, "end", staticmethod(_end_and_reset))
+    shops = [_EarlyShop(f"i-s{n}", _end_and_reset) for n in range(2)]
+
+    async def scenario(site):
+        reply, sends = await _call_early_servers(site, path, version)
+        assert (reply.status, reply.body) == (200, EARLY_BODY)
+        assert reply.whole
+        assert sends == 1
+
+    loopback.run(scenario, shops, make_engine=_EarlyEngine)
+
+
+@pytest.mark.parametrize(
+    "path", ["/orders/9", "/stock/9", "/notes/9", "/prints/9"]
+)
+def test_early_refusal_that_is_reset_was_not_run(monkeypatch, path):
+    monkeypatch.setattr(_EarlyEngine, "end", staticmethod(_reset))
+    monkeypatch.setattr(_EarlyEngine, "begin", REFUSAL)
+    shops = [_EarlyShop(f"i-s{n}", _reset, REFUSAL) for n in range(2)]
+
+    async def scenario(site):
+        reply, _ = await _call_early_servers(site, path, "1.1")
+        assert reply.status == 503
+
+    loopback.run(scenario, shops, make_engine=_EarlyEngine)
