Take no answer whose status is outside of the protocol

What callers saw: servers in trouble answered with status 600 or 999, and the callers got that as an answer, with the server's signature, on plain routes and streams. Status 000 and 099 were no answers before: 502, or 504 where a stream waits for the retry budget until its deadline.

Cause: h11 checks that a final status is from 200 to 999; the protocol ends at 599, and treats all else as an error of the server (RFC 9110, section 15).

Change: the exchange refuses such a head, for every reader of answers: plain servers, streams, orders, reports and the store. A node that gets an answer through another one checks the status too, since one of an earlier version passes any status on.

Evidence: test_status_outside_of_the_protocol_is_no_answer. With sockets 600 and 999 failed before, 000 and 099 passed, over HTTP/1.1 and 1.0; through another node all four cases failed. All pass now. The stand-ins that sent a part of a head now send any bytes; that test has the same assertions.

--- a/src/coltsfootsail/_http_client.py
+++ b/src/coltsfootsail/_http_client.py
@@ -141,7 +141,8 @@
         """Wait for the status and headers of the answer.
 
         :returns: the status code.
-        :raises h11.RemoteProtocolError: if the connection ends first.
+        :raises h11.RemoteProtocolError: if the connection ends first, or the
+            status is not one of the protocol.
         """
         event = await self._next_head()
         informational = 0
@@ -152,6 +153,7 @@
             event = await self._next_head()
         if not isinstance(event, h11.Response):
             raise h11.RemoteProtocolError("no answer")
+        _http_messages.check_status(event.status_code)
         self.phase = _http_messages.Phase.ANSWERING
         self.status = event.status_code
         self.headers = _http_messages.text_headers(event.headers)
--- a/src/coltsfootsail/_http_messages.py
+++ b/src/coltsfootsail/_http_messages.py
@@ -11,6 +11,7 @@
 
 RECEIVE_BYTES = 65536
 HEADERS_MAX = 128  # of a request or an answer
+FINAL_STATUSES = range(200, 600)
 EVENTS_PER_TURN = 64  # parts of a body read before other tasks run
 STREAM_ERRORS = (
     OSError,
@@ -96,6 +97,17 @@
     DONE = 4
 
 
+def check_status(status):
+    """Check the status of an answer that is not informational.
+
+    Source: RFC 9110, section 15.
+
+    :raises h11.RemoteProtocolError: if the protocol has no such status.
+    """
+    if status not in FINAL_STATUSES:
+        raise h11.RemoteProtocolError(f"status {status}")
+
+
 async def next_event(conn, stream):
     """Get the next h11 event, reading from the stream as needed.
 
--- a/src/coltsfootsail/_relays.py
+++ b/src/coltsfootsail/_relays.py
@@ -60,6 +60,8 @@
         :param server: the ``Server`` that is to run it.
         :param request: an ``UpstreamRequest``.
         :raises ColtsfootsailError: if the other node reports an error.
+        :raises h11.RemoteProtocolError: if the status is not one of the
+            protocol.
         """
         self.phase = Phase.SENDING
         await self._messages.send(
@@ -77,6 +79,8 @@
             lambda: self._receive(_wire.AnswerHead),
             request.body,
         )
+        # A node of an earlier version may pass on any status.
+        _http_messages.check_status(head.status)
         self.phase = Phase.ANSWERING
         self.status = head.status
         self.headers = head.headers
--- a/tests/test_faulty_servers.py
+++ b/tests/test_faulty_servers.py
@@ -1,5 +1,6 @@
 """Answers of faulty servers on real sockets, and what callers are told."""
 
+import functools
 import subprocess
 import sys
 
@@ -11,6 +12,8 @@
 from coltsfootsail.standins import servers
 from tests import loopback
 
+PATHS = ("/orders/9", "/stock/9", "/notes/9", "/prints/9")
+OPEN_STATUSES = (502, 504)  # which tell nothing about a run
 STAMP = "server-stamp-of-a-success"
 ERROR_TEXT = b"the model server is out of memory\n\nsee its log\n\n"
 EVENTS = [f"id: {n}\ndata: @1 {n}\n\n".encode() for n in range(5)]
@@ -360,12 +363,15 @@
 ]
 
 
-class HeadlessShop:
-    """Ends the connection after a part of the head of its answer."""
+class RawShop:
+    """Sends bytes in place of an answer, and ends the connection.
 
-    def __init__(self, name, cut):
+    :param make_answer: ``(request id)``, makes these bytes.
+    """
+
+    def __init__(self, name, make_answer=lambda request_id: b""):
         self.name = name
-        self.cut = cut
+        self.make_answer = make_answer
         self.received = []
 
     async def serve(self, stream):
@@ -373,41 +379,41 @@
         request_id = await _receive_request(stream)
         if request_id:
             self.received.append(request_id)
-            await stream.send_all(_cut_head(request_id, self.cut))
-
-
-def _cut_head(request_id, cut):
-    head = "".join(HEAD_PARTS[:cut]).replace("ID\r", f"{request_id}\r")
-    return head.encode()
+            await stream.send_all(self.make_answer(request_id))
 
 
-class HeadlessEngine(servers.ModelServer):
-    """As a ``HeadlessShop``, for streams."""
+class RawEngine(servers.ModelServer):
+    """As a ``RawShop``, for streams."""
 
     def __init__(self, *args):
         super().__init__(*args)
-        self.cut = 0
+        self.make_answer = lambda request_id: b""
         self.received = []
 
     async def _run(self, req, resp):
         request_id = req.header(messages.REQUEST_ID)
         self.received.append(request_id)
-        await resp.stream.send_all(_cut_head(request_id, self.cut))
+        await resp.stream.send_all(self.make_answer(request_id))
         raise trio.BrokenResourceError
 
 
+def _cut_head(cut, request_id):
+    head = "".join(HEAD_PARTS[:cut]).replace("ID\r", f"{request_id}\r")
+    return head.encode()
+
+
 @pytest.mark.parametrize("version", ["1.1", "1.0"])
 def test_answer_that_ends_within_its_head_is_no_success(version):
     # The head as far as it came was passed on as a whole answer: callers got
     # a 200 with an empty or a short body: MIXED, ORDER.
-    shops = [HeadlessShop(f"i-s{n}", 0) for n in range(2)]
+    shops = [RawShop(f"i-s{n}") for n in range(2)]
 
     async def scenario(site):
         all_servers = (*site.shops, *site.engines)
         for cut in range(1, len(HEAD_PARTS) + 1):
             for server in all_servers:
-                server.cut = cut
-            for path in ("/orders/9", "/stock/9", "/notes/9", "/prints/9"):
+                server.make_answer = functools.partial(_cut_head, cut)
+            for path in PATHS:
                 request_id, answer = await site.call(path, version)
                 assert answer.status >= 500, (path, cut)
                 received = [r for s in all_servers for r in s.received]
@@ -417,4 +423,37 @@
                 if path == "/orders/9":
                     assert sends <= 1
 
-    loopback.run(scenario, shops, make_engine=HeadlessEngine)
+    loopback.run(scenario, shops, make_engine=RawEngine)
+
+
+def _run_with_answer(make_answer, check, version="1.1"):
+    """Call each route, where all servers send the same answer.
+
+    :param make_answer: as of a ``RawShop``.
+    :param check: ``(path, answer)``.
+    """
+    shops = [RawShop(f"i-s{n}", make_answer) for n in range(2)]
+
+    async def scenario(site):
+        for engine in site.engines:
+            engine.make_answer = make_answer
+        for path in PATHS:
+            _, answer = await site.call(path, version)
+            check(path, answer)
+
+    loopback.run(scenario, shops, make_engine=RawEngine)
+
+
+@pytest.mark.parametrize("status", ["000", "099", "600", "999"])
+@pytest.mark.parametrize("version", ["1.1", "1.0"])
+def test_status_outside_of_the_protocol_is_no_answer(status, version):
+    # Statuses from 600 on were passed on to callers (RFC 9110, section 15).
+    def make_answer(request_id):
+        fields = [(messages.STAMP, STAMP), ("content-length", "4")]
+        return _head(status, request_id, fields) + b"text"
+
+    def check(path, answer):
+        assert answer.status in OPEN_STATUSES, path
+        assert messages.STAMP not in answer.headers
+
+    _run_with_answer(make_answer, check, version)
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -1,10 +1,12 @@
 """Requests that a node sends through another one."""
 
 import json
+import types
 
 import pytest
 import trio
 
+from coltsfootsail import _http
 from coltsfootsail import _wire
 from coltsfootsail import exceptions
 from coltsfootsail.platform import messages
@@ -232,3 +234,30 @@
             assert line == ("r9", repr(error))
 
     gateways.run(scenario, nodes=3)
+
+
+@pytest.mark.parametrize("path", ["/orders/9", "/notes/1"])
+@pytest.mark.parametrize("status", [0, 600])
+def test_status_outside_of_the_protocol_is_no_answer(
+    monkeypatch, status, path
+):
+    # A node between that does not check it passed it on to the caller.
+    answer = types.SimpleNamespace(
+        status=status,
+        headers=((messages.STAMP, "s"),),
+        phase=_http.Phase.DONE,
+    )
+
+    async def send(server, request, timeout_s, on_response, may_relay):
+        await on_response(answer)
+
+    async def scenario(fleet):
+        await _cut_and_notice(fleet, "g0")
+        for node in ("g1", "g2"):
+            monkeypatch.setattr(fleet.gateways[node].upstream, "send", send)
+        extra = {"adapter": "base/a1"} if path == "/notes/1" else {}
+        reply = await fleet.call(path, "g0", **extra)
+        assert reply.status == 502
+        assert messages.STAMP not in reply.headers
+
+    gateways.run(scenario, nodes=3)
