Take no answer with a folded line in its head or its trailer

What callers saw: a server in trouble sent a head in which a line began with a blank or a tab. Callers got the answer with that line joined to the field before; where the line was " content-length: 4", ten bytes came as the body. In a trailer the line was dropped and the answer passed on as whole.

Cause: h11 joins a line that begins with a blank to the one before (obs-fold). Other readers take it for a field of its own, so that the length of the body depends on who reads. RFC 9112, section 5.2, lets a gateway refuse such an answer with 502.

Change: the exchange looks at the bytes that h11 has parsed as heads, or as a trailer if there is one, and refuses the answer if a line of them begins with a blank or a tab. Within a trailer it looks back to the line of the last chunk, since a body may have such lines. An answer that has begun is cut off or, if its stream may be resumed, goes on elsewhere. All readers use the exchange.

Blanks, control bytes and a missing name or colon were refused before, and are tested now. Bodies with lines that look like a broken trailer or the last chunk are passed on whole, with and without a trailer.

--- a/src/coltsfootsail/_http_client.py
+++ b/src/coltsfootsail/_http_client.py
@@ -65,6 +65,7 @@
         self._may_have_more = False
         self._request_incomplete = False
         self._lost_errno = None
+        self._received = b""  # last, and what was left of earlier bytes
 
     def header(self, name, default=""):
         """Get a header of the answer by its lower-case name."""
@@ -134,6 +135,7 @@
         _encode_request(self._conn, method, target, headers, body)
         if received:
             self._conn.receive_data(received)
+        self._received = received
         self._needs_data = False
         self.phase = _http_messages.Phase.SENT
 
@@ -168,6 +170,7 @@
         if not data and self._lost_errno is not None:
             lost = OSError(self._lost_errno, os.strerror(self._lost_errno))
             raise trio.BrokenResourceError(str(lost)) from lost
+        self._received = self._conn.trailing_data[0] + data
         self._conn.receive_data(data)
 
     async def _next_event(self):
@@ -178,9 +181,19 @@
             event = self._conn.next_event()
         return event
 
+    def _parsed(self):
+        """Get the last bytes that h11 has made events of."""
+        left_bytes = len(self._conn.trailing_data[0])
+        return self._received[: len(self._received) - left_bytes]
+
     async def _next_head(self):
-        """Wait for a head; h11 bounds only those that are incomplete."""
+        """Wait for a head.
+
+        h11 bounds only those that are incomplete, and joins folded lines.
+        """
         event = await self._next_event()
+        if _http_messages.has_folded_line(self._parsed()):
+            raise h11.RemoteProtocolError("folded line in a head")
         headers = getattr(event, "headers", ())
         if len(headers) > _http_messages.HEADERS_MAX:
             raise _http_messages.AnswerTooLarge("too many headers")
@@ -214,6 +227,10 @@
             event = conn.next_event()
         self._needs_data = event is h11.NEED_DATA
         if isinstance(event, h11.EndOfMessage):
+            if event.headers and _http_messages.has_folded_trailer(
+                self._parsed()
+            ):
+                raise h11.RemoteProtocolError("folded line in a trailer")
             self.phase = _http_messages.Phase.DONE
         elif not self._needs_data:
             raise h11.RemoteProtocolError("answer broke off")
--- a/src/coltsfootsail/_http_messages.py
+++ b/src/coltsfootsail/_http_messages.py
@@ -3,6 +3,7 @@
 import dataclasses
 import enum
 import json
+import re
 
 import h11
 import trio
@@ -13,6 +14,8 @@
 HEADERS_MAX = 128  # of a request or an answer
 FINAL_STATUSES = range(200, 600)
 EVENTS_PER_TURN = 64  # parts of a body read before other tasks run
+_FOLDED_LINE = re.compile(rb"\n[ \t]")
+_LAST_CHUNK = re.compile(rb"0+[ \t]*(;.*)?\r?")
 STREAM_ERRORS = (
     OSError,
     trio.BrokenResourceError,
@@ -108,6 +111,31 @@
         raise h11.RemoteProtocolError(f"status {status}")
 
 
+def has_folded_line(data):
+    """Tell whether a line of a head continues the one before.
+
+    Such a line may be a field of its own for another reader (RFC 9112,
+    section 5.2).
+
+    :param data: the bytes of one or more heads.
+    """
+    return _FOLDED_LINE.search(data) is not None
+
+
+def has_folded_trailer(data):
+    """Tell whether a line of a trailer continues the one before.
+
+    :param data: bytes that end with the trailer; if there are any before it,
+        the last of them are the line of the last chunk.
+    """
+    for line in reversed(data.split(b"\n")):
+        if line.startswith((b" ", b"\t")):
+            return True
+        if _LAST_CHUNK.fullmatch(line):
+            return False
+    return False
+
+
 async def next_event(conn, stream):
     """Get the next h11 event, reading from the stream as needed.
 
--- a/tests/test_faulty_servers.py
+++ b/tests/test_faulty_servers.py
@@ -7,8 +7,10 @@
 import pytest
 import trio
 
+from coltsfootsail import _http
 from coltsfootsail import _net
 from coltsfootsail.platform import messages
+from coltsfootsail.standins import network as memory
 from coltsfootsail.standins import servers
 from tests import loopback
 
@@ -457,3 +459,159 @@
         assert messages.STAMP not in answer.headers
 
     _run_with_answer(make_answer, check, version)
+
+
+SECRET = b"bytes-of-the-server"
+# A line of a head or of a trailer, and the one before it.
+BROKEN_LINES = {
+    "folded by a blank": b"x-a: b\r\n " + SECRET,
+    "folded by a tab": b"x-a: b\r\n\t" + SECRET,
+    "folded length": b"x-a: b\r\n content-length: 4",
+    "folded into the last field": b" content-length: 4",
+    "folded blanks": b"x-a: b\r\n  ",
+    "folded, without a carriage return": b"x-a: b\n " + SECRET,
+    "folded twice before others": (
+        b"x-a: b\r\n c\r\n d\r\nx-e: f\r\n"
+        b"content-length: 10\r\ncontent-length: 10"
+    ),
+    "blank within the name": b"x a: " + SECRET,
+    "blank before the colon": b"x-a : " + SECRET,
+    "tab before the colon": b"x-a\t: " + SECRET,
+    "no name": b": " + SECRET,
+    "no colon": SECRET,
+    "NUL in the name": b"x\x00a: " + SECRET,
+    "control byte in the name": b"x\x01a: " + SECRET,
+    "vertical tab in the name": b"x\x0ba: " + SECRET,
+    "delete in the name": b"x\x7fa: " + SECRET,
+    "carriage return in the name": b"x\ra: " + SECRET,
+    "carriage return in the value": b"x-a: b\rx-c: " + SECRET,
+}
+
+
+@pytest.mark.parametrize("version", ["1.1", "1.0"])
+@pytest.mark.parametrize("line", BROKEN_LINES)
+def test_head_with_a_broken_line_is_no_answer(line, version):
+    # A line that began with a blank or a tab was joined to the one before and
+    # passed on; one that named the length let other bytes be the body.
+    def make_answer(request_id):
+        fields = [(messages.STAMP, STAMP), ("content-length", "10")]
+        head = _head(200, request_id, fields).removesuffix(b"\r\n")
+        return head + BROKEN_LINES[line] + b"\r\n\r\n0123456789"
+
+    def check(path, answer):
+        assert answer.status in OPEN_STATUSES, path
+        assert messages.STAMP not in answer.headers
+
+    _run_with_answer(make_answer, check, version)
+
+
+@pytest.mark.parametrize("line", BROKEN_LINES)
+def test_informational_head_with_a_broken_line_is_no_answer(line):
+    def make_answer(request_id):
+        fields = [(messages.STAMP, STAMP), ("content-length", "4")]
+        head = _head(100, request_id).removesuffix(b"\r\n")
+        answer = _head(200, request_id, fields) + b"text"
+        return head + BROKEN_LINES[line] + b"\r\n\r\n" + answer
+
+    def check(path, answer):
+        assert answer.status in OPEN_STATUSES, path
+
+    _run_with_answer(make_answer, check)
+
+
+# Parts of an event that may be taken for broken lines or for the last chunk.
+INDENTED = b"id: 0\ndata: a\n b\n\tc\n0\r\n d\r\n\r\ne: f\n\n"
+
+
+def _chunked(request_id, trailer, last_chunk=b"0", body=INDENTED):
+    fields = [(messages.STAMP, STAMP), ("transfer-encoding", "chunked")]
+    size = b"%x\r\n" % len(body)
+    chunk = size + body + b"\r\n" + last_chunk + b"\r\n"
+    return _head(200, request_id, fields) + chunk + trailer + b"\r\n"
+
+
+def _call_in_memory(virtual, answer, part_bytes):
+    """Call an interface whose server answers in parts and then closes.
+
+    :returns: the status and the value, or the error.
+    """
+    net = memory.MemoryNetwork()
+
+    async def serve(stream):
+        await stream.receive_some(65536)
+        for start in range(0, len(answer), part_bytes):
+            await stream.send_all(answer[start : start + part_bytes])
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            await nursery.start(net.network("s").serve, "s:80", serve)
+            client = _http.HttpClient(net.network("g0"))
+            try:
+                return await client.call_json("s:80", "POST", "/v1/order", {})
+            except ConnectionError as exc:
+                return exc
+            finally:
+                nursery.cancel_scope.cancel()
+
+    return virtual(main)
+
+
+@pytest.mark.parametrize("part_bytes", [1, 65536])
+@pytest.mark.parametrize("line", BROKEN_LINES)
+def test_call_takes_no_answer_with_a_broken_line(virtual, line, part_bytes):
+    # The reader of orders, reports and the store.
+    head = _head(200, "r1", [("content-length", "2")]).removesuffix(b"\r\n")
+    trailer = BROKEN_LINES[line] + b"\r\n"
+    for answer in (
+        head + BROKEN_LINES[line] + b"\r\n\r\n{}",
+        _chunked("r1", trailer, body=b"{}"),
+        _chunked("r1", trailer, body=b"{}\n }"),
+    ):
+        outcome = _call_in_memory(virtual, answer, part_bytes)
+        assert isinstance(outcome, ConnectionError), outcome
+
+
+@pytest.mark.parametrize("status", ["000", "099", "600", "999"])
+def test_call_takes_no_status_outside_of_the_protocol(virtual, status):
+    answer = _head(status, "r1", [("content-length", "2")]) + b"{}"
+    outcome = _call_in_memory(virtual, answer, 65536)
+    assert isinstance(outcome, ConnectionError), outcome
+
+
+@pytest.mark.parametrize("part_bytes", [1, 65536])
+@pytest.mark.parametrize("trailer", [b"", b"x-a: b\r\n"])
+def test_call_takes_an_answer_with_a_sound_trailer(
+    virtual, trailer, part_bytes
+):
+    answer = _chunked("r1", trailer, body=b'{"a":\n 1}')
+    assert _call_in_memory(virtual, answer, part_bytes) == (200, {"a": 1})
+
+
+@pytest.mark.parametrize("version", ["1.1", "1.0"])
+@pytest.mark.parametrize("line", BROKEN_LINES)
+def test_answer_with_a_broken_line_in_its_trailer_is_not_whole(line, version):
+    # A line that began with a blank or a tab was dropped, the answer passed.
+    def make_answer(request_id):
+        return _chunked(request_id, BROKEN_LINES[line] + b"\r\n")
+
+    def check(path, answer):
+        if path in ("/orders/9", "/stock/9"):
+            assert answer.status in OPEN_STATUSES, path
+        assert not (answer.status == 200 and answer.whole), path
+
+    _run_with_answer(make_answer, check, version)
+
+
+@pytest.mark.parametrize("last_chunk", [b"0", b"000", b"0 ", b"0;a=b; c"])
+@pytest.mark.parametrize(
+    "trailer", [b"", b"x-a: b\r\n", b"x-a: b c\nx-d:\r\n"]
+)
+def test_answer_with_a_sound_trailer_is_whole(trailer, last_chunk):
+    def make_answer(request_id):
+        return _chunked(request_id, trailer, last_chunk)
+
+    def check(path, answer):
+        assert (answer.status, answer.body) == (200, INDENTED), path
+        assert answer.whole
+
+    _run_with_answer(make_answer, check)
--- a/tests/test_unframed_answers.py
+++ b/tests/test_unframed_answers.py
@@ -10,6 +10,8 @@
 import trio
 import trio.testing
 
+from coltsfootsail import _http
+from coltsfootsail import _net
 from coltsfootsail.platform import messages
 from coltsfootsail.standins import servers
 from tests import gateways
@@ -277,3 +279,45 @@
         assert reply.status == 503
 
     loopback.run(scenario, shops, make_engine=_EarlyEngine)
+
+
+def _call_early_server(end, method, body):
+    """Call an interface whose server answers early.
+
+    :returns: the status and the body, or the error.
+    """
+
+    async def main():
+        server = _EarlyShop("s", end)
+        network = _net.tcp_network()
+        client = _http.HttpClient(network)
+        async with trio.open_nursery() as nursery:
+            address = await nursery.start(
+                network.serve, "127.0.0.1:0", server.serve
+            )
+            try:
+                status, _, answer = await client.call(
+                    address, method, "/v1/report", body=body, timeout_s=60.0
+                )
+            except ConnectionError as exc:
+                return exc
+            finally:
+                nursery.cancel_scope.cancel()
+            return status, answer
+
+    return trio.run(main)
+
+
+@pytest.mark.parametrize(
+    ("method", "body"), [("GET", b""), ("POST", b"{}"), ("POST", LONG_BODY)]
+)
+def test_call_takes_no_answer_that_is_reset(method, body):
+    # The reader of orders, reports and the store.
+    outcome = _call_early_server(_reset, method, body)
+    assert isinstance(outcome, ConnectionError), outcome
+
+
+@pytest.mark.parametrize(("method", "body"), [("GET", b""), ("POST", b"{}")])
+def test_call_takes_an_answer_that_ends_with_its_connection(method, body):
+    answer = _call_early_server(_end_and_reset, method, body)
+    assert answer == (200, EARLY_BODY)
