Quote no bytes of a server in the error of its answer

What callers saw: where a head, a chunk or a trailer of a server could not be parsed, the text of the 502 had the line in question, which may be of any kind, such as a part of another caller's answer.

Cause: h11 names the bytes in its errors, and their text became the message of the typed error. The server side cuts them off already.

Change: the exchange raises the error without the bytes, in the one place where it asks h11 for an event, so that no reader of answers passes them on. The function that cuts them off moves to the code that both sides share.

--- a/src/coltsfootsail/_http_client.py
+++ b/src/coltsfootsail/_http_client.py
@@ -173,15 +173,27 @@
         self._received = self._conn.trailing_data[0] + data
         self._conn.receive_data(data)
 
+    def _parse_event(self):
+        """Get the next h11 event of the bytes that were received.
+
+        :raises h11.RemoteProtocolError: whose text reaches callers, and so
+            quotes none of these bytes.
+        """
+        try:
+            return self._conn.next_event()
+        except h11.RemoteProtocolError as exc:
+            text = _http_messages.without_bytes(exc)
+        raise h11.RemoteProtocolError(text)
+
     async def _next_event(self):
         """Get the next h11 event, receiving bytes as needed."""
-        event = self._conn.next_event()
+        event = self._parse_event()
         while event is h11.NEED_DATA:
             await self._receive()
-            event = self._conn.next_event()
+            event = self._parse_event()
         return event
 
-    def _parsed(self):
+    def _parsed_bytes(self):
         """Get the last bytes that h11 has made events of."""
         left_bytes = len(self._conn.trailing_data[0])
         return self._received[: len(self._received) - left_bytes]
@@ -192,7 +204,7 @@
         h11 bounds only those that are incomplete, and joins folded lines.
         """
         event = await self._next_event()
-        if _http_messages.has_folded_line(self._parsed()):
+        if _http_messages.has_folded_line(self._parsed_bytes()):
             raise h11.RemoteProtocolError("folded line in a head")
         headers = getattr(event, "headers", ())
         if len(headers) > _http_messages.HEADERS_MAX:
@@ -210,7 +222,6 @@
         :raises h11.RemoteProtocolError: if the connection ends inside the
             body.
         """
-        conn = self._conn
         if self._may_have_more:
             await trio.lowlevel.checkpoint()
             self._may_have_more = False
@@ -224,11 +235,11 @@
                 self._may_have_more = True
                 self._needs_data = False
                 return b"".join(parts)
-            event = conn.next_event()
+            event = self._parse_event()
         self._needs_data = event is h11.NEED_DATA
         if isinstance(event, h11.EndOfMessage):
             if event.headers and _http_messages.has_folded_trailer(
-                self._parsed()
+                self._parsed_bytes()
             ):
                 raise h11.RemoteProtocolError("folded line in a trailer")
             self.phase = _http_messages.Phase.DONE
--- a/src/coltsfootsail/_http_messages.py
+++ b/src/coltsfootsail/_http_messages.py
@@ -100,6 +100,12 @@
     DONE = 4
 
 
+def without_bytes(exc):
+    """Get the text of an h11 error without the bytes that it quotes."""
+    text, _, _ = str(exc).partition("bytearray(")
+    return text.strip(" :=")
+
+
 def check_status(status):
     """Check the status of an answer that is not informational.
 
--- a/src/coltsfootsail/_http_server.py
+++ b/src/coltsfootsail/_http_server.py
@@ -373,7 +373,7 @@
         exc.__traceback__ = None
         if exc.error_status_hint == 431:
             raise exceptions.HeaderTooLarge() from exc
-        raise exceptions.BadHttp(_without_bytes(exc)) from exc
+        raise exceptions.BadHttp(_http_messages.without_bytes(exc)) from exc
     return _http_messages.HttpRequest(
         method=resp.method,
         target=event.target.decode("latin-1"),
@@ -382,12 +382,6 @@
     )
 
 
-def _without_bytes(exc):
-    """Get the text of an h11 error without the bytes that it quotes."""
-    text, _, _ = str(exc).partition("bytearray(")
-    return text.strip(" :=")
-
-
 async def _linger(stream):
     """Discard what a refused caller still sends, for a bounded time."""
     size_bytes = 0
--- a/tests/test_faulty_servers.py
+++ b/tests/test_faulty_servers.py
@@ -615,3 +615,53 @@
         assert answer.whole
 
     _run_with_answer(make_answer, check)
+
+
+def _begin_of_answer(request_id):
+    fields = [(messages.STAMP, STAMP), ("transfer-encoding", "chunked")]
+    return _head(200, request_id, fields)
+
+
+# By the request's id, answers of which a part can't be parsed.
+QUOTED = {
+    "status line": lambda request_id: b"HTTP/1.1 2x0 " + SECRET + b"\r\n\r\n",
+    "no http": lambda request_id: SECRET + b"\r\n\r\n",
+    "field": lambda request_id: (
+        b"HTTP/1.1 200 x\r\nx a: " + SECRET + b"\r\n\r\n"
+    ),
+    "length": lambda request_id: (
+        b"HTTP/1.1 200 x\r\ncontent-length: " + SECRET + b"\r\n\r\n"
+    ),
+    "coding": lambda request_id: (
+        b"HTTP/1.1 200 x\r\ntransfer-encoding: " + SECRET + b"\r\n\r\n"
+    ),
+    "chunk size": lambda request_id: (
+        _begin_of_answer(request_id) + SECRET + b"\r\n"
+    ),
+    "end of a chunk": lambda request_id: (
+        _begin_of_answer(request_id) + b"1\r\nx" + SECRET + b"\r\n"
+    ),
+    "trailer": lambda request_id: _chunked(
+        request_id, b"x a: " + SECRET + b"\r\n"
+    ),
+}
+
+
+@pytest.mark.parametrize("part", QUOTED)
+def test_error_quotes_no_bytes_of_an_answer_that_is_not_parsed(part):
+    # The text of a 502 had the line of the head that could not be parsed.
+    def check(path, answer):
+        assert answer.status in (*OPEN_STATUSES, 200), path
+        assert answer.status != 200 or not answer.whole
+        for quoted in (SECRET, SECRET[:6], b"bytearray"):
+            assert quoted not in answer.body, path
+
+    _run_with_answer(QUOTED[part], check)
+
+
+@pytest.mark.parametrize("part", QUOTED)
+def test_error_of_a_call_quotes_no_bytes_of_its_answer(virtual, part):
+    outcome = _call_in_memory(virtual, QUOTED[part]("r1"), 65536)
+    assert isinstance(outcome, ConnectionError)
+    for quoted in (SECRET[:6], b"bytearray"):
+        assert quoted.decode() not in str(outcome)
