Broken answers through another node, and what was found of them

Tests: early answers, heads and trailers that a node gets through another one, on sockets, and the error numbers by which a lost connection counts as ended in order or not.

Measured: all tests of the two files pass. On the new cases through another node fail as those without it do: 4 of 4 early answers, 6 kinds of folded lines in heads and in trailers.

--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -93,6 +93,11 @@
             ),
         )
 
+    def relay_requests(self):
+        """Send all requests to servers through a node: the gateway itself."""
+        relay = ("g0", self.at["peer"])
+        self.gateway.upstream._relays.choose = lambda server: relay
+
     async def call(self, path, version="1.1", body=b"x"):
         """Send one request as a caller on a connection of its own.
 
--- a/tests/test_faulty_servers.py
+++ b/tests/test_faulty_servers.py
@@ -428,17 +428,20 @@
     loopback.run(scenario, shops, make_engine=RawEngine)
 
 
-def _run_with_answer(make_answer, check, version="1.1"):
+def _run_with_answer(make_answer, check, version="1.1", is_relayed=False):
     """Call each route, where all servers send the same answer.
 
     :param make_answer: as of a ``RawShop``.
     :param check: ``(path, answer)``.
+    :param is_relayed: whether requests are sent through another node.
     """
     shops = [RawShop(f"i-s{n}", make_answer) for n in range(2)]
 
     async def scenario(site):
         for engine in site.engines:
             engine.make_answer = make_answer
+        if is_relayed:
+            site.relay_requests()
         for path in PATHS:
             _, answer = await site.call(path, version)
             check(path, answer)
@@ -488,9 +491,11 @@
 }
 
 
-@pytest.mark.parametrize("version", ["1.1", "1.0"])
+@pytest.mark.parametrize(
+    ("version", "is_relayed"), [("1.1", False), ("1.0", False), ("1.1", True)]
+)
 @pytest.mark.parametrize("line", BROKEN_LINES)
-def test_head_with_a_broken_line_is_no_answer(line, version):
+def test_head_with_a_broken_line_is_no_answer(line, version, is_relayed):
     # A line that began with a blank or a tab was joined to the one before and
     # passed on; one that named the length let other bytes be the body.
     def make_answer(request_id):
@@ -502,7 +507,7 @@
         assert answer.status in OPEN_STATUSES, path
         assert messages.STAMP not in answer.headers
 
-    _run_with_answer(make_answer, check, version)
+    _run_with_answer(make_answer, check, version, is_relayed)
 
 
 @pytest.mark.parametrize("line", BROKEN_LINES)
@@ -587,9 +592,13 @@
     assert _call_in_memory(virtual, answer, part_bytes) == (200, {"a": 1})
 
 
-@pytest.mark.parametrize("version", ["1.1", "1.0"])
+@pytest.mark.parametrize(
+    ("version", "is_relayed"), [("1.1", False), ("1.0", False), ("1.1", True)]
+)
 @pytest.mark.parametrize("line", BROKEN_LINES)
-def test_answer_with_a_broken_line_in_its_trailer_is_not_whole(line, version):
+def test_answer_with_a_broken_line_in_its_trailer_is_not_whole(
+    line, version, is_relayed
+):
     # A line that began with a blank or a tab was dropped, the answer passed.
     def make_answer(request_id):
         return _chunked(request_id, BROKEN_LINES[line] + b"\r\n")
@@ -599,7 +608,7 @@
             assert answer.status in OPEN_STATUSES, path
         assert not (answer.status == 200 and answer.whole), path
 
-    _run_with_answer(make_answer, check, version)
+    _run_with_answer(make_answer, check, version, is_relayed)
 
 
 @pytest.mark.parametrize("last_chunk", [b"0", b"000", b"0 ", b"0;a=b; c"])
--- a/tests/test_unframed_answers.py
+++ b/tests/test_unframed_answers.py
@@ -3,14 +3,18 @@
 The protocol: RFC 9112, section 6.3, item 8.
 """
 
+import errno
+import os
 import socket
 import struct
 
+import h11
 import pytest
 import trio
 import trio.testing
 
 from coltsfootsail import _http
+from coltsfootsail import _http_client
 from coltsfootsail import _net
 from coltsfootsail.platform import messages
 from coltsfootsail.standins import servers
@@ -205,11 +209,14 @@
         server.end(sock)
 
 
-async def _call_early_servers(site, path, version):
+async def _call_early_servers(site, path, version, is_relayed=False):
     """Send a long request to servers that answer it early.
 
+    :param is_relayed: whether it is sent through another node.
     :returns: the ``Reply`` and the number of sends.
     """
+    if is_relayed:
+        site.relay_requests()
     request_id, reply = await site.call(path, version, LONG_BODY)
     received = [
         each
@@ -219,7 +226,9 @@
     return reply, received.count(request_id)
 
 
-@pytest.mark.parametrize("version", ["1.1", "1.0"])
+@pytest.mark.parametrize(
+    ("version", "is_relayed"), [("1.1", False), ("1.0", False), ("1.1", True)]
+)
 @pytest.mark.parametrize(
     ("path", "may_repeat"),
     [
@@ -230,14 +239,16 @@
     ],
 )
 def test_early_answer_that_is_reset_is_not_whole(
-    monkeypatch, path, may_repeat, version
+    monkeypatch, path, may_repeat, version, is_relayed
 ):
     # Callers got what had arrived as the whole answer: MIXED.
     monkeypatch.setattr(_EarlyEngine, "end", staticmethod(_reset))
     shops = [_EarlyShop(f"i-s{n}", _reset) for n in range(2)]
 
     async def scenario(site):
-        reply, sends = await _call_early_servers(site, path, version)
+        reply, sends = await _call_early_servers(
+            site, path, version, is_relayed
+        )
         if path in ("/orders/9", "/stock/9"):
             assert reply.status == 502
         assert not (reply.status == 200 and reply.whole)
@@ -247,18 +258,22 @@
     loopback.run(scenario, shops, make_engine=_EarlyEngine)
 
 
-@pytest.mark.parametrize("version", ["1.1", "1.0"])
+@pytest.mark.parametrize(
+    ("version", "is_relayed"), [("1.1", False), ("1.0", False), ("1.1", True)]
+)
 @pytest.mark.parametrize(
     "path", ["/orders/9", "/stock/9", "/notes/9", "/prints/9"]
 )
 def test_early_answer_that_ends_before_the_reset_is_whole(
-    monkeypatch, path, version
+    monkeypatch, path, version, is_relayed
 ):
     monkeypatch.setattr(_EarlyEngine, "end", staticmethod(_end_and_reset))
     shops = [_EarlyShop(f"i-s{n}", _end_and_reset) for n in range(2)]
 
     async def scenario(site):
-        reply, sends = await _call_early_servers(site, path, version)
+        reply, sends = await _call_early_servers(
+            site, path, version, is_relayed
+        )
         assert (reply.status, reply.body) == (200, EARLY_BODY)
         assert reply.whole
         assert sends == 1
@@ -321,3 +336,49 @@
 def test_call_takes_an_answer_that_ends_with_its_connection(method, body):
     answer = _call_early_server(_end_and_reset, method, body)
     assert answer == (200, EARLY_BODY)
+
+
+class _LostStream:
+    """A connection whose loss is told to the task that sends."""
+
+    def __init__(self, number):
+        self._error = OSError(number, os.strerror(number))
+        self._has_lost = trio.Event()
+        self._parts = [b"HTTP/1.1 200 OK\r\n\r\n", b"text", b""]
+
+    async def send_all(self, data):
+        """Fail."""
+        self._has_lost.set()
+        raise trio.BrokenResourceError from self._error
+
+    async def receive_some(self, max_bytes=None):
+        """Get what had arrived, then the end of the stream."""
+        await self._has_lost.wait()
+        return self._parts.pop(0)
+
+
+@pytest.mark.parametrize(
+    ("number", "is_whole"),
+    [
+        (errno.ECONNRESET, False),
+        (errno.ETIMEDOUT, False),
+        (errno.EHOSTUNREACH, False),
+        (errno.EPIPE, True),
+    ],
+)
+def test_answer_is_whole_if_the_far_end_had_ended_it(number, is_whole):
+    async def main():
+        exchange = _http_client.Exchange(
+            _LostStream(number),
+            h11.Connection(h11.CLIENT),
+            _http_client.ConnectionHistory(0.0),
+        )
+        await exchange.request(
+            "POST", "/", [("host", "x")], b"x", lambda exchange: True
+        )
+        try:
+            return bytes(await exchange.read_body(100))
+        except trio.BrokenResourceError as exc:
+            return exc.__cause__.errno
+
+    assert trio.run(main) == (b"text" if is_whole else number)
