--- a/src/coltsfootsail/_http_client.py
+++ b/src/coltsfootsail/_http_client.py
@@ -65,7 +65,7 @@
         self._may_have_more = False
         self._request_incomplete = False
         self._lost_errno = None
-        self._received = b""  # last, and what was left of earlier bytes
+        self._received = b""  # last, after what was not parsed by then
 
     def header(self, name, default=""):
         """Get a header of the answer by its lower-case name."""
@@ -194,7 +194,7 @@
         return event
 
     def _parsed_bytes(self):
-        """Get the last bytes that h11 has made events of."""
+        """Get those of the bytes received last that h11 has parsed."""
         left_bytes = len(self._conn.trailing_data[0])
         return self._received[: len(self._received) - left_bytes]
 
