Move the server's reading of events out of the shared module

Since the exchange reads its events itself, only the server has used _http_messages.next_event, which also sends 100 Continue. It moves there as it is; nothing else changes.

Measured: the tests of heads, of both sides of HTTP and of faulty servers pass.

--- a/src/coltsfootsail/_http_messages.py
+++ b/src/coltsfootsail/_http_messages.py
@@ -142,25 +142,6 @@
     return False
 
 
-async def next_event(conn, stream):
-    """Get the next h11 event, reading from the stream as needed.
-
-    :param conn: an ``h11.Connection``.
-    :param stream: a ``trio.abc.Stream``.
-    :returns: an h11 event.
-    """
-    while True:
-        event = conn.next_event()
-        if event is not h11.NEED_DATA:
-            return event
-        if conn.they_are_waiting_for_100_continue:
-            continue_response = h11.InformationalResponse(
-                status_code=100, headers=[]
-            )
-            await stream.send_all(conn.send(continue_response))
-        conn.receive_data(await stream.receive_some(RECEIVE_BYTES))
-
-
 def join_small(parts):
     """Join the parts of a message, but for large ones, which stay uncopied.
 
--- a/src/coltsfootsail/_http_server.py
+++ b/src/coltsfootsail/_http_server.py
@@ -227,6 +227,27 @@
     return [("retry-after", str(max(1, round(exc.retry_after_s))))]
 
 
+async def _next_event(conn, stream):
+    """Get the next h11 event, reading from the stream as needed.
+
+    :param conn: an ``h11.Connection``.
+    :param stream: a ``trio.abc.Stream``.
+    :returns: an h11 event.
+    """
+    while True:
+        event = conn.next_event()
+        if event is not h11.NEED_DATA:
+            return event
+        if conn.they_are_waiting_for_100_continue:
+            continue_response = h11.InformationalResponse(
+                status_code=100, headers=[]
+            )
+            await stream.send_all(conn.send(continue_response))
+        conn.receive_data(
+            await stream.receive_some(_http_messages.RECEIVE_BYTES)
+        )
+
+
 async def _read_body(conn, stream, headers, limits, account):
     """Read a body into one buffer.
 
@@ -253,7 +274,7 @@
     for events in itertools.count(1):
         if events % _http_messages.EVENTS_PER_TURN == 0:
             await trio.lowlevel.checkpoint()
-        event = await _http_messages.next_event(conn, stream)
+        event = await _next_event(conn, stream)
         if isinstance(event, h11.EndOfMessage):
             return
         if not isinstance(event, h11.Data):
@@ -355,7 +376,7 @@
     until_s = trio.current_time() + limits.read_timeout_s
     reader = _TimedReader(resp.stream, until_s)
     try:
-        event = await _http_messages.next_event(conn, reader)
+        event = await _next_event(conn, reader)
         if not isinstance(event, h11.Request):
             return None
         resp.method = event.method.decode("ascii")
