Check the status of a passed-on answer for forwards too

What callers saw: a node without a gateway passed any status on that another node, of an earlier version, forwarded to it.

Cause: the check was added to one of the two readers of such answers.

Change: MessageStream.receive_answer checks the head, and both readers use it. It stands above the decoding, which goes on taking all messages of released builds. The check of one status needs no function of its own any more.

Evidence: test_status_outside_of_the_protocol_is_no_answer of test_forward.py, three statuses, fails without the check; those of test_relays.py pass as before.

--- a/src/coltsfootsail/_forward.py
+++ b/src/coltsfootsail/_forward.py
@@ -144,7 +144,7 @@
     received_bytes = 0
     while True:
         with trio.fail_after(SILENCE_TIMEOUT_S):
-            msg = await messages.receive()
+            msg = await messages.receive_answer()
         if isinstance(msg, _wire.AnswerData):
             received_bytes += len(msg.data)
             await _call_sink(sink.write, msg.data)
--- a/src/coltsfootsail/_http_client.py
+++ b/src/coltsfootsail/_http_client.py
@@ -155,7 +155,8 @@
             event = await self._next_head()
         if not isinstance(event, h11.Response):
             raise h11.RemoteProtocolError("no answer")
-        _http_messages.check_status(event.status_code)
+        if event.status_code not in _http_messages.FINAL_STATUSES:
+            raise h11.RemoteProtocolError(f"status {event.status_code}")
         self.phase = _http_messages.Phase.ANSWERING
         self.status = event.status_code
         self.headers = _http_messages.text_headers(event.headers)
--- a/src/coltsfootsail/_http_messages.py
+++ b/src/coltsfootsail/_http_messages.py
@@ -12,7 +12,7 @@
 
 RECEIVE_BYTES = 65536
 HEADERS_MAX = 128  # of a request or an answer
-FINAL_STATUSES = range(200, 600)
+FINAL_STATUSES = range(200, 600)  # RFC 9110, section 15
 EVENTS_PER_TURN = 64  # parts of a body read before other tasks run
 _FOLDED_LINE = re.compile(rb"\n[ \t]")
 _LAST_CHUNK = re.compile(rb"0+[ \t]*(;.*)?\r?")
@@ -106,17 +106,6 @@
     return text.strip(" :=")
 
 
-def check_status(status):
-    """Check the status of an answer that is not informational.
-
-    Source: RFC 9110, section 15.
-
-    :raises h11.RemoteProtocolError: if the protocol has no such status.
-    """
-    if status not in FINAL_STATUSES:
-        raise h11.RemoteProtocolError(f"status {status}")
-
-
 def has_folded_line(data):
     """Tell whether a line of a head continues the one before.
 
--- a/src/coltsfootsail/_relays.py
+++ b/src/coltsfootsail/_relays.py
@@ -60,8 +60,6 @@
         :param server: the ``Server`` that is to run it.
         :param request: an ``UpstreamRequest``.
         :raises ColtsfootsailError: if the other node reports an error.
-        :raises h11.RemoteProtocolError: if the status is not one of the
-            protocol.
         """
         self.phase = Phase.SENDING
         await self._messages.send(
@@ -79,8 +77,6 @@
             lambda: self._receive(_wire.AnswerHead),
             request.body,
         )
-        # A node of an earlier version may pass on any status.
-        _http_messages.check_status(head.status)
         self.phase = Phase.ANSWERING
         self.status = head.status
         self.headers = head.headers
@@ -100,7 +96,7 @@
         :raises ConnectionError: if the connection or the message is bad.
         """
         try:
-            msg = await self._messages.receive()
+            msg = await self._messages.receive_answer()
         except exceptions.WireError as exc:
             raise ConnectionError(str(exc)) from exc
         if isinstance(msg, _wire.AnswerError):
--- a/src/coltsfootsail/_wire.py
+++ b/src/coltsfootsail/_wire.py
@@ -16,6 +16,7 @@
 import msgpack
 import trio
 
+from coltsfootsail import _http_messages
 from coltsfootsail import _net
 from coltsfootsail import exceptions
 
@@ -855,6 +856,24 @@
                 return None
             self._decoder.feed(data)
 
+    async def receive_answer(self):
+        """Receive a part of an answer that another node passes on.
+
+        One of an earlier version passes on any status.
+
+        :returns: a message, or None at the end of the stream.
+        :raises WireError: as ``receive``, or if the status is not one of the
+            protocol.
+        :raises OSError: if the stream has failed.
+        """
+        msg = await self.receive()
+        if (
+            isinstance(msg, AnswerHead)
+            and msg.status not in _http_messages.FINAL_STATUSES
+        ):
+            raise exceptions.WireError(f"status {msg.status}")
+        return msg
+
     async def aclose(self):
         """Close the stream at once."""
         await trio.aclose_forcefully(self._stream)
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -40,3 +40,34 @@
             nursery.cancel_scope.cancel()
 
     virtual(main)
+
+
+@pytest.mark.parametrize("status", [0, 199, 600])
+def test_status_outside_of_the_protocol_is_no_answer(virtual, status):
+    # The node that forwards passed it on to the caller.
+    calls = []
+
+    async def main():
+        net = memory.MemoryNetwork()
+
+        async def owner(stream):
+            messages = _wire.MessageStream(stream)
+            await messages.receive()
+            await messages.send(_wire.AnswerHead(status, ()))
+            await messages.send(_wire.AnswerEnd(0))
+
+        async def note(*args):
+            calls.append(args)
+
+        sink = _inference.ResponseSink(
+            start=note, write=note, end=note, hangup=trio.sleep_forever
+        )
+        msg = _wire.Forward("r", "e", "/v1/completions", (), b"", 60.0)
+        async with trio.open_nursery() as nursery:
+            await nursery.start(net.network("o").serve, "o:1", owner)
+            with pytest.raises(exceptions.OutcomeUnknown):
+                await _forward.send(net.network("n"), "o:1", msg, sink)
+            nursery.cancel_scope.cancel()
+
+    virtual(main)
+    assert not calls
