Test broken lines beside discarded answers, and heads of sound servers

A broken line in the head of an answer to another request, or in the head behind it, is no answer to the caller. Values with tabs or obs-text, bare line feeds, no reason phrase and empty values are passed on as before.

--- a/tests/test_faulty_servers.py
+++ b/tests/test_faulty_servers.py
@@ -524,6 +524,62 @@
     _run_with_answer(make_answer, check)
 
 
+@pytest.mark.parametrize("line", BROKEN_LINES)
+@pytest.mark.parametrize("broken_id", ["other", None])
+def test_broken_line_beside_a_discarded_answer_is_seen(line, broken_id):
+    # In the head of an answer to another request, or in the one behind it.
+    fields = [(messages.STAMP, STAMP), ("content-length", "10")]
+
+    def make_answer(request_id):
+        data = b""
+        for each in ("other", None):
+            head = _head(200, each or request_id, fields).removesuffix(b"\r\n")
+            if each == broken_id:
+                head += BROKEN_LINES[line] + b"\r\n"
+            data += head + b"\r\n0123456789"
+        return data
+
+    def check(path, answer):
+        assert answer.status in OPEN_STATUSES, path
+
+    _run_with_answer(make_answer, check)
+
+
+SOUND_HEADS = {
+    "blanks and tabs in a value": b"HTTP/1.1 200 OK\r\nx-a: b c\td\t\r\n",
+    "obs-text": b"HTTP/1.1 200 OK\r\nx-a: \xc3\xa9\r\n",
+    "no carriage returns": b"HTTP/1.1 200 OK\nx-a: b\n",
+    "no reason": b"HTTP/1.1 200\r\n",
+    "empty reason": b"HTTP/1.1 200 \r\n",
+    "empty values": b"HTTP/1.1 200 OK\r\nx-a:\r\nx-b: \r\n",
+    "behind an informational one": (
+        b"HTTP/1.1 103 x\r\nlink: a\r\n\r\nHTTP/1.1 200 OK\r\n"
+    ),
+    "behind an answer to another request": (
+        _head(200, "other", [("content-length", "5")])
+        + b"\n a\n\tHTTP/1.1 200 OK\r\n"
+    ),
+}
+
+
+@pytest.mark.parametrize("begin", SOUND_HEADS)
+def test_answer_with_a_sound_head_is_whole(begin):
+    def make_answer(request_id):
+        fields = [
+            (messages.REQUEST_ID, request_id),
+            (messages.STAMP, STAMP),
+            ("content-length", str(len(INDENTED))),
+        ]
+        lines = "".join(f"{name}: {value}\r\n" for name, value in fields)
+        return SOUND_HEADS[begin] + lines.encode() + b"\r\n" + INDENTED
+
+    def check(path, answer):
+        assert (answer.status, answer.body) == (200, INDENTED), path
+        assert answer.whole
+
+    _run_with_answer(make_answer, check)
+
+
 # Parts of an event that may be taken for broken lines or for the last chunk.
 INDENTED = b"id: 0\ndata: a\n b\n\tc\n0\r\n d\r\n\r\ne: f\n\n"
 
