--- a/review/lib3/bed3.py
+++ b/review/lib3/bed3.py
@@ -28,6 +28,8 @@
 HEARTBEAT_S = 1.2
 EXPIRY_S = 3.6  # three heartbeats of silence
 HOST = "shop.example"
+TIME_LIMIT_S = 115
+BEDS = []  # whose processes are ended by a signal too
 WORKED_ON_S = 0.4  # of the rule TWICE
 REQUEST_ID = "coltsfootsail-request-id"
 # As deploy/settings.toml is filled in for the small sites.
@@ -161,6 +163,7 @@
         self.log.touch()
         self._configuration = configuration
         self._nursery = None
+        BEDS.append(self)
 
     async def _serve_store(self, task_status=trio.TASK_STATUS_IGNORED):
         handler = self.store.connection_handler("store")
@@ -454,25 +457,20 @@
     :param case: ``async (folder, trouble) -> bool``, whether the rule held.
     """
     trouble = os.environ.get("TROUBLE", "1") != "0"
+    for signum in (signal.SIGALRM, signal.SIGTERM, signal.SIGINT):
+        signal.signal(signum, _end_early)
+    signal.alarm(TIME_LIMIT_S)
     try:
-        with trio_deadline():
-            held = trio.run(case, pathlib.Path(folder).resolve(), trouble)
+        held = trio.run(case, pathlib.Path(folder).resolve(), trouble)
     except BaseException as exc:
         print(f"could not run: {exc!r}")
         sys.exit(2)
     sys.exit(0 if held else 10)
 
 
-@contextlib.contextmanager
-def trio_deadline(seconds=115):
-    """End a case that takes too long."""
-
-    def on_alarm(signum, frame):
-        raise TimeoutError("the case took too long")
-
-    signal.signal(signal.SIGALRM, on_alarm)
-    signal.alarm(seconds)
-    try:
-        yield
-    finally:
-        signal.alarm(0)
+def _end_early(signum, frame):
+    """End all processes, when the case takes too long or is ended."""
+    for bed in BEDS:
+        bed._end_all()
+    print(f"could not run: {signal.Signals(signum).name}", flush=True)
+    os._exit(2)
